Add design page, project skeleton and Base module

Cause: the repository was empty.

Change: docs/design.md states requirements, modules, interfaces, state and failure behaviour.

Conclusion: the modules can be built side by side against Base and Config.

--- /dev/null
+++ b/Source/Config/FleetConfiguration.h
@@ -0,0 +1,48 @@
+#pragma once
+
+#include "Base/Ids.h"
+#include "Config/OrganisationSpec.h"
+#include "Config/Preset.h"
+#include "Config/RouteSpec.h"
+#include "Config/UpstreamSpec.h"
+
+#include <cstdint>
+#include <map>
+#include <set>
+#include <vector>
+
+namespace Mangofall {
+
+/// Number of a configuration; higher is newer, 0 means none.
+using Revision = std::uint64_t;
+
+/**
+ * \class OutOfService
+ * \brief What operators have taken out of service.
+ */
+struct OutOfService {
+    std::set<DataCentreId> dataCentres;
+    std::set<HostId> hosts;
+    std::set<UpstreamId> upstreams;
+
+    friend bool operator==(const OutOfService &, const OutOfService &) = default;
+};
+
+/**
+ * \class FleetConfiguration
+ * \brief The operators' declarations at one revision; never changed once made.
+ */
+struct FleetConfiguration {
+    Revision revision = 0;
+    PresetName presetInForce;
+    std::map<PresetName, Preset> presets;
+    std::map<OrganisationId, OrganisationSpec> organisations;
+    std::map<UpstreamId, UpstreamSpec> upstreams;
+    std::vector<RouteSpec> routes; ///< The longest matching prefix applies.
+    OutOfService outOfService;
+    std::vector<ChangeId> recentChanges; ///< Newest last; bounded.
+
+    friend bool operator==(const FleetConfiguration &, const FleetConfiguration &) = default;
+};
+
+}
--- /dev/null
+++ b/Tests/Base/ErrorAnswerTest.cpp
@@ -0,0 +1,33 @@
+#include "Property.h"
+
+#include "Base/ErrorAnswer.h"
+
+#include <set>
+
+using namespace Mangofall;
+
+TEST_GROUP(ErrorAnswerTest){};
+
+// Guards against a table row that is missing or stands at another kind's place.
+TEST(ErrorAnswerTest, EveryKindHasItsOwnName)
+{
+    std::set<std::string_view> names;
+    for (int value = 0; value < errorKindCount; ++value) {
+        const ErrorAnswer &answer = errorAnswer(static_cast<ErrorKind>(value));
+        CHECK_TEXT(!answer.name.empty(), "a kind has no name");
+        CHECK_TEXT(names.insert(answer.name).second, "two kinds share a name");
+        CHECK_TEXT(value == 0 || (answer.httpStatus >= 400 && answer.httpStatus < 600), "an error has a success status");
+    }
+    CHECK(errorAnswer(ErrorKind::Internal).name == "internal");
+    CHECK(errorAnswer(ErrorKind::OrderUnknown).name == "order_unknown");
+}
+
+// Guards against an untrue "not run" once a byte reached an upstream.
+TEST(ErrorAnswerTest, NeverSaysNotRunAfterBytesWereSent)
+{
+    for (int value = 0; value < errorKindCount; ++value) {
+        CHECK_FALSE(saysNotRun(static_cast<ErrorKind>(value), true));
+    }
+    CHECK_FALSE(saysNotRun(ErrorKind::OrderUnknown, false));
+    CHECK_TRUE(saysNotRun(ErrorKind::QueueFull, false));
+}
--- /dev/null
+++ b/Utilities/CMake/Targets.cmake
@@ -0,0 +1,23 @@
+# Helpers that define the project's targets with one set of options.
+
+add_library(MangofallOptions INTERFACE)
+target_compile_options(MangofallOptions INTERFACE -Wall -Wextra -Wpedantic -Werror)
+target_include_directories(MangofallOptions INTERFACE "${PROJECT_SOURCE_DIR}/Source")
+target_compile_definitions(MangofallOptions INTERFACE BOOST_ASIO_NO_DEPRECATED BOOST_ASIO_DISABLE_BOOST_COROUTINE)
+
+# mangofall_add_module(NAME SOURCES... [LINK target...]): a static library for Source/<NAME>.
+function(mangofall_add_module name)
+  cmake_parse_arguments(MODULE "" "" "SOURCES;LINK" ${ARGN})
+  add_library(Mangofall${name} STATIC ${MODULE_SOURCES})
+  target_link_libraries(Mangofall${name} PUBLIC MangofallOptions ${MODULE_LINK})
+endfunction()
+
+# mangofall_add_test(NAME SOURCES... LINK target... [LABELS label...]): a CppUTest program run by ctest with a fixed RapidCheck seed.
+function(mangofall_add_test name)
+  cmake_parse_arguments(TEST "" "" "SOURCES;LINK;LABELS" ${ARGN})
+  add_executable(${name} "${PROJECT_SOURCE_DIR}/Tests/TestMain.cpp" ${TEST_SOURCES})
+  target_include_directories(${name} PRIVATE "${PROJECT_SOURCE_DIR}/Tests")
+  target_link_libraries(${name} PRIVATE MangofallOptions ${TEST_LINK} PkgConfig::CppUTest rapidcheck)
+  add_test(NAME ${name} COMMAND ${name})
+  set_tests_properties(${name} PROPERTIES ENVIRONMENT "RC_PARAMS=seed=20261204" TIMEOUT 300 LABELS "${TEST_LABELS}")
+endfunction()
