Add Telemetry: logs, metrics, trace context and spans

Cause: each hop of a request has to be visible from outside.

Change: log4cxx behind Log with a prefix per component, prometheus-cpp metrics with units in their names, W3C traceparent and OTLP JSON spans through a small recorder. CppUTest's leak detection macros are off in test programs because they redefine new for headers included later.

Conclusion: a small recorder suffices; no OpenTelemetry package is in Debian 12.

--- /dev/null
+++ b/Source/Telemetry/Log.h
@@ -0,0 +1,44 @@
+#pragma once
+
+#include <memory>
+#include <string>
+#include <string_view>
+
+namespace Mangofall {
+
+enum class LogLevel {
+    Debug,
+    Info,
+    Warning,
+    Error,
+};
+
+/// Sets level and layout (one JSON object per line if \p json) of the process's log on standard error. Call once, before the first line.
+void configureLogging(LogLevel level, bool json);
+
+/**
+ * \class Log
+ * \brief Writes the lines of one component, each with the component's fixed prefix.
+ *
+ * Safe to use from any thread.
+ */
+class Log
+{
+public:
+    /// \p prefix names the component, for example "membership".
+    explicit Log(const std::string &prefix);
+    ~Log();
+    Log(const Log &) = delete;
+    Log &operator=(const Log &) = delete;
+
+    void debug(std::string_view message) const;
+    void info(std::string_view message) const;
+    void warning(std::string_view message) const;
+    void error(std::string_view message) const;
+
+private:
+    struct Private;
+    std::unique_ptr<Private> d;
+};
+
+}
--- /dev/null
+++ b/Source/Telemetry/Metrics.cpp
@@ -0,0 +1,110 @@
+#include "Telemetry/Metrics.h"
+
+#include <prometheus/text_serializer.h>
+
+namespace Mangofall {
+
+namespace {
+
+using prometheus::BuildCounter;
+using prometheus::BuildGauge;
+using prometheus::BuildHistogram;
+
+const prometheus::Histogram::BucketBoundaries firstTokenBucketsSeconds = {0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1, 1.3, 2, 5, 10, 30, 60, 120, 300};
+
+prometheus::Family<prometheus::Counter> &counters(prometheus::Registry &registry, const char *name, const char *help)
+{
+    return BuildCounter().Name(name).Help(help).Register(registry);
+}
+
+prometheus::Gauge &gauge(prometheus::Registry &registry, const char *name, const char *help)
+{
+    return BuildGauge().Name(name).Help(help).Register(registry).Add({});
+}
+
+}
+
+Metrics::Metrics()
+    : m_registry(std::make_shared<prometheus::Registry>())
+    , m_answers(counters(*m_registry, "mangofall_answers_total", "Answers to callers by error kind."))
+    , m_firstToken(BuildHistogram().Name("mangofall_first_token_seconds").Help("Time to first token by length class.").Register(*m_registry))
+    , m_upstreamStates(counters(*m_registry, "mangofall_upstream_state_changes_total", "Upstream state changes by new state."))
+    , m_retries(counters(*m_registry, "mangofall_retries_total", "Further attempts of model requests by reason."))
+    , m_storeCalls(counters(*m_registry, "mangofall_store_calls_total", "Calls to the platform's store by kind and result."))
+    , m_orders(counters(*m_registry, "mangofall_orders_total", "Non-idempotent calls by final state."))
+    , m_peerBytes(counters(*m_registry, "mangofall_peer_sent_bytes_total", "Bytes sent to peers by connection purpose."))
+    , m_capExcess(
+          counters(*m_registry, "mangofall_cap_excess_requests_total", "Requests found running beyond an upstream's cap after a change of dispatcher.").Add({}))
+    , m_staleAnswers(counters(*m_registry, "mangofall_stale_answers_total", "Answers dropped because they carry another attempt's id.").Add({}))
+    , m_configurationRevision(gauge(*m_registry, "mangofall_configuration_revision", "Revision of the configuration in force on this host."))
+    , m_liveHosts(gauge(*m_registry, "mangofall_live_hosts", "Hosts that this host believes to be alive."))
+    , m_activeSessions(gauge(*m_registry, "mangofall_active_sessions", "Requests of callers in progress on this host."))
+{
+}
+
+std::string Metrics::text() const
+{
+    return prometheus::TextSerializer().Serialize(m_registry->Collect());
+}
+
+prometheus::Counter &Metrics::answers(const std::string &kind)
+{
+    return m_answers.Add({{"kind", kind}});
+}
+
+prometheus::Histogram &Metrics::firstToken(const std::string &lengthClass)
+{
+    return m_firstToken.Add({{"length_class", lengthClass}}, firstTokenBucketsSeconds);
+}
+
+prometheus::Counter &Metrics::capExcess()
+{
+    return m_capExcess;
+}
+
+prometheus::Counter &Metrics::upstreamStates(const std::string &state)
+{
+    return m_upstreamStates.Add({{"state", state}});
+}
+
+prometheus::Counter &Metrics::staleAnswers()
+{
+    return m_staleAnswers;
+}
+
+prometheus::Counter &Metrics::retries(const std::string &reason)
+{
+    return m_retries.Add({{"reason", reason}});
+}
+
+prometheus::Counter &Metrics::storeCalls(const std::string &kind, const std::string &result)
+{
+    return m_storeCalls.Add({{"kind", kind}, {"result", result}});
+}
+
+prometheus::Counter &Metrics::orders(const std::string &state)
+{
+    return m_orders.Add({{"state", state}});
+}
+
+prometheus::Gauge &Metrics::configurationRevision()
+{
+    return m_configurationRevision;
+}
+
+prometheus::Gauge &Metrics::liveHosts()
+{
+    return m_liveHosts;
+}
+
+prometheus::Gauge &Metrics::activeSessions()
+{
+    return m_activeSessions;
+}
+
+prometheus::Counter &Metrics::peerBytes(const std::string &purpose)
+{
+    return m_peerBytes.Add({{"purpose", purpose}});
+}
+
+}
--- /dev/null
+++ b/Tests/Telemetry/SpanRecorderTest.cpp
@@ -0,0 +1,26 @@
+#include "Property.h"
+
+#include "Telemetry/SpanRecorder.h"
+
+#include <nlohmann/json.hpp>
+
+using namespace Mangofall;
+
+TEST_GROUP(SpanRecorderTest){};
+
+// Guards against an export that collectors reject or that loses the link between parent and child.
+TEST(SpanRecorderTest, ExportsParentAndTraceIds)
+{
+    Span span;
+    span.name = "dispatch";
+    span.context = *traceContextFromHeader("00-0af7651916cd43dd8448eb211c80319c-b7ad6b7169203331-01");
+    span.parentSpan = 0x00f067aa0ba902b7;
+    span.attributes = {{"upstream", "engine-1"}};
+    const auto json = nlohmann::json::parse(toOtlpJson({span}, "mangofalld", "host-1"));
+    const auto &exported = json["resourceSpans"][0]["scopeSpans"][0]["spans"][0];
+    CHECK(exported["traceId"] == "0af7651916cd43dd8448eb211c80319c");
+    CHECK(exported["spanId"] == "b7ad6b7169203331");
+    CHECK(exported["parentSpanId"] == "00f067aa0ba902b7");
+    CHECK(exported["attributes"][0]["value"]["stringValue"] == "engine-1");
+    CHECK(json["resourceSpans"][0]["resource"]["attributes"][1]["value"]["stringValue"] == "host-1");
+}
--- a/Utilities/CMake/Targets.cmake
+++ b/Utilities/CMake/Targets.cmake
@@ -16,6 +16,8 @@
 function(mangofall_add_test name)
   cmake_parse_arguments(TEST "" "" "SOURCES;LINK;LABELS" ${ARGN})
   add_executable(${name} "${PROJECT_SOURCE_DIR}/Tests/TestMain.cpp" ${TEST_SOURCES})
+  # CppUTest's leak detection redefines new, which breaks headers included after it.
+  target_compile_definitions(${name} PRIVATE CPPUTEST_MEM_LEAK_DETECTION_DISABLED)
   target_include_directories(${name} PRIVATE "${PROJECT_SOURCE_DIR}/Tests")
   target_link_libraries(${name} PRIVATE MangofallOptions ${TEST_LINK} PkgConfig::CppUTest rapidcheck)
   add_test(NAME ${name} COMMAND ${name})
