Add Peer: FlatBuffers messages over framed TCP connections

Cause: entry hosts and dispatchers have to exchange requests, streams and control state.

Change: message schema with generated code, frame codec with verification, connections that batch queued frames into one write, links that connect on first use, a TCP listener.

Conclusion: the object API of FlatBuffers serves as the typed message layer; no second set of message structs is needed.

--- /dev/null
+++ b/Source/Peer/PeerConnection.cpp
@@ -0,0 +1,124 @@
+#include "Peer/PeerConnection.h"
+
+#include "Peer/PeerCodec.h"
+#include "Peer/PeerMessageHandler.h"
+#include "Peer/PeerMessages_generated.h"
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/read.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/write.hpp>
+
+#include <array>
+
+namespace Mangofall {
+
+namespace {
+
+namespace Asio = boost::asio;
+
+// A peer that accepts nothing for this much traffic is treated as gone, so that memory stays bounded.
+constexpr std::size_t maxQueuedBytes = 256UL * 1024 * 1024;
+
+constexpr auto awaitTuple = Asio::as_tuple(Asio::use_awaitable);
+
+}
+
+PeerConnection::PeerConnection(Asio::ip::tcp::socket socket, ByteCounter byteCounter)
+    : m_socket(std::move(socket))
+    , m_byteCounter(std::move(byteCounter))
+{
+    boost::system::error_code ignored;
+    m_socket.set_option(Asio::ip::tcp::no_delay(true), ignored);
+}
+
+void PeerConnection::start(PeerMessageHandler &handler)
+{
+    m_handler = &handler;
+    Asio::co_spawn(
+        m_socket.get_executor(),
+        [self = shared_from_this()]() {
+            return self->readFrames();
+        },
+        Asio::detached);
+}
+
+void PeerConnection::send(const Wire::PeerMessageT &message)
+{
+    if (m_closed) {
+        return;
+    }
+    appendFrame(m_queue, message);
+    if (m_queue.size() > maxQueuedBytes) {
+        close();
+        return;
+    }
+    if (!m_writing) {
+        m_writing = true;
+        Asio::co_spawn(
+            m_socket.get_executor(),
+            [self = shared_from_this()]() {
+                return self->writeQueue();
+            },
+            Asio::detached);
+    }
+}
+
+void PeerConnection::close()
+{
+    if (m_closed) {
+        return;
+    }
+    m_closed = true;
+    boost::system::error_code ignored;
+    m_socket.close(ignored);
+    if (m_handler != nullptr) {
+        m_handler->handleClosed(shared_from_this());
+    }
+}
+
+bool PeerConnection::isOpen() const
+{
+    return !m_closed;
+}
+
+Asio::awaitable<void> PeerConnection::readFrames()
+{
+    const auto self = shared_from_this();
+    std::array<std::uint8_t, frameHeaderBytes> header{};
+    std::vector<std::uint8_t> payload;
+    while (!m_closed) {
+        const auto [headerError, headerBytes] = co_await Asio::async_read(m_socket, Asio::buffer(header), awaitTuple);
+        if (headerError || frameLength(header) > maxFrameBytes) {
+            break;
+        }
+        payload.resize(frameLength(header));
+        const auto [payloadError, payloadBytes] = co_await Asio::async_read(m_socket, Asio::buffer(payload), awaitTuple);
+        Wire::PeerMessageT message;
+        if (payloadError || decodeFrame(payload, message)) {
+            break;
+        }
+        m_handler->handleMessage(self, std::move(message));
+    }
+    close();
+}
+
+Asio::awaitable<void> PeerConnection::writeQueue()
+{
+    const auto self = shared_from_this();
+    std::vector<std::uint8_t> batch;
+    while (!m_closed && !m_queue.empty()) {
+        batch.clear();
+        batch.swap(m_queue);
+        const auto [error, bytes] = co_await Asio::async_write(m_socket, Asio::buffer(batch), awaitTuple);
+        m_byteCounter(bytes);
+        if (error) {
+            close();
+        }
+    }
+    m_writing = false;
+}
+
+}
--- /dev/null
+++ b/Source/Peer/PeerLink.cpp
@@ -0,0 +1,101 @@
+#include "Peer/PeerLink.h"
+
+#include "Peer/PeerMessageHandler.h"
+#include "Peer/PeerMessages_generated.h"
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+namespace Mangofall {
+
+namespace {
+
+namespace Asio = boost::asio;
+
+constexpr std::chrono::milliseconds connectTimeout{1000};
+
+}
+
+PeerLink::PeerLink(Asio::io_context &context,
+                   std::string address,
+                   std::uint16_t port,
+                   std::shared_ptr<const Wire::HelloT> hello,
+                   PeerMessageHandler &handler,
+                   PeerConnection::ByteCounter byteCounter)
+    : m_context(context)
+    , m_address(std::move(address))
+    , m_port(port)
+    , m_hello(std::move(hello))
+    , m_handler(handler)
+    , m_byteCounter(std::move(byteCounter))
+{
+}
+
+void PeerLink::send(Wire::PeerMessageT &&message)
+{
+    if (m_connection && m_connection->isOpen()) {
+        m_connection->send(message);
+        return;
+    }
+    m_waiting.push_back(std::move(message));
+    if (!m_connecting) {
+        m_connecting = true;
+        Asio::co_spawn(
+            m_context,
+            [self = shared_from_this()]() {
+                return self->connect();
+            },
+            Asio::detached);
+    }
+}
+
+void PeerLink::close()
+{
+    if (m_connection) {
+        m_connection->close();
+    }
+}
+
+const std::shared_ptr<PeerConnection> &PeerLink::connection() const
+{
+    return m_connection;
+}
+
+Asio::awaitable<void> PeerLink::connect()
+{
+    const auto self = shared_from_this();
+    auto socket = std::make_shared<Asio::ip::tcp::socket>(m_context);
+    boost::system::error_code error;
+    const auto address = Asio::ip::make_address(m_address, error);
+    if (!error) {
+        Asio::steady_timer timer(m_context, connectTimeout);
+        timer.async_wait([socket](const boost::system::error_code &cancelled) {
+            if (!cancelled) {
+                boost::system::error_code ignored;
+                socket->close(ignored);
+            }
+        });
+        const auto [connectError] = co_await socket->async_connect({address, m_port}, Asio::as_tuple(Asio::use_awaitable));
+        error = connectError;
+    }
+    m_connecting = false;
+    std::vector<Wire::PeerMessageT> waiting;
+    waiting.swap(m_waiting);
+    m_connection = std::make_shared<PeerConnection>(std::move(*socket), m_byteCounter);
+    m_connection->start(m_handler);
+    if (error) {
+        m_connection->close();
+        co_return;
+    }
+    Wire::PeerMessageT hello;
+    hello.body.Set(Wire::HelloT(*m_hello));
+    m_connection->send(hello);
+    for (const Wire::PeerMessageT &message : waiting) {
+        m_connection->send(message);
+    }
+}
+
+}
--- /dev/null
+++ b/Source/Peer/TcpListener.h
@@ -0,0 +1,43 @@
+#pragma once
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+#include <system_error>
+
+namespace Mangofall {
+
+/**
+ * \class TcpListener
+ * \brief Accepts TCP connections and hands each socket to a handler until it is closed or destroyed.
+ */
+class TcpListener
+{
+public:
+    using SocketHandler = std::function<void(boost::asio::ip::tcp::socket)>;
+
+    TcpListener(boost::asio::io_context &context, SocketHandler handler);
+    ~TcpListener();
+    TcpListener(const TcpListener &) = delete;
+    TcpListener &operator=(const TcpListener &) = delete;
+
+    /// Binds and starts to accept. \p sharePort lets several listeners, one per thread, share the port.
+    std::error_code listen(const std::string &address, std::uint16_t port, bool sharePort);
+
+    /// Port that was bound; differs from the argument of listen() if that was 0.
+    std::uint16_t port() const;
+
+    void close();
+
+private:
+    struct Acceptor;
+
+    // Shared with the coroutine that accepts, which may outlive this object until its pending accept is cancelled.
+    std::shared_ptr<Acceptor> m_acceptor;
+};
+
+}
--- /dev/null
+++ b/Tests/Peer/PeerCodecTest.cpp
@@ -0,0 +1,37 @@
+#include "Property.h"
+
+#include "Peer/PeerCodec.h"
+#include "Peer/PeerMessages_generated.h"
+
+using namespace Mangofall;
+
+TEST_GROUP(PeerCodecTest){};
+
+// Guards against a token that changes or moves to another attempt on the wire.
+TEST(PeerCodecTest, StreamDataSurvivesTheFrame)
+{
+    Testing::checkProperty("stream data survives the frame", [](std::uint64_t host, std::uint64_t index, const std::vector<std::uint8_t> &data) {
+        Wire::StreamDataT sent;
+        sent.attempt = std::make_unique<Wire::AttemptKey>(host, 2, 3);
+        sent.index = index;
+        sent.data = data;
+        Wire::PeerMessageT message;
+        message.body.Set(std::move(sent));
+        std::vector<std::uint8_t> buffer;
+        appendFrame(buffer, message);
+        RC_ASSERT(frameLength(std::span<const std::uint8_t, frameHeaderBytes>(buffer.data(), frameHeaderBytes)) == buffer.size() - frameHeaderBytes);
+        Wire::PeerMessageT received;
+        RC_ASSERT(!decodeFrame(std::span(buffer).subspan(frameHeaderBytes), received));
+        const Wire::StreamDataT *decoded = received.body.AsStreamData();
+        RC_ASSERT(decoded != nullptr && decoded->attempt->host() == host && decoded->index == index && decoded->data == data);
+    });
+}
+
+// Guards against a crash or a bogus message from damaged input.
+TEST(PeerCodecTest, RandomBytesAreRefused)
+{
+    Testing::checkProperty("random bytes are refused", [](const std::vector<std::uint8_t> &bytes) {
+        Wire::PeerMessageT message;
+        RC_ASSERT(decodeFrame(bytes, message) == std::errc::bad_message);
+    });
+}
--- /dev/null
+++ b/Tests/Peer/PeerConnectionTest.cpp
@@ -0,0 +1,108 @@
+#include "Property.h"
+#include <algorithm>
+
+#include "Peer/PeerConnection.h"
+#include "Peer/PeerLink.h"
+#include "Peer/PeerMessageHandler.h"
+#include "Peer/PeerMessages_generated.h"
+#include "Peer/TcpListener.h"
+
+#include <boost/asio/io_context.hpp>
+
+using namespace Mangofall;
+
+namespace {
+
+class RecordingHandler : public PeerMessageHandler
+{
+public:
+    explicit RecordingHandler(boost::asio::io_context &context)
+        : m_context(context)
+    {
+    }
+
+    void handleMessage(const std::shared_ptr<PeerConnection> &, Wire::PeerMessageT &&message) override
+    {
+        if (const Wire::StreamDataT *data = message.body.AsStreamData()) {
+            indexes.push_back(data->index);
+        } else if (message.body.type == Wire::Body::Hello) {
+            hellos += 1;
+        }
+        if (indexes.size() == expected) {
+            m_context.stop();
+        }
+    }
+
+    void handleClosed(const std::shared_ptr<PeerConnection> &) override
+    {
+        closed += 1;
+        m_context.stop();
+    }
+
+    std::vector<std::uint64_t> indexes;
+    std::size_t expected = 0;
+    int hellos = 0;
+    int closed = 0;
+
+private:
+    boost::asio::io_context &m_context;
+};
+
+Wire::PeerMessageT dataMessage(std::uint64_t index)
+{
+    Wire::StreamDataT data;
+    data.attempt = std::make_unique<Wire::AttemptKey>(1, 2, 3);
+    data.index = index;
+    Wire::PeerMessageT message;
+    message.body.Set(std::move(data));
+    return message;
+}
+
+void ignoreBytes(std::size_t)
+{
+}
+
+}
+
+TEST_GROUP(PeerConnectionTest){};
+
+// Guards against messages that are lost or reordered between connecting and the batched writes.
+TEST(PeerConnectionTest, LinkDeliversHelloThenMessagesInOrder)
+{
+    constexpr std::uint64_t count = 1000;
+    boost::asio::io_context context;
+    RecordingHandler receiver(context);
+    receiver.expected = count;
+    std::vector<std::shared_ptr<PeerConnection>> accepted;
+    TcpListener listener(context, [&](boost::asio::ip::tcp::socket socket) {
+        accepted.push_back(std::make_shared<PeerConnection>(std::move(socket), ignoreBytes));
+        accepted.back()->start(receiver);
+    });
+    CHECK_FALSE(listener.listen("127.0.0.1", 0, false));
+    RecordingHandler sender(context);
+    const auto link = std::make_shared<PeerLink>(context, "127.0.0.1", listener.port(), std::make_shared<Wire::HelloT>(), sender, ignoreBytes);
+    for (std::uint64_t index = 0; index < count; ++index) {
+        link->send(dataMessage(index));
+    }
+    context.run();
+    LONGS_EQUAL(1, receiver.hellos);
+    LONGS_EQUAL(count, receiver.indexes.size());
+    CHECK(std::is_sorted(receiver.indexes.begin(), receiver.indexes.end()));
+}
+
+// Guards against senders that wait for ever because a failed connect is not reported.
+TEST(PeerConnectionTest, FailedConnectIsReported)
+{
+    boost::asio::io_context context;
+    std::uint16_t unusedPort = 0;
+    {
+        TcpListener listener(context, [](boost::asio::ip::tcp::socket) {});
+        CHECK_FALSE(listener.listen("127.0.0.1", 0, false));
+        unusedPort = listener.port();
+    }
+    RecordingHandler sender(context);
+    const auto link = std::make_shared<PeerLink>(context, "127.0.0.1", unusedPort, std::make_shared<Wire::HelloT>(), sender, ignoreBytes);
+    link->send(dataMessage(1));
+    context.run();
+    LONGS_EQUAL(1, sender.closed);
+}
