Add stand-ins for the store and the host list

Faults are set on POST /control. host-list-stand-in shows changes after a configurable lag.

Conclusion: both programs are ready for use by process tests.

--- /dev/null
+++ b/Tests/StandIns/HostListStandIn.cpp
@@ -0,0 +1,15 @@
+#include "StandIns/HostListServer.h"
+#include "StandIns/StandInMain.h"
+
+#include <boost/asio/io_context.hpp>
+
+int main(int argc, char **argv)
+{
+    using namespace Mangofall::StandIns;
+    const StandInOptions options = parseStandInOptions(argc, argv, "List of live and leaving hosts for tests, with its lag on /control");
+    boost::asio::io_context context(1);
+    HostListServer server(context, options.port);
+    server.start();
+    printPort(server.port());
+    context.run();
+}
--- /dev/null
+++ b/Tests/StandIns/StoreStandIn.cpp
@@ -0,0 +1,15 @@
+#include "StandIns/StandInMain.h"
+#include "StandIns/StoreServer.h"
+
+#include <boost/asio/io_context.hpp>
+
+int main(int argc, char **argv)
+{
+    using namespace Mangofall::StandIns;
+    const StandInOptions options = parseStandInOptions(argc, argv, "Key-value store for tests, with faults on /control");
+    boost::asio::io_context context(1);
+    StoreServer server(context, options.port);
+    server.start();
+    printPort(server.port());
+    context.run();
+}
