Add Http: caller exchanges, upstream calls and server-sent events

Cause: callers, operators and upstreams speak HTTP.

Change: a listener per thread on one shared port with header, body and time limits (413 before the rest of a large body is read), exchanges that answer whole or in chunks and notice a caller who leaves, upstream calls that tell whether any byte was written, an event stream parser.

Conclusion: enough for the request path; both ends are thin layers over Beast.

--- /dev/null
+++ b/Source/Http/HttpListener.h
@@ -0,0 +1,38 @@
+#pragma once
+
+#include <boost/asio/io_context.hpp>
+
+#include <cstdint>
+#include <memory>
+#include <string>
+#include <system_error>
+
+namespace Mangofall {
+
+class HttpHandler;
+
+/**
+ * \class HttpListener
+ * \brief Accepts HTTP/1.1 connections on one thread and reads their requests within size and time limits.
+ */
+class HttpListener
+{
+public:
+    /// \p maxBodyBytes bounds a request's body; \p handler must outlive the listener's connections.
+    HttpListener(boost::asio::io_context &context, HttpHandler &handler, std::uint64_t maxBodyBytes);
+    ~HttpListener();
+
+    /// Listeners of several threads share the port.
+    std::error_code listen(const std::string &address, std::uint16_t port);
+
+    std::uint16_t port() const;
+
+    /// Accepts no further connections; those that are idle close, exchanges in progress finish.
+    void close();
+
+private:
+    struct Private;
+    std::unique_ptr<Private> d;
+};
+
+}
--- /dev/null
+++ b/Source/Http/UpstreamCall.cpp
@@ -0,0 +1,121 @@
+#include "Http/UpstreamCall.h"
+
+#include "Http/UpstreamConnectionPool.h"
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/beast/http/read.hpp>
+#include <boost/beast/http/write.hpp>
+
+#include <array>
+#include <limits>
+
+namespace Mangofall {
+
+namespace {
+
+namespace Asio = boost::asio;
+namespace BeastHttp = boost::beast::http;
+
+constexpr std::size_t pieceBytes = 16UL * 1024;
+constexpr auto awaitTuple = Asio::as_tuple(Asio::use_awaitable);
+
+}
+
+UpstreamCall::UpstreamCall(UpstreamConnectionPool &pool, Duration timeout)
+    : m_pool(pool)
+    , m_timeout(timeout)
+{
+}
+
+UpstreamCall::~UpstreamCall()
+{
+    if (m_stream && m_parser && m_parser->is_done() && m_parser->keep_alive() && !m_cancelled) {
+        m_pool.release(std::move(m_stream));
+    }
+}
+
+Asio::awaitable<boost::system::error_code> UpstreamCall::start(Request request)
+{
+    boost::system::error_code error;
+    m_stream = co_await m_pool.acquire(error);
+    if (error || m_cancelled) {
+        m_connectionRefused = !m_cancelled;
+        co_return error ? error : Asio::error::operation_aborted;
+    }
+    request.set(BeastHttp::field::host, m_pool.hostHeader());
+    request.prepare_payload();
+    m_stream->expires_after(m_timeout);
+    // A failed write may still have delivered some bytes.
+    m_bytesSent = true;
+    error = std::get<0>(co_await BeastHttp::async_write(*m_stream, request, awaitTuple));
+    if (error) {
+        co_return error;
+    }
+    m_parser = std::make_unique<Parser>();
+    m_parser->body_limit(std::numeric_limits<std::uint64_t>::max());
+    co_return std::get<0>(co_await BeastHttp::async_read_header(*m_stream, m_buffer, *m_parser, awaitTuple));
+}
+
+Asio::awaitable<boost::system::error_code> UpstreamCall::read(std::string &piece)
+{
+    piece.clear();
+    std::array<char, pieceBytes> data;
+    while (piece.empty() && !m_parser->is_done()) {
+        auto &body = m_parser->get().body();
+        body.data = data.data();
+        body.size = data.size();
+        boost::system::error_code error = std::get<0>(co_await BeastHttp::async_read_some(*m_stream, m_buffer, *m_parser, awaitTuple));
+        if (error && error != BeastHttp::error::need_buffer) {
+            co_return error;
+        }
+        piece.append(data.data(), data.size() - body.size);
+    }
+    co_return boost::system::error_code();
+}
+
+Asio::awaitable<boost::system::error_code> UpstreamCall::readAll(std::string &body, std::size_t limitBytes)
+{
+    std::string piece;
+    while (body.size() <= limitBytes) {
+        const boost::system::error_code error = co_await read(piece);
+        if (error || piece.empty()) {
+            co_return error;
+        }
+        body += piece;
+    }
+    co_return BeastHttp::make_error_code(BeastHttp::error::body_limit);
+}
+
+unsigned UpstreamCall::status() const
+{
+    return m_parser ? m_parser->get().result_int() : 0;
+}
+
+std::string UpstreamCall::header(std::string_view name) const
+{
+    const auto &fields = m_parser->get();
+    const auto position = fields.find(boost::beast::string_view(name.data(), name.size()));
+    return position == fields.end() ? std::string() : std::string(position->value());
+}
+
+bool UpstreamCall::bytesSent() const
+{
+    return m_bytesSent;
+}
+
+bool UpstreamCall::connectionRefused() const
+{
+    return m_connectionRefused;
+}
+
+void UpstreamCall::cancel()
+{
+    m_cancelled = true;
+    if (m_stream) {
+        boost::system::error_code ignored;
+        m_stream->socket().close(ignored);
+    }
+}
+
+}
--- /dev/null
+++ b/Tests/Http/SseParserTest.cpp
@@ -0,0 +1,39 @@
+#include "Property.h"
+
+#include "Http/SseParser.h"
+
+using namespace Mangofall;
+
+TEST_GROUP(SseParserTest){};
+
+// Guards against tokens lost or joined when an event is split between reads.
+TEST(SseParserTest, EventsSurviveAnySplit)
+{
+    Testing::checkProperty("events survive any split", [](std::uint8_t count, std::uint8_t step) {
+        std::string text;
+        for (int index = 0; index < count; ++index) {
+            text += formatSseEvent(std::to_string(index), "token " + std::to_string(index));
+        }
+        SseParser parser;
+        int received = 0;
+        const std::size_t pieceLength = 1U + step % 40U;
+        for (std::size_t start = 0; start < text.size(); start += pieceLength) {
+            parser.append(std::string_view(text).substr(start, pieceLength));
+            while (const auto event = parser.next()) {
+                RC_ASSERT(*event == "token " + std::to_string(received));
+                ++received;
+            }
+        }
+        RC_ASSERT(received == count);
+        RC_ASSERT(parser.pendingBytes() == 0U);
+    });
+}
+
+// Guards against a stream whose lines end in CR LF, and against comments taken for data.
+TEST(SseParserTest, AcceptsCarriageReturnsAndSkipsComments)
+{
+    SseParser parser;
+    parser.append(": keep-alive\r\n\r\ndata: a\r\ndata: b\r\n\r\n");
+    CHECK(parser.next() == "a\nb");
+    CHECK_FALSE(parser.next().has_value());
+}
