Add Routing module

Cause: entry hosts have no means to choose an upstream.

Change: upstream views with the host's own dispatches added, the policies round-robin, least-in-flight and estimated-first-token, the estimator of time to first token, the bounded prefix index, the adaptive length classifier and the allocation of upstreams to long prompts.

--- /dev/null
+++ b/Source/Routing/EstimatedFirstTokenChooser.cpp
@@ -0,0 +1,98 @@
+#include "Routing/EstimatedFirstTokenChooser.h"
+
+#include "Routing/FirstTokenEstimator.h"
+#include "Routing/LongShareAllocator.h"
+
+#include <algorithm>
+#include <random>
+
+namespace Mangofall {
+
+namespace {
+
+using Candidates = std::vector<const UpstreamView *>;
+
+bool fitsCap(const RequestProfile &request, const UpstreamView &view)
+{
+    const std::uint64_t uncached = request.promptTokens - std::min(request.promptTokens, view.cachedTokens);
+    return uncached <= view.prefillCap;
+}
+
+bool servesClass(const RequestProfile &request, const UpstreamView &view)
+{
+    if (request.lengthClass == LengthClass::Long) {
+        return view.takesLong;
+    }
+    return !view.takesLong || LongShareAllocator::lendsToShort(view);
+}
+
+/// Views that accept work; narrowed to those whose cap holds the prompt and that serve its class, as far as any are left.
+Candidates eligible(const RequestProfile &request, std::span<const UpstreamView> views)
+{
+    Candidates candidates;
+    for (const UpstreamView &view : views) {
+        if (acceptsWork(view.state)) {
+            candidates.push_back(&view);
+        }
+    }
+    const auto narrow = [&](auto predicate) {
+        Candidates narrowed;
+        std::copy_if(candidates.begin(), candidates.end(), std::back_inserter(narrowed), [&](const UpstreamView *view) {
+            return predicate(request, *view);
+        });
+        if (!narrowed.empty()) {
+            candidates.swap(narrowed);
+        }
+    };
+    narrow(fitsCap);
+    narrow(servesClass);
+    return candidates;
+}
+
+}
+
+EstimatedFirstTokenChooser::EstimatedFirstTokenChooser(const FirstTokenEstimator &estimator, std::uint32_t choices, double shortWeight)
+    : m_estimator(estimator)
+    , m_choices(std::max(choices, 1U))
+    , m_shortWeight(std::clamp(shortWeight, 0.0, 1.0))
+{
+}
+
+std::optional<UpstreamId> EstimatedFirstTokenChooser::choose(const RequestProfile &request, std::span<const UpstreamView> views, RandomEngine &random)
+{
+    Candidates candidates = eligible(request, views);
+    if (candidates.empty()) {
+        return std::nullopt;
+    }
+    // Long prompts are rare, so several hosts seldom choose from the same stale views at once, and a bad choice costs more.
+    if (request.lengthClass != LengthClass::Long && candidates.size() > m_choices) {
+        const auto cached = std::max_element(candidates.begin(), candidates.end(), [](const UpstreamView *left, const UpstreamView *right) {
+            return left->cachedTokens < right->cachedTokens;
+        });
+        const UpstreamView *holder = *cached;
+        for (std::uint32_t chosen = 0; chosen < m_choices; ++chosen) {
+            std::uniform_int_distribution<std::size_t> rest(chosen, candidates.size() - 1);
+            std::swap(candidates[chosen], candidates[rest(random)]);
+        }
+        candidates.resize(m_choices);
+        if (holder->cachedTokens > 0) {
+            candidates.push_back(holder);
+        }
+    }
+    const auto best = std::min_element(candidates.begin(), candidates.end(), [&](const UpstreamView *left, const UpstreamView *right) {
+        return cost(request, *left) < cost(request, *right);
+    });
+    return (*best)->id;
+}
+
+Seconds EstimatedFirstTokenChooser::cost(const RequestProfile &request, const UpstreamView &view) const
+{
+    Seconds total = m_estimator.timeToFirstToken(request, view);
+    if (request.lengthClass != LengthClass::Long && view.prefillTokens(LengthClass::Long) > 0) {
+        // At shortWeight 0.5 a second of delay to the long prompt counts as much as a second of the short one's own wait.
+        total += 2 * (1 - m_shortWeight) * m_estimator.prefillTime(request, view);
+    }
+    return total;
+}
+
+}
--- /dev/null
+++ b/Source/Routing/LengthClassifier.cpp
@@ -0,0 +1,148 @@
+#include "Routing/LengthClassifier.h"
+
+#include <algorithm>
+#include <cmath>
+#include <numeric>
+
+namespace Mangofall {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr Seconds halfLife{60};
+// The histogram decays and the bounds move in steps of a second; a per-prompt update would cost more and change little.
+constexpr Duration updateInterval = 1s;
+// Bounds before any traffic was seen.
+constexpr std::uint64_t startShortBound = 8'000;
+constexpr std::uint64_t startMediumBound = 64'000;
+// With less than this many (decayed) prompts the bounds stay as they are.
+constexpr double minRequests = 20;
+constexpr double minMedianRatio = 8;
+constexpr double lowestQuantile = 0.02;
+constexpr double highestQuantile = 0.98;
+
+}
+
+LengthClassifier::LengthClassifier()
+    : m_shortBound(startShortBound)
+    , m_mediumBound(startMediumBound)
+{
+}
+
+void LengthClassifier::observe(TimePoint now, std::uint64_t tokens)
+{
+    const std::size_t bucket = bucketOf(tokens);
+    m_requests[bucket] += 1;
+    m_work[bucket] += static_cast<double>(tokens);
+    decay(now);
+}
+
+LengthClass LengthClassifier::classify(std::uint64_t tokens) const
+{
+    if (tokens <= m_shortBound) {
+        return LengthClass::Short;
+    }
+    return tokens <= m_mediumBound ? LengthClass::Medium : LengthClass::Long;
+}
+
+std::uint64_t LengthClassifier::shortBound() const
+{
+    return m_shortBound;
+}
+
+std::uint64_t LengthClassifier::mediumBound() const
+{
+    return m_mediumBound;
+}
+
+double LengthClassifier::longWorkShare() const
+{
+    return m_longWorkShare;
+}
+
+std::size_t LengthClassifier::bucketOf(std::uint64_t tokens)
+{
+    const double octave = std::log2(static_cast<double>(std::max<std::uint64_t>(tokens, 1)));
+    return std::min(static_cast<std::size_t>(octave * bucketsPerOctave), bucketCount - 1);
+}
+
+std::uint64_t LengthClassifier::upperBoundOf(std::size_t bucket)
+{
+    return static_cast<std::uint64_t>(std::exp2(static_cast<double>(bucket + 1) / bucketsPerOctave));
+}
+
+void LengthClassifier::decay(TimePoint now)
+{
+    if (!m_started) {
+        m_started = true;
+        m_lastDecay = now;
+        return;
+    }
+    if (now - m_lastDecay < updateInterval) {
+        return;
+    }
+    const double factor = std::exp2(-(Seconds(now - m_lastDecay) / halfLife));
+    for (std::size_t bucket = 0; bucket < bucketCount; ++bucket) {
+        m_requests[bucket] *= factor;
+        m_work[bucket] *= factor;
+    }
+    m_lastDecay = now;
+    updateBounds();
+}
+
+void LengthClassifier::updateBounds()
+{
+    const double requests = std::accumulate(m_requests.begin(), m_requests.end(), 0.0);
+    const double work = std::accumulate(m_work.begin(), m_work.end(), 0.0);
+    if (requests < minRequests) {
+        return;
+    }
+    std::size_t median = 0;
+    for (double seen = m_requests[0]; seen < requests / 2; seen += m_requests[median]) {
+        ++median;
+    }
+    const auto leastLong = static_cast<std::uint64_t>(minMedianRatio * static_cast<double>(upperBoundOf(median)));
+    const std::size_t leastBucket = bucketOf(leastLong);
+    const std::size_t last = std::max(otsuBucket(work), leastBucket);
+    double notLong = 0;
+    for (std::size_t bucket = 0; bucket <= last; ++bucket) {
+        notLong += m_work[bucket];
+    }
+    std::size_t half = 0;
+    for (double seen = m_work[0]; seen < notLong / 2; seen += m_work[half]) {
+        ++half;
+    }
+    m_shortBound = upperBoundOf(half);
+    m_mediumBound = upperBoundOf(last);
+    m_longWorkShare = std::clamp(1 - notLong / work, 0.0, 1.0);
+}
+
+std::size_t LengthClassifier::otsuBucket(double totalWork) const
+{
+    double logSum = 0;
+    for (std::size_t bucket = 0; bucket < bucketCount; ++bucket) {
+        logSum += m_work[bucket] * static_cast<double>(bucket);
+    }
+    std::size_t best = 0;
+    double bestVariance = -1;
+    double below = 0;
+    double logBelow = 0;
+    for (std::size_t bucket = 0; bucket < bucketCount; ++bucket) {
+        below += m_work[bucket];
+        logBelow += m_work[bucket] * static_cast<double>(bucket);
+        const double share = below / totalWork;
+        if (share < lowestQuantile || share > highestQuantile) {
+            continue;
+        }
+        const double difference = logBelow / below - (logSum - logBelow) / (totalWork - below);
+        const double variance = share * (1 - share) * difference * difference;
+        if (variance > bestVariance) {
+            bestVariance = variance;
+            best = bucket;
+        }
+    }
+    return best;
+}
+
+}
--- /dev/null
+++ b/Source/Routing/LongShareAllocator.cpp
@@ -0,0 +1,60 @@
+#include "Routing/LongShareAllocator.h"
+
+#include "Base/Hash.h"
+
+#include <algorithm>
+#include <cmath>
+#include <vector>
+
+namespace Mangofall {
+
+namespace {
+
+// The odds of a long upstream change by this power of e between shortWeight 0.5 and 0 or 1.
+constexpr double weightExponent = 1;
+// The number of long upstreams changes only if the target is off by more than this, so that noise moves no prompts.
+constexpr double hysteresis = 0.75;
+
+}
+
+LongShareAllocator::LongShareAllocator(double shortWeight, double minLongShare)
+    : m_shortWeight(std::clamp(shortWeight, 0.0, 1.0))
+    , m_minLongShare(std::clamp(minLongShare, 0.0, 1.0))
+{
+}
+
+double LongShareAllocator::longShare(double longWorkShare) const
+{
+    const double scaled = longWorkShare * std::exp(weightExponent * (1 - 2 * m_shortWeight));
+    return std::max(m_minLongShare, scaled / (scaled + 1 - longWorkShare));
+}
+
+void LongShareAllocator::assign(std::span<UpstreamView> views, double longWorkShare)
+{
+    std::vector<std::pair<std::uint64_t, UpstreamView *>> ranked;
+    for (UpstreamView &view : views) {
+        view.takesLong = false;
+        if (acceptsWork(view.state)) {
+            ranked.emplace_back(rendezvousScore("long", view.id.value()), &view);
+        }
+    }
+    if (ranked.empty()) {
+        return;
+    }
+    std::sort(ranked.begin(), ranked.end());
+    const double target = longShare(longWorkShare) * static_cast<double>(ranked.size());
+    if (std::abs(target - static_cast<double>(m_lastCount)) > hysteresis) {
+        m_lastCount = static_cast<std::size_t>(std::lround(target));
+    }
+    m_lastCount = std::clamp<std::size_t>(m_lastCount, 1, ranked.size());
+    for (std::size_t index = 0; index < m_lastCount; ++index) {
+        ranked[index].second->takesLong = true;
+    }
+}
+
+bool LongShareAllocator::lendsToShort(const UpstreamView &view)
+{
+    return view.prefillTokens(LengthClass::Long) == 0;
+}
+
+}
--- /dev/null
+++ b/Tests/Routing/LongShareAllocatorTest.cpp
@@ -0,0 +1,66 @@
+#include "Property.h"
+
+#include "Routing/LongShareAllocator.h"
+
+#include <algorithm>
+#include <cmath>
+#include <vector>
+
+using namespace Mangofall;
+
+namespace {
+
+std::vector<UpstreamView> makeViews(int count)
+{
+    std::vector<UpstreamView> views(static_cast<std::size_t>(count));
+    for (int index = 0; index < count; ++index) {
+        views[static_cast<std::size_t>(index)].id = UpstreamId("u" + std::to_string(index));
+        views[static_cast<std::size_t>(index)].state = UpstreamState::Warm;
+    }
+    return views;
+}
+
+auto longCount(const std::vector<UpstreamView> &views)
+{
+    return std::count_if(views.begin(), views.end(), [](const UpstreamView &view) {
+        return view.takesLong;
+    });
+}
+
+}
+
+TEST_GROUP(LongShareAllocatorTest){};
+
+// Guards against long work without an upstream, shares that ignore the mix, and a weight that moves the wrong way.
+TEST(LongShareAllocatorTest, ShareFollowsMixAndWeight)
+{
+    Testing::checkProperty("equal load at weight 0.5, fewer long upstreams at higher weights", [] {
+        const int count = *rc::gen::inRange(1, 40);
+        const double mix = *rc::gen::inRange(0, 101) / 100.0;
+        const double minShare = *rc::gen::inRange(0, 30) / 100.0;
+        std::vector<UpstreamView> views = makeViews(count);
+        LongShareAllocator equal(0.5, minShare);
+        equal.assign(views, mix);
+        const auto expected = std::clamp(std::max(mix, minShare) * count, 1.0, static_cast<double>(count));
+        RC_ASSERT(std::abs(static_cast<double>(longCount(views)) - expected) <= 1);
+        std::vector<UpstreamView> shortViews = makeViews(count);
+        LongShareAllocator(1, minShare).assign(shortViews, mix);
+        std::vector<UpstreamView> longViews = makeViews(count);
+        LongShareAllocator(0, minShare).assign(longViews, mix);
+        RC_ASSERT(longCount(shortViews) <= longCount(views) + 1);
+        RC_ASSERT(longCount(views) <= longCount(longViews) + 1);
+        RC_ASSERT(longCount(shortViews) >= 1);
+    });
+}
+
+// Guards against long prompts assigned to upstreams that take no work.
+TEST(LongShareAllocatorTest, SkipsUpstreamsOutOfService)
+{
+    std::vector<UpstreamView> views = makeViews(6);
+    for (std::size_t index = 0; index < 5; ++index) {
+        views[index].state = UpstreamState::Out;
+    }
+    LongShareAllocator(0.5, 0.1).assign(views, 0.5);
+    LONGS_EQUAL(1, longCount(views));
+    CHECK(views[5].takesLong);
+}
--- /dev/null
+++ b/Tests/Routing/UpstreamChooserTest.cpp
@@ -0,0 +1,116 @@
+// Before CppUTest redefines new, which pcg uses in its placement form.
+#include "Routing/UpstreamChooser.h"
+
+#include "Property.h"
+
+#include "Routing/FirstTokenEstimator.h"
+#include "Routing/LongShareAllocator.h"
+#include "Routing/UpstreamViewTable.h"
+
+#include <algorithm>
+#include <vector>
+
+using namespace Mangofall;
+
+namespace {
+
+UpstreamView warmView(const std::string &id)
+{
+    UpstreamView view;
+    view.id = UpstreamId(id);
+    view.state = UpstreamState::Warm;
+    view.requestCap = 32;
+    view.prefillCap = 1'000'000;
+    view.prefillRate = 10'000;
+    return view;
+}
+
+RequestProfile shortRequest()
+{
+    RequestProfile request;
+    request.promptTokens = 5'000;
+    return request;
+}
+
+}
+
+TEST_GROUP(UpstreamChooserTest){};
+
+// Guards against work for an upstream that is out, leaving or suspect, and against a refusal while one accepts work.
+TEST(UpstreamChooserTest, ChoosesExactlyAmongUpstreamsThatAcceptWork)
+{
+    Testing::checkProperty("all policies respect the state", [] {
+        Preset preset;
+        preset.routing = *rc::gen::element(RoutingPolicy::RoundRobin, RoutingPolicy::LeastInFlight, RoutingPolicy::EstimatedFirstToken);
+        preset.choices = *rc::gen::inRange(0U, 6U);
+        FirstTokenEstimator estimator;
+        const auto chooser = makeUpstreamChooser(preset, estimator);
+        RandomEngine random(*rc::gen::arbitrary<std::uint64_t>());
+        std::vector<UpstreamView> views;
+        const int count = *rc::gen::inRange(0, 8);
+        bool any = false;
+        for (int number = 0; number < count; ++number) {
+            views.push_back(warmView(std::to_string(number)));
+            views.back().state = static_cast<UpstreamState>(*rc::gen::inRange(0, 7));
+            views.back().inFlightPrefillTokens[indexOf(LengthClass::Long)] = *rc::gen::inRange<std::uint64_t>(0, 2);
+            views.back().takesLong = *rc::gen::arbitrary<bool>();
+            any = any || acceptsWork(views.back().state);
+        }
+        RequestProfile request = shortRequest();
+        request.lengthClass = static_cast<LengthClass>(*rc::gen::inRange(0, 3));
+        const auto chosen = chooser->choose(request, views, random);
+        RC_ASSERT(chosen.has_value() == any);
+        if (chosen) {
+            RC_ASSERT(acceptsWork(views[static_cast<std::size_t>(std::stoi(chosen->value()))].state));
+        }
+    });
+}
+
+// Guards against affinity that waits longer than the cache hit saves, and against affinity that is never used.
+TEST(UpstreamChooserTest, AffinityYieldsToTheWait)
+{
+    FirstTokenEstimator estimator;
+    const auto chooser = makeUpstreamChooser(Preset{}, estimator);
+    RandomEngine random(1);
+    std::vector<UpstreamView> views = {warmView("cached"), warmView("a"), warmView("b"), warmView("c"), warmView("d"), warmView("e"), warmView("f")};
+    views[0].cachedTokens = 4'000;
+    views[0].inFlightPrefillTokens[0] = 3'900;
+    CHECK(chooser->choose(shortRequest(), views, random) == UpstreamId("cached"));
+    views[0].inFlightPrefillTokens[0] = 4'100;
+    CHECK(chooser->choose(shortRequest(), views, random) != UpstreamId("cached"));
+}
+
+// Guards against short prompts behind long ones, and against idle long upstreams that serve nothing.
+TEST(UpstreamChooserTest, SeparatesClassesAndLendsIdleLongUpstreams)
+{
+    FirstTokenEstimator estimator;
+    const auto chooser = makeUpstreamChooser(Preset{}, estimator);
+    RandomEngine random(1);
+    std::vector<UpstreamView> views = {warmView("long"), warmView("short")};
+    views[1].takesLong = false;
+    views[1].inFlightPrefillTokens[0] = 50'000;
+    CHECK(chooser->choose(shortRequest(), views, random) == UpstreamId("long"));
+    views[0].inFlightPrefillTokens[indexOf(LengthClass::Long)] = 200'000;
+    CHECK(chooser->choose(shortRequest(), views, random) == UpstreamId("short"));
+    RequestProfile longRequest = shortRequest();
+    longRequest.promptTokens = 300'000;
+    longRequest.lengthClass = LengthClass::Long;
+    CHECK(chooser->choose(longRequest, views, random) == UpstreamId("long"));
+    views[0].prefillCap = 20'000;
+    CHECK(chooser->choose(longRequest, views, random) == UpstreamId("short"));
+}
+
+// Guards against all requests between two load summaries going to one upstream.
+TEST(UpstreamChooserTest, OwnDispatchesCountUntilTheNextSummary)
+{
+    UpstreamViewTable table;
+    table.update(warmView("b"));
+    table.update(warmView("a"));
+    table.noteDispatch(UpstreamId("b"), LengthClass::Medium, 700);
+    LONGS_EQUAL(700, table.views()[1].totalPrefillTokens());
+    LONGS_EQUAL(1, table.views()[1].queuedRequests);
+    table.update(warmView("b"));
+    LONGS_EQUAL(0, table.views()[1].totalPrefillTokens());
+    table.remove(UpstreamId("a"));
+    LONGS_EQUAL(1, table.views().size());
+}
