Add dispatcher, queue, health and limiter of Admission

Cause: nothing limits, orders or sheds the work of an upstream.

Change: UpstreamHealth (states and caps), DispatchQueue (weighted fair lanes per length class, bounded), UpstreamDispatcher (admission, sends, ageing of long prompts, shedding, takeover and hand-over), LoadSummary and HandOverMessage, OrganisationLimiter.

--- /dev/null
+++ b/Tests/Admission/DispatcherLoadTest.cpp
@@ -0,0 +1,189 @@
+// Before CppUTest redefines new, which pcg and std::variant use in its placement form.
+#include "Admission/FakeEngine.h"
+#include "Base/RandomEngine.h"
+
+#include "Property.h"
+
+#include <cmath>
+#include <functional>
+#include <random>
+#include <unordered_map>
+
+using namespace Mangofall;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr Duration step = 10ms;
+constexpr double engineRate = 10'000;
+
+struct Outcome {
+    QueuedAttempt attempt;
+    std::optional<TimePoint> sent;
+    std::optional<TimePoint> finished;
+    std::optional<ErrorKind> refused;
+
+    bool inTime() const
+    {
+        return finished && *finished <= attempt.deadline;
+    }
+};
+
+/// One dispatcher with one fake engine, driven in steps of 10 ms.
+class Load
+{
+public:
+    Load()
+        : m_dispatcher(spec(), Preset{})
+        , m_engine(engineRate, 200ms)
+    {
+    }
+
+    static UpstreamSpec spec()
+    {
+        UpstreamSpec spec;
+        spec.id = UpstreamId("u");
+        return spec;
+    }
+
+    void enqueue(const std::string &organisation, LengthClass lengthClass, std::uint64_t tokens, Duration deadline)
+    {
+        QueuedAttempt attempt;
+        attempt.attempt.sequence = outcomes.size();
+        attempt.organisation = OrganisationId(organisation);
+        attempt.promptTokens = tokens;
+        attempt.uncachedTokens = tokens;
+        attempt.lengthClass = lengthClass;
+        attempt.arrival = now;
+        attempt.deadline = now + deadline;
+        outcomes.push_back({attempt, {}, {}, {}});
+        apply(DispatcherEvent::Enqueued{attempt});
+    }
+
+    /// Runs for \p duration; \p arrivals is called in each step.
+    void run(Duration duration, const std::function<void()> &arrivals)
+    {
+        for (const TimePoint end = now + duration; now < end;) {
+            now += step;
+            for (const DispatcherInput &event : m_engine.run(now, step)) {
+                apply(event);
+            }
+            arrivals();
+            apply(DispatcherEvent::Tick{});
+        }
+    }
+
+    TimePoint now;
+    std::vector<Outcome> outcomes; ///< By sequence number.
+
+private:
+    void apply(const DispatcherInput &event)
+    {
+        if (const auto *finished = std::get_if<DispatcherEvent::Finished>(&event)) {
+            outcomes[finished->attempt.sequence].finished = now;
+        }
+        for (const DispatcherOutput &action : m_dispatcher.handle(now, event)) {
+            if (const auto *send = std::get_if<DispatcherAction::Send>(&action)) {
+                outcomes[send->attempt.sequence].sent = now;
+                m_engine.add(outcomes[send->attempt.sequence].attempt, send->enginePriority);
+            } else if (const auto *refuse = std::get_if<DispatcherAction::Refuse>(&action)) {
+                outcomes[refuse->attempt.sequence].refused = refuse->kind;
+            }
+        }
+    }
+
+    UpstreamDispatcher m_dispatcher;
+    Testing::FakeEngine m_engine;
+};
+
+/// Enqueues short prompts of 1,000 tokens at \p load times the engine's rate.
+void offerShort(Load &load, RandomEngine &random, const std::string &organisation, double share, Duration deadline)
+{
+    const double mean = share * engineRate / 1'000 * Seconds(step).count();
+    for (int count = std::poisson_distribution<int>(mean)(random); count > 0; --count) {
+        load.enqueue(organisation, LengthClass::Short, 1'000, deadline);
+    }
+}
+
+}
+
+TEST_GROUP(DispatcherLoadTest){};
+
+// Guards against a long prompt that starves behind short ones although the engine could finish it by its deadline.
+TEST(DispatcherLoadTest, LongPromptFinishesByItsDeadlineUnderSaturation)
+{
+    Testing::checkProperty("a long prompt finishes in time", [] {
+        RandomEngine random(*rc::gen::arbitrary<std::uint64_t>());
+        const auto tokens = *rc::gen::inRange<std::uint64_t>(100'000, 300'000);
+        const double share = *rc::gen::inRange(50, 200) / 100.0;
+        Load load;
+        const auto offer = [&] {
+            offerShort(load, random, "short", share, 5s);
+        };
+        load.run(60s, offer);
+        const std::size_t index = load.outcomes.size();
+        load.enqueue("long", LengthClass::Long, tokens, toDuration(Seconds(4 * static_cast<double>(tokens) / engineRate)));
+        load.run(130s, offer);
+        RC_ASSERT(load.outcomes[index].inTime());
+    });
+}
+
+// Guards against a flooding organisation that takes a small one's share.
+TEST(DispatcherLoadTest, SmallOrganisationKeepsItsShareUnderAFlood)
+{
+    Testing::checkProperty("a small organisation is served in time under a flood", [] {
+        RandomEngine random(*rc::gen::arbitrary<std::uint64_t>());
+        const double flood = *rc::gen::inRange(2, 10);
+        Load load;
+        load.run(60s, [&] {
+            offerShort(load, random, "large", flood, 20s);
+            offerShort(load, random, "small", 0.3, 20s);
+        });
+        std::size_t small = 0;
+        std::size_t inTime = 0;
+        for (const Outcome &outcome : load.outcomes) {
+            const bool counts = outcome.attempt.organisation.value() == "small" && outcome.attempt.deadline <= load.now;
+            small += counts ? 1U : 0U;
+            inTime += counts && outcome.inTime() ? 1U : 0U;
+        }
+        RC_ASSERT(small > 0U);
+        RC_ASSERT(static_cast<double>(inTime) >= 0.95 * static_cast<double>(small));
+    });
+}
+
+// Guards against a metastable overload: waits or losses that remain after the load has returned to normal.
+TEST(DispatcherLoadTest, RecoversAfterADoubledLoad)
+{
+    Testing::checkProperty("waits and goodput return after a doubled load", [] {
+        RandomEngine random(*rc::gen::arbitrary<std::uint64_t>());
+        Load load;
+        const auto phase = [&](double share, Duration duration) {
+            const std::size_t first = load.outcomes.size();
+            load.run(duration, [&] {
+                offerShort(load, random, "o", share, 5s);
+            });
+            return std::pair(first, load.outcomes.size());
+        };
+        phase(0.7, 30s);
+        const auto before = phase(0.7, 60s);
+        const auto during = phase(1.4, 60s);
+        phase(0.7, 10s);
+        const auto after = phase(0.7, 60s);
+        phase(0, 10s);
+        const auto figures = [&](std::pair<std::size_t, std::size_t> range) {
+            double inTime = 0;
+            Seconds wait{0};
+            for (std::size_t index = range.first; index < range.second; ++index) {
+                const Outcome &outcome = load.outcomes[index];
+                inTime += outcome.inTime() ? 1 : 0;
+                wait += outcome.sent.value_or(outcome.attempt.deadline) - outcome.attempt.arrival;
+            }
+            return std::pair(inTime / static_cast<double>(range.second - range.first), wait.count() / static_cast<double>(range.second - range.first));
+        };
+        RC_LOG() << "goodput, mean wait in s: before " << figures(before).first << ", " << figures(before).second << "; during " << figures(during).first
+                 << ", " << figures(during).second << "; after " << figures(after).first << ", " << figures(after).second;
+        RC_ASSERT(figures(during).first >= 0.6);
+        RC_ASSERT(figures(after).first >= figures(before).first - 0.02);
+        RC_ASSERT(figures(after).second <= 2 * figures(before).second + 0.05);
+    });
+}
--- /dev/null
+++ b/Tests/Admission/UpstreamDispatcherTest.cpp
@@ -0,0 +1,326 @@
+// Before CppUTest redefines new, which std::variant uses in its placement form.
+#include "Admission/UpstreamDispatcher.h"
+
+#include "Property.h"
+
+#include <map>
+#include <vector>
+
+using namespace Mangofall;
+using namespace std::chrono_literals;
+
+namespace {
+
+UpstreamSpec makeSpec()
+{
+    UpstreamSpec spec;
+    spec.id = UpstreamId("u");
+    spec.maxRequests = 8;
+    spec.maxPrefillTokens = 60'000;
+    spec.coldPrefillTokens = 8'000;
+    spec.memoryTokens = 100'000;
+    return spec;
+}
+
+/// Feeds random events to a dispatcher and checks each action against counts of its own.
+class RandomRun
+{
+public:
+    RandomRun()
+        : m_dispatcher(makeSpec(), preset())
+    {
+    }
+
+    static Preset preset()
+    {
+        Preset preset;
+        preset.queueLimit = 12;
+        return preset;
+    }
+
+    void step()
+    {
+        m_now += std::chrono::milliseconds(*rc::gen::inRange(0, 300));
+        const int kind = *rc::gen::inRange(0, 100);
+        if (kind < 40) {
+            enqueue();
+        } else if (kind < 75) {
+            progress(kind);
+        } else if (kind < 85) {
+            report();
+        } else if (kind < 90) {
+            apply(DispatcherEvent::Tick{});
+        } else {
+            change(kind);
+        }
+    }
+
+    /// Ends all work and checks that every attempt has ended once.
+    void finish()
+    {
+        apply(DispatcherEvent::BroughtBack{});
+        m_now += 1h;
+        apply(DispatcherEvent::Tick{});
+        while (!m_sent.empty()) {
+            end(DispatcherEvent::Finished{{0, 0, m_sent.begin()->first}});
+        }
+        for (const auto &[sequence, ends] : m_ends) {
+            RC_ASSERT(ends == 1);
+        }
+        RC_ASSERT(m_dispatcher.inFlight().size() == 0U);
+        RC_ASSERT(m_dispatcher.inFlight().prefillTokens() == 0U);
+        RC_ASSERT(m_dispatcher.inFlight().promptTokens() == 0U);
+    }
+
+private:
+    struct Sent {
+        std::uint64_t prefill = 0;
+    };
+
+    void enqueue()
+    {
+        QueuedAttempt attempt;
+        attempt.attempt.sequence = ++m_sequence;
+        attempt.organisation = OrganisationId(std::to_string(*rc::gen::inRange(0, 3)));
+        attempt.lengthClass = static_cast<LengthClass>(*rc::gen::inRange(0, 3));
+        attempt.promptTokens = *rc::gen::inRange<std::uint64_t>(0, attempt.lengthClass == LengthClass::Long ? 70'000 : 5'000);
+        attempt.uncachedTokens = attempt.promptTokens;
+        attempt.arrival = m_now;
+        attempt.deadline = m_now + std::chrono::milliseconds(*rc::gen::inRange(0, 20'000));
+        m_tokens[m_sequence] = attempt.promptTokens;
+        m_ends[m_sequence] = 0;
+        apply(DispatcherEvent::Enqueued{attempt});
+    }
+
+    void progress(int kind)
+    {
+        if (m_sequence == 0) {
+            return;
+        }
+        if (kind < 45) {
+            apply(DispatcherEvent::CancelRequested{{0, 0, *rc::gen::inRange<std::uint64_t>(1, m_sequence + 1)}});
+            return;
+        }
+        if (!m_former.empty() && kind < 50) {
+            m_former.erase(m_former.begin());
+            return;
+        }
+        if (m_sent.empty()) {
+            return;
+        }
+        const AttemptId attempt{0, 0, std::next(m_sent.begin(), *rc::gen::inRange<std::ptrdiff_t>(0, std::ssize(m_sent)))->first};
+        if (kind < 60) {
+            m_sent[attempt.sequence].prefill = 0;
+            apply(DispatcherEvent::FirstToken{attempt});
+        } else if (kind < 72) {
+            end(DispatcherEvent::Finished{attempt});
+        } else {
+            end(DispatcherEvent::Failed{attempt,
+                                        *rc::gen::element(DispatcherEvent::Failure::RefusedBeforeWork,
+                                                          DispatcherEvent::Failure::ConnectionRefused,
+                                                          DispatcherEvent::Failure::BrokeOff)});
+        }
+    }
+
+    /// The attempt ends at the upstream; a failure ends it with a refusal, anything else here.
+    template<class Event>
+    void end(const Event &event)
+    {
+        m_sent.erase(event.attempt.sequence);
+        if constexpr (std::is_same_v<Event, DispatcherEvent::Finished>) {
+            ++m_ends[event.attempt.sequence];
+        }
+        apply(event);
+    }
+
+    void report()
+    {
+        const Duration lag = std::chrono::milliseconds(*rc::gen::inRange(0, 1'500));
+        std::uint32_t running = 0;
+        for (const auto &[time, count] : m_history) {
+            running = time <= m_now - lag ? count : running;
+        }
+        const bool settles = m_formerDead && m_now - lag >= m_diedAt && m_former.empty();
+        apply(DispatcherEvent::LoadReported{m_epoch, m_now - TimePoint(), running, 0, lag});
+        m_maybeSettled = m_maybeSettled || settles;
+    }
+
+    void change(int kind)
+    {
+        switch (kind) {
+        case 90:
+            ++m_epoch;
+            break;
+        case 91:
+            apply(DispatcherEvent::Unresponsive{});
+            break;
+        case 92:
+            apply(DispatcherEvent::TakenOut{});
+            break;
+        case 93:
+            apply(DispatcherEvent::UpstreamLeaving{});
+            break;
+        case 94:
+            apply(DispatcherEvent::Released{});
+            break;
+        case 95:
+            beginTakeover();
+            break;
+        case 96:
+            if (!m_formerDead) {
+                handOver();
+            }
+            break;
+        case 97:
+            m_formerDead = true;
+            m_diedAt = m_now;
+            apply(DispatcherEvent::OldOwnerDead{});
+            break;
+        case 98:
+            apply(DispatcherEvent::ProbeSucceeded{});
+            break;
+        default:
+            apply(DispatcherEvent::BroughtBack{});
+        }
+    }
+
+    /// The former owner runs at most what its last summary said.
+    void beginTakeover()
+    {
+        m_former = *rc::gen::container<std::vector<std::uint64_t>>(*rc::gen::inRange<std::size_t>(0, 4), rc::gen::inRange<std::uint64_t>(0, 6'000));
+        std::uint64_t tokens = 0;
+        for (const std::uint64_t prompt : m_former) {
+            tokens += prompt;
+        }
+        m_formerDead = false;
+        m_settled = false;
+        m_maybeSettled = false;
+        apply(DispatcherEvent::TakeoverBegan{static_cast<std::uint32_t>(m_former.size()), tokens});
+    }
+
+    void handOver()
+    {
+        HandOverMessage message{UpstreamId("u"), m_epoch, {8, 60'000}, {}};
+        for (const std::uint64_t prompt : m_former) {
+            message.inFlight.push_back({{1, 0, ++m_formerSequence}, prompt});
+        }
+        m_settled = true;
+        apply(DispatcherEvent::HandOverReceived{message});
+    }
+
+    void apply(const DispatcherInput &event)
+    {
+        for (const DispatcherOutput &action : m_dispatcher.handle(m_now, event)) {
+            if (const auto *send = std::get_if<DispatcherAction::Send>(&action)) {
+                RC_ASSERT(m_ends[send->attempt.sequence] == 0);
+                RC_ASSERT(m_sent.emplace(send->attempt.sequence, Sent{m_tokens[send->attempt.sequence]}).second);
+                checkSend();
+            } else if (const auto *refuse = std::get_if<DispatcherAction::Refuse>(&action)) {
+                m_sent.erase(refuse->attempt.sequence);
+                ++m_ends[refuse->attempt.sequence];
+            } else if (const auto *back = std::get_if<DispatcherAction::ReturnToEntry>(&action)) {
+                ++m_ends[back->attempt.sequence];
+            } else if (const auto *cancel = std::get_if<DispatcherAction::CancelUpstream>(&action)) {
+                RC_ASSERT(m_sent.contains(cancel->attempt.sequence));
+            }
+        }
+        m_history.emplace_back(m_now, static_cast<std::uint32_t>(m_sent.size() + m_former.size()));
+        RC_ASSERT(m_dispatcher.inFlight().size() == m_sent.size());
+    }
+
+    void checkSend()
+    {
+        const LoadSummary summary = m_dispatcher.summary();
+        RC_ASSERT(acceptsWork(summary.state));
+        std::uint64_t requests = m_sent.size();
+        std::uint64_t tokens = 0;
+        for (const auto &[sequence, sent] : m_sent) {
+            tokens += sent.prefill;
+        }
+        RC_ASSERT(requests <= summary.caps.requests);
+        RC_ASSERT(tokens <= summary.caps.prefillTokens);
+        for (const std::uint64_t prompt : m_former) {
+            ++requests;
+            tokens += prompt;
+        }
+        // After the list or the death with an agreeing report the former owner's work counts against the learned cap.
+        const bool known = m_settled || m_maybeSettled;
+        const Caps bound = known ? summary.caps : Caps{makeSpec().coldRequests, makeSpec().coldPrefillTokens};
+        RC_ASSERT(requests <= bound.requests);
+        RC_ASSERT(tokens <= bound.prefillTokens);
+    }
+
+    UpstreamDispatcher m_dispatcher;
+    TimePoint m_now;
+    std::uint64_t m_epoch = 1;
+    std::uint64_t m_sequence = 0;
+    std::uint64_t m_formerSequence = 0;
+    std::map<std::uint64_t, std::uint64_t> m_tokens;
+    std::map<std::uint64_t, int> m_ends;
+    std::map<std::uint64_t, Sent> m_sent; ///< By sequence number.
+    std::vector<std::uint64_t> m_former; ///< Prefill tokens of what the former owner still runs.
+    bool m_formerDead = false;
+    TimePoint m_diedAt;
+    bool m_settled = true;
+    bool m_maybeSettled = false;
+    std::vector<std::pair<TimePoint, std::uint32_t>> m_history;
+};
+
+}
+
+TEST_GROUP(UpstreamDispatcherTest){};
+
+// Guards against sends over a cap or in a state that takes no work, against lost or doubled ends, and against a takeover
+// that exceeds the cold cap together with the former owner.
+TEST(UpstreamDispatcherTest, RandomEventOrdersKeepCapsStatesAndEnds)
+{
+    Testing::checkProperty("caps, states, ends and takeovers hold in any order of events", [] {
+        RandomRun run;
+        const int steps = *rc::gen::inRange(1, 300);
+        for (int count = 0; count < steps; ++count) {
+            run.step();
+        }
+        run.finish();
+    });
+}
+
+// Guards against caps that grow although nothing was completed.
+TEST(UpstreamDispatcherTest, CapsNeverGrowOnReportsAlone)
+{
+    Testing::checkProperty("reports, ticks and health events never raise a cap", [] {
+        UpstreamDispatcher dispatcher(makeSpec(), Preset{});
+        TimePoint now;
+        const int steps = *rc::gen::inRange(1, 200);
+        for (int count = 0; count < steps; ++count) {
+            now += std::chrono::milliseconds(*rc::gen::inRange(0, 1'000));
+            const auto running = *rc::gen::inRange<std::uint32_t>(0, 3);
+            const auto event = *rc::gen::element<DispatcherInput>(DispatcherEvent::LoadReported{1, now - TimePoint(), running, 0, 0s},
+                                                                  DispatcherEvent::Tick{},
+                                                                  DispatcherEvent::ProbeSucceeded{},
+                                                                  DispatcherEvent::Unresponsive{},
+                                                                  DispatcherEvent::BroughtBack{},
+                                                                  DispatcherEvent::TakeoverBegan{running, 0},
+                                                                  DispatcherEvent::OldOwnerDead{});
+            dispatcher.handle(now, event);
+            RC_ASSERT(dispatcher.summary().caps == (Caps{makeSpec().coldRequests, makeSpec().coldPrefillTokens}));
+        }
+    });
+}
+
+// Guards against a takeover that stays at the cold cap forever once the former owner is known dead.
+TEST(UpstreamDispatcherTest, TakeoverSettlesAfterDeathAndReport)
+{
+    UpstreamDispatcher dispatcher(makeSpec(), Preset{});
+    TimePoint now;
+    QueuedAttempt attempt;
+    attempt.attempt.sequence = 1;
+    attempt.deadline = now + 1h;
+    dispatcher.handle(now, DispatcherEvent::TakeoverBegan{5, 40'000});
+    CHECK(dispatcher.handle(now, DispatcherEvent::Enqueued{attempt}).empty());
+    now += 1s;
+    dispatcher.handle(now, DispatcherEvent::OldOwnerDead{});
+    CHECK(dispatcher.handle(now + 1s, DispatcherEvent::LoadReported{1, 1s, 0, 0, 2s}).size() <= 1);
+    LONGS_EQUAL(0, dispatcher.inFlight().size());
+    dispatcher.handle(now + 2s, DispatcherEvent::LoadReported{1, 2s, 0, 0, 1s});
+    LONGS_EQUAL(1, dispatcher.inFlight().size());
+}
