Nest Membership in its own namespace

Cause: Membership and Streams both define ProbeAnswered and ConnectionBroken; in one program that breaks the one definition rule without a diagnostic.

Change: the types of Source/Membership live in Mangofall::Membership.

Conclusion: modules whose event names are generic get a namespace of their own.

--- a/Source/Membership/DataCentreDigest.h
+++ b/Source/Membership/DataCentreDigest.h
@@ -4,7 +4,7 @@
 
 #include <vector>
 
-namespace Mangofall {
+namespace Mangofall::Membership {
 
 /**
  * \class DataCentreDigest
--- a/Source/Membership/DataCentreRoster.cpp
+++ b/Source/Membership/DataCentreRoster.cpp
@@ -1,6 +1,6 @@
 #include "Membership/DataCentreRoster.h"
 
-namespace Mangofall {
+namespace Mangofall::Membership {
 
 bool merge(DataCentreRoster &roster, const DataCentreRoster &other)
 {
--- a/Source/Membership/DataCentreRoster.h
+++ b/Source/Membership/DataCentreRoster.h
@@ -5,7 +5,7 @@
 #include <map>
 #include <vector>
 
-namespace Mangofall {
+namespace Mangofall::Membership {
 
 /**
  * \class DataCentreRoster
--- a/Source/Membership/Heartbeat.h
+++ b/Source/Membership/Heartbeat.h
@@ -2,7 +2,7 @@
 
 #include "Membership/DataCentreDigest.h"
 
-namespace Mangofall {
+namespace Mangofall::Membership {
 
 /**
  * \class Heartbeat
--- a/Source/Membership/HeartbeatPlan.cpp
+++ b/Source/Membership/HeartbeatPlan.cpp
@@ -6,7 +6,7 @@
 #include <string>
 #include <tuple>
 
-namespace Mangofall {
+namespace Mangofall::Membership {
 
 namespace {
 
--- a/Source/Membership/HeartbeatPlan.h
+++ b/Source/Membership/HeartbeatPlan.h
@@ -8,7 +8,7 @@
 #include <set>
 #include <vector>
 
-namespace Mangofall {
+namespace Mangofall::Membership {
 
 /**
  * \class HeartbeatPlanSettings
--- a/Source/Membership/HeartbeatSender.h
+++ b/Source/Membership/HeartbeatSender.h
@@ -5,7 +5,7 @@
 
 #include <variant>
 
-namespace Mangofall {
+namespace Mangofall::Membership {
 
 /// The local view's plan changed.
 struct PlanAdopted {
--- a/Source/Membership/HeartbeatTraffic.cpp
+++ b/Source/Membership/HeartbeatTraffic.cpp
@@ -2,7 +2,7 @@
 
 #include <algorithm>
 
-namespace Mangofall {
+namespace Mangofall::Membership {
 
 namespace {
 
--- a/Source/Membership/HeartbeatTraffic.h
+++ b/Source/Membership/HeartbeatTraffic.h
@@ -4,7 +4,7 @@
 
 #include <cstddef>
 
-namespace Mangofall {
+namespace Mangofall::Membership {
 
 // Sizes on the wire. Every message is counted at its sender and at its receiver, each with an acknowledgement of its own.
 
--- a/Source/Membership/HostRecord.h
+++ b/Source/Membership/HostRecord.h
@@ -6,7 +6,7 @@
 
 #include <optional>
 
-namespace Mangofall {
+namespace Mangofall::Membership {
 
 /// Why a run of probes started.
 enum class ProbeCause {
--- a/Source/Membership/HostStatus.cpp
+++ b/Source/Membership/HostStatus.cpp
@@ -2,7 +2,7 @@
 
 #include <tuple>
 
-namespace Mangofall {
+namespace Mangofall::Membership {
 
 bool supersedes(const HostStatus &claim, const HostStatus &known)
 {
--- a/Source/Membership/HostStatus.h
+++ b/Source/Membership/HostStatus.h
@@ -6,7 +6,7 @@
 #include <cstdint>
 #include <string>
 
-namespace Mangofall {
+namespace Mangofall::Membership {
 
 /// Liveness of a host as one observer sees it. The order is the precedence between claims about the same heartbeat.
 enum class HostState {
--- a/Source/Membership/MembershipAction.h
+++ b/Source/Membership/MembershipAction.h
@@ -4,7 +4,7 @@
 
 #include <variant>
 
-namespace Mangofall {
+namespace Mangofall::Membership {
 
 /// Open a new connection to the address and ask for a heartbeat; report ProbeAnswered or ProbeFailed with the same number.
 struct ProbeHost {
--- a/Source/Membership/MembershipEvent.h
+++ b/Source/Membership/MembershipEvent.h
@@ -9,7 +9,7 @@
 #include <variant>
 #include <vector>
 
-namespace Mangofall {
+namespace Mangofall::Membership {
 
 /// A heartbeat arrived over a control connection.
 struct HeartbeatReceived {
--- a/Source/Membership/MembershipSettings.h
+++ b/Source/Membership/MembershipSettings.h
@@ -4,7 +4,7 @@
 
 #include <cstdint>
 
-namespace Mangofall {
+namespace Mangofall::Membership {
 
 /**
  * \class MembershipSettings
--- a/Source/Membership/MembershipTable.h
+++ b/Source/Membership/MembershipTable.h
@@ -7,7 +7,7 @@
 
 #include <map>
 
-namespace Mangofall {
+namespace Mangofall::Membership {
 
 /**
  * \class MembershipTable
--- a/Source/Membership/OwnershipSnapshot.cpp
+++ b/Source/Membership/OwnershipSnapshot.cpp
@@ -1,6 +1,6 @@
 #include "Membership/OwnershipSnapshot.h"
 
-namespace Mangofall {
+namespace Mangofall::Membership {
 
 OwnershipSnapshot::OwnershipSnapshot(std::uint64_t version, std::unordered_map<UpstreamId, Owner> dispatchers, std::map<LedgerShard, Owner> shards)
     : m_version(version)
--- a/Source/Membership/OwnershipSnapshot.h
+++ b/Source/Membership/OwnershipSnapshot.h
@@ -9,7 +9,7 @@
 #include <unordered_map>
 #include <vector>
 
-namespace Mangofall {
+namespace Mangofall::Membership {
 
 /**
  * \class Owner
--- a/Source/Membership/OwnershipTable.cpp
+++ b/Source/Membership/OwnershipTable.cpp
@@ -2,7 +2,7 @@
 
 #include "Base/Hash.h"
 
-namespace Mangofall {
+namespace Mangofall::Membership {
 
 namespace {
 
--- a/Source/Membership/OwnershipTable.h
+++ b/Source/Membership/OwnershipTable.h
@@ -6,7 +6,7 @@
 #include <memory>
 #include <variant>
 
-namespace Mangofall {
+namespace Mangofall::Membership {
 
 /// The hosts' states changed; \c hosts includes this host.
 struct HostsChanged {
--- a/Source/Membership/PauseDetector.cpp
+++ b/Source/Membership/PauseDetector.cpp
@@ -1,6 +1,6 @@
 #include "Membership/PauseDetector.h"
 
-namespace Mangofall {
+namespace Mangofall::Membership {
 
 PauseDetector::PauseDetector(Duration limit)
     : m_limit(limit)
--- a/Source/Membership/PauseDetector.h
+++ b/Source/Membership/PauseDetector.h
@@ -6,7 +6,7 @@
 #include <variant>
 #include <vector>
 
-namespace Mangofall {
+namespace Mangofall::Membership {
 
 struct PauseTick {
 };
--- a/Source/Membership/RosterWriter.cpp
+++ b/Source/Membership/RosterWriter.cpp
@@ -4,7 +4,7 @@
 
 #include <algorithm>
 
-namespace Mangofall {
+namespace Mangofall::Membership {
 
 RosterWriter::RosterWriter(HostId self, const DataCentreId &dataCentre, RosterWriterSettings settings)
     : m_self(std::move(self))
--- a/Source/Membership/RosterWriter.h
+++ b/Source/Membership/RosterWriter.h
@@ -8,7 +8,7 @@
 #include <string>
 #include <variant>
 
-namespace Mangofall {
+namespace Mangofall::Membership {
 
 /// The local view of the own data centre; sent on every change and at least once a minute.
 struct RosterChanged {
--- a/Tests/Membership/PauseDetectorTest.cpp
+++ b/Tests/Membership/PauseDetectorTest.cpp
@@ -6,6 +6,7 @@
 #include "Membership/PauseDetector.h"
 
 using namespace Mangofall;
+using namespace Mangofall::Membership;
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
