Add Orders: durable claims, group commit and at-most-once orders

Cause: non-idempotent orders need a durable claim before the first byte goes to an upstream, and one store write per claim and outcome would exceed the store's rate.

Change: the OrderLedger interface with two ledgers: SingleClaimLedger (one store key per order) and OrderLedgerShard (group commit on a shard's head with epoch fencing, read-back of lost answers, retention and a size bound). OrderProcessor leads one order through claim, send, outcome and record; OrderService joins processors and ledger.

A record that names an unknown run is answered "not run" only by an owner that has read the shard: a retry during an outage must not be told "not run" while the first call's order may have run. An owner that was fenced without knowing it still judges by its last committed head.

--- /dev/null
+++ b/Source/Orders/SingleClaimLedger.cpp
@@ -0,0 +1,176 @@
+#include "Orders/SingleClaimLedger.h"
+
+#include "Base/Hash.h"
+#include "Orders/OutcomeBounds.h"
+
+#include <algorithm>
+
+namespace Mangofall {
+
+SingleClaimLedger::SingleClaimLedger(OrderLimits limits)
+    : m_limits(limits)
+{
+    // Each order has a value of its own, which holds any body that is kept.
+    m_limits.maxInlineBytes = m_limits.maxBodyBytes;
+}
+
+LedgerActions SingleClaimLedger::handle(const BecomeOwner &, TimePoint)
+{
+    return {OwnershipConfirmed{}};
+}
+
+LedgerActions SingleClaimLedger::handle(const StopOwning &, TimePoint)
+{
+    m_entries.clear();
+    return {OwnershipLost{OwnershipLossReason::Revoked}};
+}
+
+LedgerActions SingleClaimLedger::handle(const ClaimOrder &event, TimePoint)
+{
+    LedgerActions actions;
+    Entry entry{OrderRecord{event.claim, 0, {}, std::nullopt}, 0, Step::Write, 0, std::nullopt, RetryDelay(m_limits.firstRetry, m_limits.maxRetry)};
+    issue(m_entries.insert_or_assign(event.claim.key, std::move(entry)).first->second, actions);
+    return actions;
+}
+
+LedgerActions SingleClaimLedger::handle(const WithdrawClaim &event, TimePoint)
+{
+    return {ClaimDelayed{event.key, event.attempt, false}};
+}
+
+LedgerActions SingleClaimLedger::handle(const ResolveOrder &event, TimePoint)
+{
+    LedgerActions actions;
+    const auto found = m_entries.find(event.key);
+    if (found == m_entries.end() || found->second.step != Step::Idle || found->second.record.claim.attempt != event.attempt) {
+        return actions;
+    }
+    Entry &entry = found->second;
+    entry.record.resolution = event.resolution;
+    boundOutcome(event.key, m_limits, entry.record.resolution->outcome);
+    entry.step = Step::Write;
+    issue(entry, actions);
+    return actions;
+}
+
+LedgerActions SingleClaimLedger::handle(const StoreAnswered &event, TimePoint now)
+{
+    LedgerActions actions;
+    const auto found = std::find_if(m_entries.begin(), m_entries.end(), [&](const auto &item) {
+        return item.second.call == event.call;
+    });
+    if (found != m_entries.end()) {
+        found->second.call = 0;
+        answered(found->second, event, now, actions);
+    }
+    return actions;
+}
+
+LedgerActions SingleClaimLedger::handle(const OrderTick &, TimePoint now)
+{
+    LedgerActions actions;
+    for (auto &[key, entry] : m_entries) {
+        if (entry.retryAt && now >= *entry.retryAt) {
+            issue(entry, actions);
+        }
+    }
+    return actions;
+}
+
+bool SingleClaimLedger::isLoaded() const
+{
+    return false;
+}
+
+std::vector<OrderRecord> SingleClaimLedger::unresolved() const
+{
+    std::vector<OrderRecord> records;
+    for (const auto &[key, entry] : m_entries) {
+        records.push_back(entry.record);
+    }
+    return records;
+}
+
+std::string SingleClaimLedger::storeKey(const OrderKey &key)
+{
+    return "mangofall/orders/single/" + key.value();
+}
+
+void SingleClaimLedger::issue(Entry &entry, LedgerActions &actions)
+{
+    entry.retryAt.reset();
+    entry.call = ++m_lastCall;
+    const std::string key = storeKey(entry.record.claim.key);
+    if (entry.step == Step::Write) {
+        actions.emplace_back(WriteKey{entry.call, key, encodeRecord(entry.record), entry.version});
+    } else {
+        actions.emplace_back(ReadKey{entry.call, key});
+    }
+}
+
+void SingleClaimLedger::answered(Entry &entry, const StoreAnswered &event, TimePoint now, LedgerActions &actions)
+{
+    if (event.status == StoreStatus::NoAnswer) {
+        entry.step = Step::ReadBack;
+        entry.retryAt = now + entry.delay.take();
+        return;
+    }
+    entry.delay.reset();
+    if (entry.step == Step::ReadBack) {
+        readBack(entry, event, actions);
+    } else if (event.status == StoreStatus::Ok) {
+        written(entry, event.version, actions);
+    } else {
+        entry.step = Step::ReadBack;
+        issue(entry, actions);
+    }
+}
+
+void SingleClaimLedger::written(Entry &entry, StoreVersion version, LedgerActions &actions)
+{
+    entry.version = version;
+    entry.step = Step::Idle;
+    const OrderKey key = entry.record.claim.key;
+    if (entry.record.resolution) {
+        actions.emplace_back(OrderRecorded{key, *entry.record.resolution});
+        m_entries.erase(key);
+    } else {
+        actions.emplace_back(ClaimGranted{key, entry.record.claim.attempt});
+    }
+}
+
+void SingleClaimLedger::readBack(Entry &entry, const StoreAnswered &event, LedgerActions &actions)
+{
+    const StoreVersion version = event.status == StoreStatus::Ok ? event.version : 0;
+    if (version == entry.version) {
+        entry.step = Step::Write;
+        issue(entry, actions);
+        return;
+    }
+    std::optional<OrderRecord> stored = decodeRecord(event.value);
+    const OrderKey key = entry.record.claim.key;
+    const AttemptId attempt = entry.record.claim.attempt;
+    if (!stored) {
+        actions.emplace_back(ClaimRefused{key, attempt, ErrorKind::Internal, false});
+        m_entries.erase(key);
+    } else if (entry.record.resolution && stored->resolution) {
+        actions.emplace_back(OrderRecorded{key, *stored->resolution});
+        m_entries.erase(key);
+    } else if (!entry.record.resolution && !stored->resolution && stored->claim.attempt == attempt) {
+        written(entry, version, actions);
+    } else if (stored->resolution && stored->resolution->permitsNewClaim() && stored->claim.bodyHash == entry.record.claim.bodyHash) {
+        entry.version = version;
+        entry.step = Step::Write;
+        issue(entry, actions);
+    } else {
+        actions.emplace_back(ClaimExists{key, attempt, *stored, true});
+        entry.record = *std::move(stored);
+        entry.version = version;
+        entry.step = Step::Idle;
+        if (entry.record.resolution) {
+            m_entries.erase(key);
+        }
+    }
+}
+
+}
--- /dev/null
+++ b/Tests/Orders/OrderServiceTest.cpp
@@ -0,0 +1,212 @@
+#include "Orders/OrderService.h"
+#include "Orders/OrderLedgerShard.h"
+#include "Orders/SingleClaimLedger.h"
+
+#include <map>
+
+// CppUTest redefines new, which the headers above use.
+#include "Property.h"
+
+using namespace Mangofall;
+
+namespace {
+
+using std::chrono::seconds;
+
+// A service with a store that answers at once while it is up.
+struct Fixture {
+    explicit Fixture(std::unique_ptr<OrderLedger> ledger)
+        : service(std::move(ledger), AttemptId{1, 1, 0}, OrderLimits())
+    {
+    }
+
+    OrderActions run(OrderActions actions)
+    {
+        OrderActions left;
+        for (std::size_t i = 0; i < actions.size(); ++i) {
+            StoreAnswered answer;
+            if (const auto *read = std::get_if<ReadKey>(&actions[i])) {
+                const auto &[version, value] = store[read->key];
+                answer = {read->call, version == 0 ? StoreStatus::NotFound : StoreStatus::Ok, version, value};
+            } else if (const auto *write = std::get_if<WriteKey>(&actions[i])) {
+                auto &[version, value] = store[write->key];
+                answer = {write->call, version == write->expected ? StoreStatus::Ok : StoreStatus::Conflict, version + 1, {}};
+                if (up && version == write->expected) {
+                    ++version;
+                    value = write->value;
+                }
+            } else {
+                left.push_back(actions[i]);
+                continue;
+            }
+            if (!up) {
+                answer.status = StoreStatus::NoAnswer;
+            }
+            const OrderActions more = service.handle(answer, now);
+            actions.insert(actions.end(), more.begin(), more.end());
+        }
+        return left;
+    }
+
+    OrderActions request(const char *caller, const char *body = "body")
+    {
+        return run(service.handle(OrderRequest{RequestId(caller),
+                                               OrderKey("key"),
+                                               body,
+                                               OrganisationId("org"),
+                                               ServiceId("orders"),
+                                               UpstreamId("runner"),
+                                               hasStatusCall,
+                                               false,
+                                               now + seconds(10),
+                                               WallTime(std::chrono::milliseconds(7))},
+                                  now));
+    }
+
+    OrderActions tick(Duration step)
+    {
+        now += step;
+        return run(service.handle(OrderTick(), now));
+    }
+
+    TimePoint now{seconds(1)};
+    std::map<std::string, std::pair<StoreVersion, std::string>> store;
+    bool up = true;
+    bool hasStatusCall = true;
+    OrderService service;
+};
+
+template<class Action>
+const Action *find(const OrderActions &actions)
+{
+    for (const OrderAction &action : actions) {
+        if (const auto *found = std::get_if<Action>(&action)) {
+            return found;
+        }
+    }
+    return nullptr;
+}
+
+std::unique_ptr<OrderLedger> makeLedger(bool single)
+{
+    if (single) {
+        return std::make_unique<SingleClaimLedger>(OrderLimits());
+    }
+    return std::make_unique<OrderLedgerShard>("head", "a/1", OrderLimits());
+}
+
+OrderOutcome outcomeOf(const std::string &body)
+{
+    return {201, "text/plain", body, {}, false};
+}
+
+}
+
+TEST_GROUP(OrderServiceTest){};
+
+// Guards against a retry that runs the order again, and against a reused key that gets another body's outcome; both ledgers.
+TEST(OrderServiceTest, RetriesGetTheRecordedOutcome)
+{
+    for (const bool single : {true, false}) {
+        Fixture fixture(makeLedger(single));
+        fixture.run(fixture.service.handle(BecomeOwner(), fixture.now));
+        const OrderActions first = fixture.request("first");
+        const auto *send = find<SendOrder>(first);
+        CHECK(send != nullptr);
+        const OrderActions second = fixture.request("second");
+        CHECK(find<AnswerCaller>(second)->error == ErrorKind::OrderInProgress);
+        const UpstreamAnswered answer{OrderKey("key"), send->attempt, UpstreamResult::Answered, outcomeOf("ok")};
+        const OrderActions done = fixture.run(fixture.service.handle(answer, fixture.now));
+        CHECK(find<AnswerCaller>(done)->outcome == outcomeOf("ok"));
+        const OrderActions third = fixture.request("third");
+        CHECK(find<SendOrder>(third) == nullptr);
+        CHECK(find<AnswerCaller>(third)->outcome == outcomeOf("ok"));
+        CHECK(find<AnswerCaller>(fixture.request("fourth", "other body"))->error == ErrorKind::IdempotencyKeyReused);
+    }
+}
+
+// Guards against a claim that blocks its key after the upstream refused the order before any work; both ledgers.
+TEST(OrderServiceTest, RefusedOrderMayBeClaimedAgain)
+{
+    for (const bool single : {true, false}) {
+        Fixture fixture(makeLedger(single));
+        fixture.run(fixture.service.handle(BecomeOwner(), fixture.now));
+        const AttemptId attempt = find<SendOrder>(fixture.request("first"))->attempt;
+        const OrderActions refused = fixture.run(fixture.service.handle(UpstreamAnswered{OrderKey("key"), attempt, UpstreamResult::Refused, {}}, fixture.now));
+        CHECK(find<AnswerCaller>(refused)->notRun);
+        const OrderActions again = fixture.request("second");
+        CHECK(find<SendOrder>(again) != nullptr);
+        CHECK(find<SendOrder>(again)->attempt != attempt);
+    }
+}
+
+// Guards against an outage in which an order is sent without claim, or "not run" is said by an owner that read no ledger.
+TEST(OrderServiceTest, StoreOutageBeforeTheClaimRefusesNotRun)
+{
+    Fixture fixture(makeLedger(false));
+    fixture.up = false;
+    fixture.run(fixture.service.handle(BecomeOwner(), fixture.now));
+    CHECK(find<SendOrder>(fixture.request("early")) == nullptr);
+    const OrderActions early = fixture.tick(seconds(3));
+    CHECK(find<AnswerCaller>(early)->error == ErrorKind::StoreUnavailable);
+    CHECK_FALSE(find<AnswerCaller>(early)->notRun);
+    fixture.up = true;
+    CHECK(find<OwnershipConfirmed>(fixture.tick(seconds(3))) != nullptr);
+    fixture.up = false;
+    CHECK(find<SendOrder>(fixture.request("late")) == nullptr);
+    const OrderActions late = fixture.tick(seconds(3));
+    CHECK(find<AnswerCaller>(late)->error == ErrorKind::StoreUnavailable);
+    CHECK_TRUE(find<AnswerCaller>(late)->notRun);
+    fixture.up = true;
+    CHECK(find<SendOrder>(fixture.tick(seconds(3))) == nullptr);
+}
+
+// Guards against an outcome that is lost because the store was down when the upstream answered.
+TEST(OrderServiceTest, OutcomeIsRecordedWhenTheStoreReturns)
+{
+    Fixture fixture(makeLedger(false));
+    fixture.run(fixture.service.handle(BecomeOwner(), fixture.now));
+    const AttemptId attempt = find<SendOrder>(fixture.request("first"))->attempt;
+    fixture.up = false;
+    const std::string body(5'000, 'x');
+    const UpstreamAnswered answer{OrderKey("key"), attempt, UpstreamResult::Answered, outcomeOf(body)};
+    CHECK(fixture.run(fixture.service.handle(answer, fixture.now)).empty());
+    const OrderActions expired = fixture.tick(seconds(11));
+    CHECK(find<AnswerCaller>(expired)->error == ErrorKind::OrderUnknown);
+    CHECK_FALSE(find<AnswerCaller>(expired)->notRun);
+    fixture.up = true;
+    fixture.tick(seconds(3));
+    fixture.tick(seconds(3));
+    const OrderActions retry = fixture.request("retry");
+    CHECK(find<AnswerCaller>(retry)->error == ErrorKind::None);
+    CHECK(fixture.store[find<AnswerCaller>(retry)->outcome->bodyKey].second == body);
+}
+
+// Guards against an unknown order that operators cannot see or settle, or that runs again after their decision.
+TEST(OrderServiceTest, OperatorsSettleUnknownOrders)
+{
+    for (const bool ran : {true, false}) {
+        Fixture fixture(makeLedger(false));
+        fixture.hasStatusCall = false;
+        fixture.run(fixture.service.handle(BecomeOwner(), fixture.now));
+        fixture.request("first");
+        CHECK(fixture.service.unknownOrders().empty());
+        const OperatorDecided decision{OrderKey("key"), ran, outcomeOf("by operator")};
+        CHECK(find<DecisionAnswered>(fixture.service.handle(decision, fixture.now))->result == DecisionResult::NotUnknown);
+        Fixture next(std::make_unique<OrderLedgerShard>("head", "b/1", OrderLimits()));
+        next.hasStatusCall = false;
+        next.store = fixture.store;
+        next.run(next.service.handle(BecomeOwner(), next.now));
+        CHECK(find<AnswerCaller>(next.request("retry"))->error == ErrorKind::OrderUnknown);
+        const std::vector<OrderRecord> unknown = next.service.unknownOrders();
+        LONGS_EQUAL(1, unknown.size());
+        CHECK(unknown.front().claim.organisation == OrganisationId("org") && unknown.front().claim.service == ServiceId("orders"));
+        CHECK(unknown.front().claim.upstream == UpstreamId("runner") && unknown.front().claim.claimedAt == WallTime(std::chrono::milliseconds(7)));
+        CHECK(find<DecisionAnswered>(next.run(next.service.handle(decision, next.now)))->result == DecisionResult::Accepted);
+        CHECK(next.service.unknownOrders().empty());
+        const OrderActions after = next.request("after");
+        CHECK(find<SendOrder>(after) == nullptr);
+        CHECK(find<AnswerCaller>(after)->notRun == !ran);
+        CHECK(find<AnswerCaller>(after)->outcome.has_value() == ran);
+    }
+}
