Nest Orders in its own namespace

Cause: Orders and Config both define ReadKey and WriteKey with other members.

Change: the types of Source/Orders live in Mangofall::Orders.

--- a/Source/Orders/LedgerActions.h
+++ b/Source/Orders/LedgerActions.h
@@ -7,7 +7,7 @@
 #include <variant>
 #include <vector>
 
-namespace Mangofall {
+namespace Mangofall::Orders {
 
 /// The claim is durable and this process may send the order, once.
 struct ClaimGranted {
--- a/Source/Orders/LedgerEvents.h
+++ b/Source/Orders/LedgerEvents.h
@@ -5,7 +5,7 @@
 
 #include <string>
 
-namespace Mangofall {
+namespace Mangofall::Orders {
 
 /// The ownership table names this process the owner of the shard. Repeated after a pause of the host, it confirms that no
 /// other owner has written meanwhile.
--- a/Source/Orders/LedgerHead.cpp
+++ b/Source/Orders/LedgerHead.cpp
@@ -2,7 +2,7 @@
 
 #include <nlohmann/json.hpp>
 
-namespace Mangofall {
+namespace Mangofall::Orders {
 
 namespace {
 
--- a/Source/Orders/LedgerHead.h
+++ b/Source/Orders/LedgerHead.h
@@ -9,7 +9,7 @@
 #include <string_view>
 #include <unordered_map>
 
-namespace Mangofall {
+namespace Mangofall::Orders {
 
 /**
  * \class LedgerHead
--- a/Source/Orders/OrderActions.h
+++ b/Source/Orders/OrderActions.h
@@ -9,7 +9,7 @@
 #include <variant>
 #include <vector>
 
-namespace Mangofall {
+namespace Mangofall::Orders {
 
 /// Sends the body that \p caller delivered to the upstream, once.
 struct SendOrder {
--- a/Source/Orders/OrderClaim.h
+++ b/Source/Orders/OrderClaim.h
@@ -6,7 +6,7 @@
 
 #include <string>
 
-namespace Mangofall {
+namespace Mangofall::Orders {
 
 /**
  * \class OrderClaim
--- a/Source/Orders/OrderEvents.h
+++ b/Source/Orders/OrderEvents.h
@@ -7,7 +7,7 @@
 
 #include <string>
 
-namespace Mangofall {
+namespace Mangofall::Orders {
 
 /// Event: a caller asks to run an order, for the first time or again.
 struct OrderRequest {
--- a/Source/Orders/OrderLedger.h
+++ b/Source/Orders/OrderLedger.h
@@ -6,7 +6,7 @@
 
 #include <vector>
 
-namespace Mangofall {
+namespace Mangofall::Orders {
 
 /**
  * \class OrderLedger
--- a/Source/Orders/OrderLedgerShard.cpp
+++ b/Source/Orders/OrderLedgerShard.cpp
@@ -4,7 +4,7 @@
 
 #include <algorithm>
 
-namespace Mangofall {
+namespace Mangofall::Orders {
 
 namespace {
 
--- a/Source/Orders/OrderLedgerShard.h
+++ b/Source/Orders/OrderLedgerShard.h
@@ -13,7 +13,7 @@
 #include <variant>
 #include <vector>
 
-namespace Mangofall {
+namespace Mangofall::Orders {
 
 /**
  * \class OrderLedgerShard
--- a/Source/Orders/OrderLimits.h
+++ b/Source/Orders/OrderLimits.h
@@ -5,7 +5,7 @@
 #include <chrono>
 #include <cstddef>
 
-namespace Mangofall {
+namespace Mangofall::Orders {
 
 /**
  * \class OrderLimits
--- a/Source/Orders/OrderOutcome.h
+++ b/Source/Orders/OrderOutcome.h
@@ -2,7 +2,7 @@
 
 #include <string>
 
-namespace Mangofall {
+namespace Mangofall::Orders {
 
 /**
  * \class OrderOutcome
--- a/Source/Orders/OrderProcessor.cpp
+++ b/Source/Orders/OrderProcessor.cpp
@@ -3,7 +3,7 @@
 #include <algorithm>
 #include <utility>
 
-namespace Mangofall {
+namespace Mangofall::Orders {
 
 OrderProcessor::OrderProcessor(OrderClaim claim, const OrderLimits &limits)
     : m_claim(std::move(claim))
--- a/Source/Orders/OrderProcessor.h
+++ b/Source/Orders/OrderProcessor.h
@@ -7,7 +7,7 @@
 #include <optional>
 #include <vector>
 
-namespace Mangofall {
+namespace Mangofall::Orders {
 
 /**
  * \class OrderProcessor
--- a/Source/Orders/OrderRecord.h
+++ b/Source/Orders/OrderRecord.h
@@ -9,7 +9,7 @@
 #include <string>
 #include <string_view>
 
-namespace Mangofall {
+namespace Mangofall::Orders {
 
 /// Number of a shard owner's term; each new owner writes a higher one.
 using Epoch = std::uint64_t;
--- a/Source/Orders/OrderResolution.h
+++ b/Source/Orders/OrderResolution.h
@@ -2,7 +2,7 @@
 
 #include "Orders/OrderOutcome.h"
 
-namespace Mangofall {
+namespace Mangofall::Orders {
 
 /// Who says how an order ended.
 enum class ResolutionSource {
--- a/Source/Orders/OrderService.cpp
+++ b/Source/Orders/OrderService.cpp
@@ -4,7 +4,7 @@
 #include <type_traits>
 #include <utility>
 
-namespace Mangofall {
+namespace Mangofall::Orders {
 
 OrderService::OrderService(std::unique_ptr<OrderLedger> ledger, AttemptId process, OrderLimits limits)
     : m_ledger(std::move(ledger))
--- a/Source/Orders/OrderService.h
+++ b/Source/Orders/OrderService.h
@@ -10,7 +10,7 @@
 #include <unordered_map>
 #include <vector>
 
-namespace Mangofall {
+namespace Mangofall::Orders {
 
 /**
  * \class OrderService
--- a/Source/Orders/OutcomeBounds.cpp
+++ b/Source/Orders/OutcomeBounds.cpp
@@ -4,7 +4,7 @@
 
 #include <utility>
 
-namespace Mangofall {
+namespace Mangofall::Orders {
 
 namespace {
 
--- a/Source/Orders/OutcomeBounds.h
+++ b/Source/Orders/OutcomeBounds.h
@@ -6,7 +6,7 @@
 
 #include <string>
 
-namespace Mangofall {
+namespace Mangofall::Orders {
 
 /// A content type longer than this is not kept.
 constexpr std::size_t maxContentTypeBytes = 128;
--- a/Source/Orders/ShardMap.cpp
+++ b/Source/Orders/ShardMap.cpp
@@ -4,7 +4,7 @@
 
 #include <algorithm>
 
-namespace Mangofall {
+namespace Mangofall::Orders {
 
 ShardMap::ShardMap(std::uint32_t shards)
     : m_shards(std::max(shards, 1U))
--- a/Source/Orders/ShardMap.h
+++ b/Source/Orders/ShardMap.h
@@ -5,7 +5,7 @@
 #include <cstdint>
 #include <string>
 
-namespace Mangofall {
+namespace Mangofall::Orders {
 
 /**
  * \class ShardMap
--- a/Source/Orders/SingleClaimLedger.cpp
+++ b/Source/Orders/SingleClaimLedger.cpp
@@ -5,7 +5,7 @@
 
 #include <algorithm>
 
-namespace Mangofall {
+namespace Mangofall::Orders {
 
 SingleClaimLedger::SingleClaimLedger(OrderLimits limits)
     : m_limits(limits)
--- a/Source/Orders/SingleClaimLedger.h
+++ b/Source/Orders/SingleClaimLedger.h
@@ -8,7 +8,7 @@
 #include <string>
 #include <unordered_map>
 
-namespace Mangofall {
+namespace Mangofall::Orders {
 
 /**
  * \class SingleClaimLedger
--- a/Source/Orders/StoreCalls.h
+++ b/Source/Orders/StoreCalls.h
@@ -3,7 +3,7 @@
 #include <cstdint>
 #include <string>
 
-namespace Mangofall {
+namespace Mangofall::Orders {
 
 /// Names one store call; an answer to another call is ignored.
 using StoreCallId = std::uint64_t;
--- a/Tests/Orders/OrderLedgerShardTest.cpp
+++ b/Tests/Orders/OrderLedgerShardTest.cpp
@@ -6,6 +6,7 @@
 #include "Property.h"
 
 using namespace Mangofall;
+using namespace Mangofall::Orders;
 
 namespace {
 
--- a/Tests/Orders/OrderServiceTest.cpp
+++ b/Tests/Orders/OrderServiceTest.cpp
@@ -8,6 +8,7 @@
 #include "Property.h"
 
 using namespace Mangofall;
+using namespace Mangofall::Orders;
 
 namespace {
 
--- a/Tests/Orders/OrderWorld.h
+++ b/Tests/Orders/OrderWorld.h
@@ -13,6 +13,8 @@
 
 namespace Mangofall::Testing {
 
+using namespace Orders;
+
 /**
  * \class OrderWorld
  * \brief Several owners of one shard, a store, an upstream and callers on one simulated clock, with faults at random.
--- a/Tests/Orders/ShardMapTest.cpp
+++ b/Tests/Orders/ShardMapTest.cpp
@@ -4,6 +4,7 @@
 #include "Property.h"
 
 using namespace Mangofall;
+using namespace Mangofall::Orders;
 
 TEST_GROUP(ShardMapTest){};
 
