--- a/Source/Config/FleetConfiguration.h
+++ b/Source/Config/FleetConfiguration.h
@@ -3,19 +3,17 @@
 #include "Base/Ids.h"
 #include "Config/OrganisationSpec.h"
 #include "Config/Preset.h"
+#include "Config/RecentChange.h"
+#include "Config/Revision.h"
 #include "Config/RouteSpec.h"
 #include "Config/UpstreamSpec.h"
 
-#include <cstdint>
 #include <map>
 #include <set>
 #include <vector>
 
 namespace Mangofall {
 
-/// Number of a configuration; higher is newer, 0 means none.
-using Revision = std::uint64_t;
-
 /**
  * \class OutOfService
  * \brief What operators have taken out of service.
@@ -40,7 +38,7 @@
     std::map<UpstreamId, UpstreamSpec> upstreams;
     std::vector<RouteSpec> routes; ///< The longest matching prefix applies.
     OutOfService outOfService;
-    std::vector<ChangeId> recentChanges; ///< Newest last; bounded.
+    std::vector<RecentChange> recentChanges; ///< Newest last, one per revision; at most maxRecentChanges.
 
     friend bool operator==(const FleetConfiguration &, const FleetConfiguration &) = default;
 };
