Add Platform: store and host list adapters and the call scheduler

Cause: the daemon needs the platform's store and host list, within a budget of calls per host and without a stampede when the store returns.

Change: KeyValueStore and HostList are abstract; HttpKeyValueStore and HttpHostList implement them with Beast on one io_context. Idempotent calls move to a new connection once; writes never repeat, and a write without an answer ends as Unknown. StoreCallScheduler is a state machine with a token bucket, four priorities and backoff with full jitter. FakeKeyValueStore serves other tests. Actions of ConfigurationChanger are renamed because the Orders module has ReadKey and WriteKey in the same namespace; LogLevel of the settings becomes LogThreshold because Telemetry has a LogLevel.

Conclusion: ready to be wired up; an adapter that puts the scheduler in front of a KeyValueStore is still to be written.

--- a/Source/Config/ConfigurationChanger.cpp
+++ b/Source/Config/ConfigurationChanger.cpp
@@ -46,7 +46,7 @@
 ChangerActions ConfigurationChanger::start(TimePoint now)
 {
     m_deadline = now + m_timeout;
-    ChangerActions actions{WakeAt{m_deadline}};
+    ChangerActions actions{WakeChangerAt{m_deadline}};
     readRoot(actions);
     return actions;
 }
@@ -124,7 +124,7 @@
     m_state = State::ReadingBlobs;
     for (const std::string &hash : missing) {
         m_awaitedKeys.insert(blobKey(hash));
-        actions.emplace_back(ReadKey{blobKey(hash)});
+        actions.emplace_back(ReadConfigurationKey{blobKey(hash)});
     }
     if (missing.empty()) {
         validate(actions);
@@ -176,7 +176,7 @@
     m_state = State::WritingBlobs;
     for (const std::string &hash : missingBlobs(m_next.root, m_blobs)) {
         m_awaitedKeys.insert(blobKey(hash));
-        actions.emplace_back(WriteKey{blobKey(hash), m_next.blobs.at(hash), 0});
+        actions.emplace_back(WriteConfigurationKey{blobKey(hash), m_next.blobs.at(hash), 0});
     }
     if (m_awaitedKeys.empty()) {
         writeRoot(actions);
@@ -187,7 +187,7 @@
 {
     m_state = State::WritingRoot;
     m_awaitedKeys.insert(rootKey);
-    actions.emplace_back(WriteKey{rootKey, encodeRoot(m_next.root), m_baseVersion});
+    actions.emplace_back(WriteConfigurationKey{rootKey, encodeRoot(m_next.root), m_baseVersion});
 }
 
 void ConfigurationChanger::onWritten(const StoreWriteDone &written, TimePoint now, ChangerActions &actions)
@@ -226,7 +226,7 @@
 {
     m_state = State::ReadingRoot;
     m_awaitedKeys = {rootKey};
-    actions.emplace_back(ReadKey{rootKey});
+    actions.emplace_back(ReadConfigurationKey{rootKey});
 }
 
 void ConfigurationChanger::retryLater(TimePoint now, ChangerActions &actions)
@@ -237,7 +237,7 @@
     m_retryAt = now + Duration(delay(m_random));
     m_state = State::Waiting;
     m_awaitedKeys.clear();
-    actions.emplace_back(WakeAt{m_retryAt});
+    actions.emplace_back(WakeChangerAt{m_retryAt});
 }
 
 void ConfigurationChanger::giveUp(ChangerActions &actions)
--- a/Source/Config/ConfigurationChanger.h
+++ b/Source/Config/ConfigurationChanger.h
@@ -17,19 +17,19 @@
 namespace Mangofall {
 
 /// Read a key of the store; answered by StoreReadDone.
-struct ReadKey {
+struct ReadConfigurationKey {
     std::string key;
 };
 
 /// Write a key of the store; answered by StoreWriteDone. The adapter must not repeat the call on its own.
-struct WriteKey {
+struct WriteConfigurationKey {
     std::string key;
     std::string value;
     std::uint64_t expectedVersion = 0; ///< 0: the key must not exist.
 };
 
 /// Send a ChangerTick at \p time.
-struct WakeAt {
+struct WakeChangerAt {
     TimePoint time;
 };
 
@@ -38,7 +38,7 @@
     ChangeAnswer answer;
 };
 
-using ChangerAction = std::variant<ReadKey, WriteKey, WakeAt, ChangeFinished>;
+using ChangerAction = std::variant<ReadConfigurationKey, WriteConfigurationKey, WakeChangerAt, ChangeFinished>;
 using ChangerActions = std::vector<ChangerAction>;
 
 struct ChangerTick {
--- a/Source/Config/Settings.h
+++ b/Source/Config/Settings.h
@@ -10,7 +10,7 @@
 
 namespace Mangofall {
 
-enum class LogLevel {
+enum class LogThreshold {
     Trace,
     Debug,
     Info,
@@ -23,7 +23,7 @@
  * \brief What the daemon logs and in which layout.
  */
 struct LogSettings {
-    LogLevel level = LogLevel::Info;
+    LogThreshold level = LogThreshold::Info;
     bool json = false;
 
     friend bool operator==(const LogSettings &, const LogSettings &) = default;
--- a/Source/Config/SettingsReader.cpp
+++ b/Source/Config/SettingsReader.cpp
@@ -14,12 +14,12 @@
 
 namespace {
 
-constexpr std::array<EnumName<LogLevel>, 5> logLevels = {{
-    {"trace", LogLevel::Trace},
-    {"debug", LogLevel::Debug},
-    {"info", LogLevel::Info},
-    {"warn", LogLevel::Warn},
-    {"error", LogLevel::Error},
+constexpr std::array<EnumName<LogThreshold>, 5> logLevels = {{
+    {"trace", LogThreshold::Trace},
+    {"debug", LogThreshold::Debug},
+    {"info", LogThreshold::Info},
+    {"warn", LogThreshold::Warn},
+    {"error", LogThreshold::Error},
 }};
 
 constexpr std::uint32_t maxTrafficThreads = 256;
@@ -55,7 +55,7 @@
 
 void readLog(JsonObjectReader &reader, LogSettings &log)
 {
-    reader.choice<LogLevel>("level", log.level, logLevels, Presence::Optional);
+    reader.choice<LogThreshold>("level", log.level, logLevels, Presence::Optional);
     reader.boolean("json", log.json, Presence::Optional);
 }
 
--- a/Source/Config/StoreEvents.h
+++ b/Source/Config/StoreEvents.h
@@ -8,6 +8,7 @@
 enum class StoreReadStatus {
     Found,
     Missing,
+    Unchanged, ///< A watch ended without a newer version.
     Failed, ///< No answer in time, or the store refused the call.
 };
 
@@ -36,6 +37,7 @@
 struct StoreWriteDone {
     std::string key;
     StoreWriteStatus status = StoreWriteStatus::Unknown;
+    std::uint64_t version = 0; ///< Version of the key after the call if applied or in conflict; 0 otherwise.
 };
 
 }
--- /dev/null
+++ b/Source/Platform/HttpConnectionPool.cpp
@@ -0,0 +1,99 @@
+#include "Platform/HttpConnectionPool.h"
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/read.hpp>
+#include <boost/beast/http/write.hpp>
+
+#include <utility>
+
+namespace Mangofall {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = beast::http;
+
+namespace {
+
+// Values of the store are at most 1 MB; a whole configuration of the design scale is below 16 MB.
+constexpr std::uint64_t maxAnswerBytes = 16'000'000;
+constexpr std::size_t maxIdleConnections = 8;
+
+}
+
+HttpConnectionPool::HttpConnectionPool(asio::io_context &context, NetworkAddress server)
+    : m_context(context)
+    , m_server(std::move(server))
+{
+}
+
+asio::awaitable<std::unique_ptr<HttpConnectionPool::Stream>> HttpConnectionPool::connect(TimePoint deadline)
+{
+    boost::system::error_code error;
+    const asio::ip::address address = asio::ip::make_address(m_server.address, error);
+    if (error) {
+        co_return nullptr;
+    }
+    auto stream = std::make_unique<Stream>(m_context);
+    stream->expires_at(deadline);
+    co_await stream->async_connect(asio::ip::tcp::endpoint(address, m_server.port), asio::redirect_error(asio::use_awaitable, error));
+    if (error) {
+        co_return nullptr;
+    }
+    stream->socket().set_option(asio::ip::tcp::no_delay(true), error);
+    co_return stream;
+}
+
+asio::awaitable<HttpCallResult> HttpConnectionPool::exchange(std::unique_ptr<Stream> stream, Request &request, TimePoint deadline)
+{
+    HttpCallResult result;
+    result.sent = true;
+    boost::system::error_code error;
+    stream->expires_at(deadline);
+    co_await http::async_write(*stream, request, asio::redirect_error(asio::use_awaitable, error));
+    beast::flat_buffer buffer;
+    http::response_parser<http::string_body> parser;
+    parser.body_limit(maxAnswerBytes);
+    if (!error) {
+        co_await http::async_read(*stream, buffer, parser, asio::redirect_error(asio::use_awaitable, error));
+    }
+    if (error == beast::error::timeout) {
+        m_idle.clear();
+    }
+    if (error) {
+        co_return result;
+    }
+    result.response = parser.release();
+    if (result.response->keep_alive() && m_idle.size() < maxIdleConnections) {
+        stream->expires_never();
+        m_idle.push_back(std::move(stream));
+    }
+    co_return result;
+}
+
+asio::awaitable<HttpCallResult> HttpConnectionPool::call(Request request, Duration timeout, bool idempotent)
+{
+    const TimePoint deadline = std::chrono::steady_clock::now() + timeout;
+    request.version(11);
+    request.set(http::field::host, m_server.address);
+    request.prepare_payload();
+    if (!m_idle.empty()) {
+        std::unique_ptr<Stream> idle = std::move(m_idle.back());
+        m_idle.pop_back();
+        HttpCallResult result = co_await exchange(std::move(idle), request, deadline);
+        const bool again = !result.response.has_value() && idempotent && std::chrono::steady_clock::now() < deadline;
+        if (!again) {
+            co_return result;
+        }
+    }
+    std::unique_ptr<Stream> fresh = co_await connect(deadline);
+    if (fresh == nullptr) {
+        co_return HttpCallResult();
+    }
+    co_return co_await exchange(std::move(fresh), request, deadline);
+}
+
+}
--- /dev/null
+++ b/Source/Platform/HttpKeyValueStore.cpp
@@ -0,0 +1,163 @@
+#include "Platform/HttpKeyValueStore.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+#include <charconv>
+#include <utility>
+
+namespace Mangofall {
+
+namespace http = boost::beast::http;
+using nlohmann::json;
+using std::chrono::milliseconds;
+
+namespace {
+
+// The store ends a watch this much before the call's timeout, so that an unchanged key is not taken for a lost answer.
+constexpr milliseconds watchMargin{500};
+
+HttpConnectionPool::Request makeRequest(http::verb method, const std::string &target)
+{
+    HttpConnectionPool::Request request;
+    request.method(method);
+    request.target(target);
+    return request;
+}
+
+std::uint64_t versionOf(const HttpCallResult &result)
+{
+    const auto text = (*result.response)["x-version"];
+    std::uint64_t version = 0;
+    std::from_chars(text.data(), text.data() + text.size(), version);
+    return version;
+}
+
+StoreReadDone readDone(const std::string &key, const HttpCallResult &result)
+{
+    if (!result.response.has_value()) {
+        return {key, StoreReadStatus::Failed, {}, 0};
+    }
+    switch (result.response->result()) {
+    case http::status::ok:
+        // A value without a version could not be replaced by compare-and-swap.
+        return versionOf(result) == 0 ? StoreReadDone{key, StoreReadStatus::Failed, {}, 0}
+                                      : StoreReadDone{key, StoreReadStatus::Found, result.response->body(), versionOf(result)};
+    case http::status::no_content:
+        return {key, StoreReadStatus::Unchanged, {}, 0};
+    case http::status::not_found:
+        return {key, StoreReadStatus::Missing, {}, 0};
+    default:
+        return {key, StoreReadStatus::Failed, {}, 0};
+    }
+}
+
+StoreWriteDone writeDone(const std::string &key, const HttpCallResult &result)
+{
+    if (!result.response.has_value()) {
+        return {key, result.sent ? StoreWriteStatus::Unknown : StoreWriteStatus::NotApplied, 0};
+    }
+    switch (result.response->result()) {
+    case http::status::ok:
+        return {key, StoreWriteStatus::Applied, versionOf(result)};
+    case http::status::conflict:
+        return {key, StoreWriteStatus::Conflict, versionOf(result)};
+    default:
+        // The store refuses with 4xx before it writes; a 5xx tells nothing.
+        return {key, result.response->result_int() < 500 ? StoreWriteStatus::NotApplied : StoreWriteStatus::Unknown, 0};
+    }
+}
+
+std::optional<std::string> leaseId(const HttpCallResult &result)
+{
+    if (!result.response.has_value() || result.response->result() != http::status::ok) {
+        return std::nullopt;
+    }
+    const json body = json::parse(result.response->body(), nullptr, false);
+    if (!body.is_object() || !body.contains("id") || !body["id"].is_string()) {
+        return std::nullopt;
+    }
+    return body["id"].get<std::string>();
+}
+
+LeaseStatus leaseStatus(const HttpCallResult &result)
+{
+    if (!result.response.has_value()) {
+        return LeaseStatus::Unknown;
+    }
+    if (result.response->result() == http::status::ok) {
+        return LeaseStatus::Held;
+    }
+    return result.response->result() == http::status::not_found ? LeaseStatus::Expired : LeaseStatus::Unknown;
+}
+
+}
+
+HttpKeyValueStore::HttpKeyValueStore(boost::asio::io_context &context, NetworkAddress server)
+    : m_context(context)
+    , m_pool(context, std::move(server))
+{
+}
+
+boost::asio::awaitable<void> HttpKeyValueStore::run(HttpConnectionPool::Request request, Duration timeout, bool idempotent, ResultHandler handler)
+{
+    const HttpCallResult result = co_await m_pool.call(std::move(request), timeout, idempotent);
+    handler(result);
+}
+
+void HttpKeyValueStore::spawn(HttpConnectionPool::Request request, Duration timeout, bool idempotent, ResultHandler handler)
+{
+    boost::asio::co_spawn(m_context, run(std::move(request), timeout, idempotent, std::move(handler)), boost::asio::detached);
+}
+
+void HttpKeyValueStore::get(const std::string &key, Duration timeout, ReadHandler handler)
+{
+    spawn(makeRequest(http::verb::get, "/kv/" + key), timeout, true, [key, handler = std::move(handler)](const HttpCallResult &result) {
+        handler(readDone(key, result));
+    });
+}
+
+void HttpKeyValueStore::compareAndSwap(
+    const std::string &key, std::string value, std::uint64_t expectedVersion, Duration timeout, WriteHandler handler, const std::string &lease)
+{
+    HttpConnectionPool::Request request = makeRequest(http::verb::put, "/kv/" + key);
+    request.set("x-expected-version", std::to_string(expectedVersion));
+    if (!lease.empty()) {
+        request.set("x-lease", lease);
+    }
+    request.body() = std::move(value);
+    spawn(std::move(request), timeout, false, [key, handler = std::move(handler)](const HttpCallResult &result) {
+        handler(writeDone(key, result));
+    });
+}
+
+void HttpKeyValueStore::watch(const std::string &key, std::uint64_t after, Duration timeout, ReadHandler handler)
+{
+    const auto whole = std::chrono::duration_cast<milliseconds>(timeout);
+    const milliseconds wait = std::max(whole / 2, whole - watchMargin);
+    const std::string target = "/watch/" + key + "?after=" + std::to_string(after) + "&wait_ms=" + std::to_string(wait.count());
+    spawn(makeRequest(http::verb::get, target), timeout, true, [key, handler = std::move(handler)](const HttpCallResult &result) {
+        handler(readDone(key, result));
+    });
+}
+
+void HttpKeyValueStore::createLease(milliseconds timeToLive, Duration timeout, LeaseHandler handler)
+{
+    HttpConnectionPool::Request request = makeRequest(http::verb::post, "/leases");
+    request.body() = json{{"ttl_ms", timeToLive.count()}}.dump();
+    spawn(std::move(request), timeout, false, [handler = std::move(handler)](const HttpCallResult &result) {
+        handler(leaseId(result));
+    });
+}
+
+void HttpKeyValueStore::renewLease(const std::string &id, Duration timeout, RenewHandler handler)
+{
+    spawn(makeRequest(http::verb::put, "/leases/" + id), timeout, true, [handler = std::move(handler)](const HttpCallResult &result) {
+        handler(leaseStatus(result));
+    });
+}
+
+}
--- /dev/null
+++ b/Source/Platform/HttpKeyValueStore.h
@@ -0,0 +1,40 @@
+#pragma once
+
+#include "Platform/HttpConnectionPool.h"
+#include "Platform/KeyValueStore.h"
+
+namespace Mangofall {
+
+/**
+ * \class HttpKeyValueStore
+ * \brief The platform's store over HTTP, as section 11 of the design page describes it; runs on one thread.
+ *
+ * The store must outlive its calls: stop the io_context first.
+ */
+class HttpKeyValueStore final : public KeyValueStore
+{
+public:
+    HttpKeyValueStore(boost::asio::io_context &context, NetworkAddress server);
+
+    void get(const std::string &key, Duration timeout, ReadHandler handler) override;
+    void compareAndSwap(const std::string &key,
+                        std::string value,
+                        std::uint64_t expectedVersion,
+                        Duration timeout,
+                        WriteHandler handler,
+                        const std::string &lease = {}) override;
+    void watch(const std::string &key, std::uint64_t after, Duration timeout, ReadHandler handler) override;
+    void createLease(std::chrono::milliseconds timeToLive, Duration timeout, LeaseHandler handler) override;
+    void renewLease(const std::string &id, Duration timeout, RenewHandler handler) override;
+
+private:
+    using ResultHandler = std::function<void(const HttpCallResult &)>;
+
+    boost::asio::awaitable<void> run(HttpConnectionPool::Request request, Duration timeout, bool idempotent, ResultHandler handler);
+    void spawn(HttpConnectionPool::Request request, Duration timeout, bool idempotent, ResultHandler handler);
+
+    boost::asio::io_context &m_context;
+    HttpConnectionPool m_pool;
+};
+
+}
--- /dev/null
+++ b/Source/Platform/StoreCallScheduler.h
@@ -0,0 +1,102 @@
+#pragma once
+
+#include "Base/RandomEngine.h"
+#include "Base/Time.h"
+
+#include <array>
+#include <cstddef>
+#include <cstdint>
+#include <deque>
+#include <optional>
+#include <variant>
+#include <vector>
+
+namespace Mangofall {
+
+/// Classes of store calls, most urgent first.
+enum class StorePriority {
+    Orders,
+    Configuration,
+    Rosters,
+    History,
+};
+
+constexpr std::size_t storePriorityCount = 4;
+
+/// Names a submitted call; chosen by the submitter, unique among its open calls.
+using ScheduledCallId = std::uint64_t;
+
+/// Make the call now and report its end with finished().
+struct StartStoreCall {
+    ScheduledCallId id = 0;
+};
+
+/// The call is not made: its class's queue is full, or its deadline passed while it waited.
+struct RefuseStoreCall {
+    ScheduledCallId id = 0;
+};
+
+using StoreSchedulerAction = std::variant<StartStoreCall, RefuseStoreCall>;
+using StoreSchedulerActions = std::vector<StoreSchedulerAction>;
+
+/// Constants of StoreCallScheduler.
+struct StoreSchedulerLimits {
+    double callsPerSecond = 50; ///< This host's share of the store's rate.
+    double burst = 10; ///< Calls that may start at once after a quiet time.
+    std::size_t queueLimit = 1000; ///< Waiting calls per class.
+    Duration firstBackoff = std::chrono::milliseconds(200);
+    Duration maxBackoff = std::chrono::seconds(10);
+};
+
+/**
+ * \class StoreCallScheduler
+ * \brief Decides when this host's calls to the store start: a token bucket, priorities, and backoff in an outage.
+ *
+ * More urgent classes go first, but one start in eight goes to the least recently served class that waits, so that none starves. After a failed
+ * call nothing starts until a random time within the backoff (full jitter), and then a single call as a probe; hosts that see the store return
+ * therefore don't call together. The bucket is empty when an outage ends.
+ */
+class StoreCallScheduler
+{
+public:
+    /// \p random must outlive the scheduler.
+    StoreCallScheduler(StoreSchedulerLimits limits, RandomEngine &random);
+
+    StoreSchedulerActions submit(ScheduledCallId id, StorePriority priority, TimePoint deadline, TimePoint now);
+    /// Reports the end of a started call; \p answered is false if the store gave no answer or refused for its rate.
+    StoreSchedulerActions finished(ScheduledCallId id, bool answered, TimePoint now);
+    /// Due at nextWake().
+    StoreSchedulerActions tick(TimePoint now);
+
+    /// When tick() must be called next; nothing if no call waits.
+    std::optional<TimePoint> nextWake() const;
+    bool outage() const;
+    std::size_t waiting() const;
+
+private:
+    struct Waiting {
+        ScheduledCallId id = 0;
+        TimePoint deadline;
+    };
+
+    void expire(TimePoint now, StoreSchedulerActions &actions);
+    void startDue(TimePoint now, StoreSchedulerActions &actions);
+    void refill(TimePoint now);
+    void backOff(TimePoint now);
+    /// The class whose first call starts next; requires a waiting call.
+    std::size_t nextClass() const;
+
+    StoreSchedulerLimits m_limits;
+    RandomEngine &m_random;
+    std::array<std::deque<Waiting>, storePriorityCount> m_queues;
+    std::array<std::uint64_t, storePriorityCount> m_lastStart{}; ///< Number of the last start of each class.
+    std::uint64_t m_starts = 0;
+    double m_tokens = 0;
+    TimePoint m_tokensAt;
+    bool m_outage = false;
+    TimePoint m_probeAt;
+    std::optional<ScheduledCallId> m_probe;
+    std::uint32_t m_failures = 0;
+};
+
+}
--- a/Tests/Config/ConfigurationChangerTest.cpp
+++ b/Tests/Config/ConfigurationChangerTest.cpp
@@ -138,7 +138,7 @@
         for (const ChangerAction &action : actions) {
             if (const auto *finished = std::get_if<ChangeFinished>(&action)) {
                 m_operators[index].answer = finished->answer;
-            } else if (const auto *wake = std::get_if<WakeAt>(&action)) {
+            } else if (const auto *wake = std::get_if<WakeChangerAt>(&action)) {
                 m_operators[index].wakeAt = wake->time;
             } else {
                 m_calls.push_back({index, action});
@@ -159,10 +159,10 @@
         const Call call = *chosen;
         m_calls.erase(chosen);
         m_now += 1ms;
-        if (const auto *read = std::get_if<ReadKey>(&call.action)) {
+        if (const auto *read = std::get_if<ReadConfigurationKey>(&call.action)) {
             answerRead(call.changer, *read, fate == Fate::Answered || fate == Fate::Delayed);
         } else {
-            answerWrite(call.changer, std::get<WriteKey>(call.action), fate);
+            answerWrite(call.changer, std::get<WriteConfigurationKey>(call.action), fate);
         }
     }
 
@@ -180,7 +180,7 @@
         }
     }
 
-    void answerRead(std::size_t index, const ReadKey &read, bool answered)
+    void answerRead(std::size_t index, const ReadConfigurationKey &read, bool answered)
     {
         StoreReadDone done{read.key, StoreReadStatus::Failed, {}, 0};
         if (answered) {
@@ -191,7 +191,7 @@
         take(index, m_operators[index].changer->handle(done, m_now));
     }
 
-    void answerWrite(std::size_t index, const WriteKey &write, Fate fate)
+    void answerWrite(std::size_t index, const WriteConfigurationKey &write, Fate fate)
     {
         StoreWriteStatus status = StoreWriteStatus::Unknown;
         if (fate == Fate::Delayed) {
@@ -213,7 +213,7 @@
         }
     }
 
-    bool put(const WriteKey &write)
+    bool put(const WriteConfigurationKey &write)
     {
         const bool applied = m_store.put(write.key, write.value, write.expectedVersion).status == StorePutStatus::Applied;
         if (applied && write.key == rootKey) {
@@ -235,7 +235,7 @@
     TimePoint m_now;
     std::vector<Operator> m_operators;
     std::vector<Call> m_calls;
-    std::deque<WriteKey> m_delayed;
+    std::deque<WriteConfigurationKey> m_delayed;
     std::vector<RecentChange> m_history;
 };
 
@@ -261,10 +261,10 @@
         for (const auto &[hash, text] : first.blobs) {
             actions = changer.handle(StoreReadDone{blobKey(hash), StoreReadStatus::Found, text, 1}, now);
         }
-        CHECK(find<WriteKey>(actions) != nullptr);
+        CHECK(find<WriteConfigurationKey>(actions) != nullptr);
         changer.handle(StoreWriteDone{rootKey, StoreWriteStatus::Unknown}, now);
         now += 3s;
-        CHECK(find<ReadKey>(changer.handle(ChangerTick(), now)) != nullptr);
+        CHECK(find<ReadConfigurationKey>(changer.handle(ChangerTick(), now)) != nullptr);
     }
 
     /// Answers the read-back with the root after \p others changes by other operators.
@@ -307,7 +307,7 @@
 TEST(ConfigurationChangerTest, SaysUnresolvedIfTheListNoLongerReachesBack)
 {
     UnansweredWrite few;
-    CHECK(find<WriteKey>(few.readBack(10)) != nullptr);
+    CHECK(find<WriteConfigurationKey>(few.readBack(10)) != nullptr);
     UnansweredWrite many;
     const ChangerActions actions = many.readBack(static_cast<int>(maxRecentChanges) + 1);
     CHECK(find<ChangeFinished>(actions) != nullptr);
--- a/Tests/Config/SettingsReaderTest.cpp
+++ b/Tests/Config/SettingsReaderTest.cpp
@@ -108,7 +108,7 @@
     expected.store = {"10.0.0.9", 4001};
     expected.hostList = {"10.0.0.9", 4002};
     expected.operatorKeyFile = "/etc/mangofall/operator.key";
-    expected.log = {LogLevel::Warn, true};
+    expected.log = {LogThreshold::Warn, true};
     expected.spansFile = "/var/log/mangofall/spans.json";
     expected.peers = {{"10.0.0.2", 8082}, {"10.0.0.3", 8082}};
     expected.maxBodyBytes = 8'000'000;
--- /dev/null
+++ b/Tests/Platform/HttpPlatformTest.cpp
@@ -0,0 +1,200 @@
+#include "Property.h"
+
+#include "Platform/FakeKeyValueStore.h"
+#include "Platform/HttpHostList.h"
+#include "Platform/HttpKeyValueStore.h"
+#include "StandIns/HostListServer.h"
+#include "StandIns/StoreServer.h"
+
+#include <boost/asio/co_spawn.hpp>
+
+#include <optional>
+
+using namespace Mangofall;
+using namespace std::chrono_literals;
+
+namespace {
+
+// Far above what a call on loopback needs, so that only a lost answer reaches it.
+constexpr Duration longTimeout = 30s;
+
+template<class Result>
+struct Waiter {
+    boost::asio::io_context &context;
+    std::optional<Result> result;
+
+    auto handler()
+    {
+        return [this](const Result &value) {
+            result = value;
+        };
+    }
+
+    const Result &wait()
+    {
+        while (!result.has_value()) {
+            context.run_one();
+        }
+        return *result;
+    }
+};
+
+StandIns::HttpResponse
+post(boost::asio::io_context &context, std::uint16_t port, const std::string &target, const std::string &body, boost::beast::http::verb method)
+{
+    HttpConnectionPool pool(context, {"127.0.0.1", port});
+    HttpConnectionPool::Request request;
+    request.method(method);
+    request.target(target);
+    request.body() = body;
+    Waiter<HttpCallResult> waiter{context, {}};
+    boost::asio::co_spawn(context, pool.call(request, longTimeout, false), [&](const std::exception_ptr &, HttpCallResult result) {
+        waiter.result = std::move(result);
+    });
+    return waiter.wait().response.value();
+}
+
+struct StoreFixture {
+    boost::asio::io_context context;
+    StandIns::StoreServer server{context, 0};
+    HttpKeyValueStore store{context, {"127.0.0.1", server.port()}};
+
+    StoreFixture()
+    {
+        server.start();
+    }
+
+    StoreReadDone get(const std::string &key)
+    {
+        Waiter<StoreReadDone> waiter{context, {}};
+        store.get(key, longTimeout, waiter.handler());
+        return waiter.wait();
+    }
+
+    StoreWriteDone put(const std::string &key, const std::string &value, std::uint64_t expected)
+    {
+        Waiter<StoreWriteDone> waiter{context, {}};
+        store.compareAndSwap(key, value, expected, longTimeout, waiter.handler());
+        return waiter.wait();
+    }
+
+    void fault(const std::string &body)
+    {
+        post(context, server.port(), "/control", body, boost::beast::http::verb::post);
+    }
+};
+
+}
+
+TEST_GROUP(HttpPlatformTest){};
+
+// Guards against an answer of the store that is mapped to the wrong outcome, above all a lost answer that is taken for a refusal.
+TEST(HttpPlatformTest, MapsTheStoresAnswers)
+{
+    StoreFixture fixture;
+    CHECK(fixture.get("a/b").status == StoreReadStatus::Missing);
+    const StoreWriteDone created = fixture.put("a/b", "one", 0);
+    CHECK(created.status == StoreWriteStatus::Applied && created.version > 0);
+    const StoreWriteDone conflict = fixture.put("a/b", "two", 0);
+    CHECK(conflict.status == StoreWriteStatus::Conflict && conflict.version == created.version);
+    const StoreReadDone read = fixture.get("a/b");
+    CHECK(read.status == StoreReadStatus::Found && read.value == "one" && read.version == created.version);
+    CHECK(fixture.put("big", std::string(1'100'000, 'x'), 0).status == StoreWriteStatus::NotApplied);
+
+    fixture.fault(R"({"lose_write_answers": 1})");
+    CHECK(fixture.put("a/b", "lost", created.version).status == StoreWriteStatus::Unknown);
+    CHECK(fixture.get("a/b").value == "lost");
+    fixture.fault(R"({"outage": true})");
+    CHECK(fixture.get("a/b").status == StoreReadStatus::Failed);
+    CHECK(fixture.put("a/b", "no", 0).status == StoreWriteStatus::Unknown);
+    fixture.fault(R"({"outage": false})");
+    CHECK(fixture.get("a/b").value == "lost");
+}
+
+// Guards against a watch that misses a change or never ends, and a lease that is reported held after the store ended it.
+TEST(HttpPlatformTest, WatchesAndLeases)
+{
+    StoreFixture fixture;
+    const std::uint64_t version = fixture.put("k", "one", 0).version;
+    Waiter<StoreReadDone> unchanged{fixture.context, {}};
+    fixture.store.watch("k", version, 20ms, unchanged.handler());
+    CHECK(unchanged.wait().status == StoreReadStatus::Unchanged || unchanged.wait().status == StoreReadStatus::Failed);
+    Waiter<StoreReadDone> changed{fixture.context, {}};
+    fixture.store.watch("k", version, longTimeout, changed.handler());
+    fixture.put("k", "two", version);
+    CHECK(changed.wait().status == StoreReadStatus::Found && changed.wait().value == "two");
+
+    Waiter<std::optional<std::string>> lease{fixture.context, {}};
+    fixture.store.createLease(60s, longTimeout, lease.handler());
+    const std::string id = lease.wait().value();
+    Waiter<LeaseStatus> held{fixture.context, {}};
+    fixture.store.renewLease(id, longTimeout, held.handler());
+    CHECK(held.wait() == LeaseStatus::Held);
+    fixture.fault(R"({"reset_lease": ")" + id + R"("})");
+    Waiter<LeaseStatus> expired{fixture.context, {}};
+    fixture.store.renewLease(id, longTimeout, expired.handler());
+    CHECK(expired.wait() == LeaseStatus::Expired);
+}
+
+// Guards against a write to a server that is not there being reported as perhaps applied.
+TEST(HttpPlatformTest, AWriteThatWasNeverSentIsNotApplied)
+{
+    boost::asio::io_context context;
+    std::uint16_t closedPort = 0;
+    {
+        StandIns::StoreServer server(context, 0);
+        closedPort = server.port();
+    }
+    HttpKeyValueStore store(context, {"127.0.0.1", closedPort});
+    Waiter<StoreWriteDone> waiter{context, {}};
+    store.compareAndSwap("k", "v", 0, longTimeout, waiter.handler());
+    CHECK(waiter.wait().status == StoreWriteStatus::NotApplied);
+}
+
+// Guards against a malformed host list that is taken for an empty one, which would remove all hosts.
+TEST(HttpPlatformTest, ListsHosts)
+{
+    boost::asio::io_context context;
+    StandIns::HostListServer server(context, 0);
+    server.start();
+    HttpHostList list(context, {"127.0.0.1", server.port()});
+    post(context, server.port(), "/hosts/h1", R"({"address": "10.0.0.1", "dataCentre": "poa", "state": "leaving"})", boost::beast::http::verb::put);
+    Waiter<std::optional<std::vector<HostListEntry>>> waiter{context, {}};
+    list.list(longTimeout, waiter.handler());
+    const std::vector<HostListEntry> expected{{HostId("h1"), "10.0.0.1", DataCentreId("poa"), HostListState::Leaving}};
+    CHECK(waiter.wait() == expected);
+    for (const char *text : {"", "{}", "[{}]", R"([{"id":"a","address":"x","dataCentre":"d","state":"gone"}])"}) {
+        CHECK_TEXT(!decodeHostList(text).has_value(), text);
+    }
+    CHECK(decodeHostList("[]")->empty());
+}
+
+// Guards against a fake that answers other than the real adapter would.
+TEST(HttpPlatformTest, TheFakeFollowsTheSameRules)
+{
+    Testing::FakeKeyValueStore store;
+    std::vector<StoreWriteStatus> writes;
+    std::vector<StoreReadDone> reads;
+    const auto onWrite = [&](const StoreWriteDone &done) {
+        writes.push_back(done.status);
+    };
+    const auto onRead = [&](const StoreReadDone &done) {
+        reads.push_back(done);
+    };
+    store.watch("k", 0, 1s, onRead);
+    store.compareAndSwap("k", "one", 0, 1s, onWrite);
+    CHECK(writes.empty());
+    store.deliverAll();
+    CHECK(reads.size() == 1 && reads.front().value == "one");
+    store.loseWriteAnswers(1);
+    store.compareAndSwap("k", "two", reads.front().version, 1s, onWrite);
+    store.compareAndSwap("k", "three", reads.front().version, 1s, onWrite);
+    store.deliverAll();
+    store.setOutage(true);
+    store.get("k", 1s, onRead);
+    store.deliverAll();
+    CHECK(reads.back().status == StoreReadStatus::Failed);
+    const std::vector<StoreWriteStatus> expected{StoreWriteStatus::Applied, StoreWriteStatus::Unknown, StoreWriteStatus::Conflict};
+    CHECK(writes == expected);
+    STRCMP_EQUAL("two", store.state().find("k")->bytes.c_str());
+}
