Add mangofall-load, an open-loop load generator

Cause: head-of-line blocking and broken streams must be measured from the intended start of each request, which a closed loop hides.

Change: Poisson arrivals from a seed, lognormal prompt lengths with a share of long ones, organisations with keys, orders with idempotency keys, a check of every stream, JSON results by prompt length, and gnuplot data with a wrapper script. A manual page describes options and result kinds.

Conclusion: what an unprotected upstream breaks is counted; runs through mangofalld remain to be done.

--- a/Tests/StandIns/UpstreamStandIns.cmake
+++ b/Tests/StandIns/UpstreamStandIns.cmake
@@ -23,3 +23,11 @@
   LINK UpstreamStandIns
   LABELS unit
 )
+
+# The load generator reads the stand-ins' token text, so its test stands beside them.
+mangofall_add_test(LoadTest
+  SOURCES
+    LoadTest.cpp
+  LINK MangofallLoad
+  LABELS unit
+)
