Add division of fleet-wide limits between hosts

Cause: a limit per organisation holds for the fleet, while each host admits on its own. Shares must never add up to more than the limit, also when hosts die, pause or are cut off.

Change: organisations are hashed into 1,024 groups. LimitAuthority gives one host at a time the right to lend a group's limits, by compare-and-swap and waiting out the former holder; LimitLender lends by recent demand with loans that expire; LimitBorrower adds up floor and loans. limitTraffic states the cost. The heartbeat budget falls from 5,400 to 4,500 B/s to make room.

Conclusion: the sum holds under message loss, delay, duplication, death, pause and lost store answers.

--- /dev/null
+++ b/Source/Admission/LimitDivision.cpp
@@ -0,0 +1,398 @@
+#include "Admission/LimitDivision.h"
+
+#include "Base/Hash.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace Mangofall {
+
+namespace {
+
+Duration scaled(Duration duration, double factor)
+{
+    return toDuration(Seconds(duration) * factor);
+}
+
+LimitUnits largest(const auto &loans)
+{
+    LimitUnits amount = 0;
+    for (const auto &loan : loans) {
+        amount = std::max(amount, loan.amount);
+    }
+    return amount;
+}
+
+}
+
+LimitUnits floorShare(LimitUnits limit, const LimitDivisionSettings &settings)
+{
+    constexpr LimitUnits percent = 100;
+    // Dividing first keeps large limits from overflowing.
+    return limit / percent * settings.floorPercent / settings.maxHosts;
+}
+
+LimitUnits lendableUnits(LimitUnits limit, const LimitDivisionSettings &settings)
+{
+    return limit - floorShare(limit, settings) * settings.maxHosts;
+}
+
+std::uint32_t limitGroup(const OrganisationId &organisation, const LimitDivisionSettings &settings)
+{
+    return static_cast<std::uint32_t>(hash64(organisation.value()) % settings.groups);
+}
+
+LimitTraffic limitTraffic(std::uint32_t hosts, std::uint32_t keysPerHost, const LimitDivisionSettings &settings)
+{
+    constexpr double exchangeBytes = 2 * (4 + 40) + 3 * 52; // two frame prefixes with fixed fields; two data packets, one acknowledgement
+    constexpr double entryBytes = 2 * 48; // organisation id, kind, demand or amount, sequence
+    const double groups = settings.groups;
+    const double groupsInUse = groups * (1 - std::exp(-static_cast<double>(keysPerHost) / groups));
+    const double borrowing = (groupsInUse * exchangeBytes + keysPerHost * entryBytes) / Seconds(settings.reportInterval).count();
+    // What all borrowers exchange with the holders, divided by the hosts; a host holds groups / hosts of them, rounded up.
+    const double lending = borrowing * hosts * std::ceil(groups / hosts) / groups;
+    return {.bytesPerSecond = borrowing + lending, .storeWritesPerSecond = groups / Seconds(settings.authorityRenewal).count()};
+}
+
+LimitBorrower::LimitBorrower(HostId self, std::uint64_t incarnation, LimitDivisionSettings settings)
+    : m_self(std::move(self))
+    , m_incarnation(incarnation)
+    , m_settings(settings)
+{
+}
+
+LimitBorrower::Actions LimitBorrower::handle(const BorrowerEvent &event, TimePoint now)
+{
+    if (const auto *limits = std::get_if<LimitsChanged>(&event)) {
+        m_limits = limits->limits;
+    } else if (const auto *lenders = std::get_if<LendersChanged>(&event)) {
+        m_lenders = lenders->lenders;
+    } else if (const auto *observed = std::get_if<DemandObserved>(&event)) {
+        observe(*observed, now);
+    } else if (const auto *received = std::get_if<LimitGrantReceived>(&event)) {
+        adopt(received->grant);
+    } else {
+        return tick(now);
+    }
+    return {};
+}
+
+std::optional<LimitUnits> LimitBorrower::shareOf(const LimitKey &key, TimePoint now) const
+{
+    const auto limit = m_limits.find(key);
+    if (limit == m_limits.end()) {
+        return std::nullopt;
+    }
+    LimitUnits share = floorShare(limit->second, m_settings);
+    const auto holdings = m_holdings.find(key);
+    if (holdings != m_holdings.end()) {
+        for (const auto &[term, holding] : holdings->second) {
+            share += holding.until > now ? holding.amount : 0;
+        }
+    }
+    return share;
+}
+
+void LimitBorrower::adopt(const LimitGrant &grant)
+{
+    const auto sent = m_sent.find(grant.sequence);
+    if (grant.host != m_self || grant.incarnation != m_incarnation || sent == m_sent.end()) {
+        return;
+    }
+    Group &group = m_groups[grant.group];
+    group.term = std::max(group.term, grant.term);
+    group.answered = true;
+    for (const LimitGrantEntry &entry : grant.entries) {
+        Holding &holding = m_holdings[entry.key][grant.term];
+        // A duplicate or an overtaken grant must not replace a newer one: the lender may have lent the difference.
+        if (grant.sequence > holding.sequence) {
+            holding = {.sequence = grant.sequence, .amount = entry.amount, .until = sent->second + grant.validity};
+        }
+    }
+}
+
+void LimitBorrower::observe(const DemandObserved &event, TimePoint now)
+{
+    if (!m_limits.contains(event.key)) {
+        return;
+    }
+    Group &group = m_groups[limitGroup(event.key.organisation, m_settings)];
+    LimitUnits &demand = group.demand[event.key];
+    demand = std::max(demand, event.demand);
+    group.urgent = group.urgent || event.demand > shareOf(event.key, now).value_or(0);
+}
+
+LimitBorrower::Actions LimitBorrower::tick(TimePoint now)
+{
+    std::erase_if(m_sent, [&](const auto &entry) {
+        return now - entry.second > m_settings.grantValidity;
+    });
+    for (auto &[key, holdings] : m_holdings) {
+        // The newest expired holding stays as the record of its sequence until no older grant can arrive.
+        std::erase_if(holdings, [&](const auto &entry) {
+            return now - entry.second.until > m_settings.grantValidity;
+        });
+    }
+    std::erase_if(m_holdings, [](const auto &entry) {
+        return entry.second.empty();
+    });
+    Actions actions;
+    for (auto &[group, state] : m_groups) {
+        const auto lender = m_lenders.find(group);
+        const Duration interval = state.urgent || !state.answered ? m_settings.urgentInterval : m_settings.reportInterval;
+        const bool due = state.lastReport == TimePoint::min() || now - state.lastReport >= interval;
+        if (due && lender != m_lenders.end() && !state.demand.empty()) {
+            actions.emplace_back(SendLimitDemand{lender->second, compose(group, state, now)});
+        }
+    }
+    return actions;
+}
+
+LimitDemand LimitBorrower::compose(std::uint32_t group, Group &state, TimePoint now)
+{
+    LimitDemand demand{.host = m_self, .incarnation = m_incarnation, .sequence = ++m_sequence, .group = group, .term = state.term, .entries = {}};
+    for (auto &[key, units] : state.demand) {
+        const auto holdings = m_holdings.find(key);
+        const bool holds = holdings != m_holdings.end() && holdings->second.contains(state.term);
+        demand.entries.push_back({.key = key, .demand = units, .adopted = holds ? holdings->second.at(state.term).sequence : 0});
+        // Demand fades from one answered report to the next; a lost report must not make it disappear.
+        units = state.answered ? units / 2 : units;
+    }
+    // A limit without demand is reported as such until the demand has halved away, then no longer.
+    std::erase_if(state.demand, [](const auto &entry) {
+        return entry.second == 0;
+    });
+    state.lastReport = now;
+    state.urgent = false;
+    state.answered = false;
+    m_sent.emplace(demand.sequence, now);
+    return demand;
+}
+
+LimitLender::LimitLender(std::uint32_t group, std::uint64_t term, LimitDivisionSettings settings)
+    : m_group(group)
+    , m_term(term)
+    , m_settings(settings)
+{
+}
+
+LimitLender::Actions LimitLender::handle(const LenderEvent &event, TimePoint now)
+{
+    if (const auto *limits = std::get_if<LimitsChanged>(&event)) {
+        m_limits = limits->limits;
+    } else if (const auto *allowed = std::get_if<LendingAllowed>(&event)) {
+        m_until = std::max(m_until, allowed->until);
+    } else if (const auto *borrowers = std::get_if<BorrowersChanged>(&event)) {
+        m_borrowers = borrowers->hosts;
+    } else {
+        return lend(std::get<LimitDemandReceived>(event).demand, now);
+    }
+    return {};
+}
+
+TimePoint LimitLender::lastExpiry() const
+{
+    return m_lastExpiry;
+}
+
+LimitLender::Actions LimitLender::lend(const LimitDemand &demand, TimePoint now)
+{
+    std::erase_if(m_lastDemands, [&](const auto &entry) {
+        return now - entry.second.second > 2 * m_settings.grantValidity;
+    });
+    const Borrower borrower{demand.host, demand.incarnation};
+    auto &[lastSequence, lastTime] = m_lastDemands[borrower];
+    const Duration validity = std::min<Duration>(m_settings.grantValidity, m_until - std::min(now, m_until));
+    if (demand.group != m_group || demand.sequence <= lastSequence || validity <= Duration::zero()) {
+        return {};
+    }
+    lastSequence = demand.sequence;
+    lastTime = now;
+    LimitGrant grant{.host = demand.host,
+                     .incarnation = demand.incarnation,
+                     .sequence = demand.sequence,
+                     .group = m_group,
+                     .term = m_term,
+                     .validity = validity,
+                     .entries = {}};
+    for (const LimitDemandEntry &entry : demand.entries) {
+        const auto limit = m_limits.find(entry.key);
+        if (limit == m_limits.end()) {
+            continue;
+        }
+        Accounts &accounts = m_accounts[entry.key];
+        expire(accounts, now);
+        Account &account = accounts[borrower];
+        account.demand = entry.demand;
+        account.reported = now;
+        if (demand.term == m_term) {
+            // The borrower never returns to a loan older than the one it has adopted.
+            std::erase_if(account.loans, [&](const Loan &loan) {
+                return loan.sequence < entry.adopted;
+            });
+        }
+        const LimitUnits amount = amountFor(accounts, borrower, lendableUnits(limit->second, m_settings));
+        account.loans.push_back({.sequence = demand.sequence, .amount = amount, .until = now + scaled(validity, 1 + m_settings.clockDrift)});
+        grant.entries.push_back({.key = entry.key, .amount = amount});
+    }
+    m_lastExpiry = std::max(m_lastExpiry, now + scaled(validity, 1 + m_settings.clockDrift));
+    return {SendLimitGrant{demand.host, std::move(grant)}};
+}
+
+LimitUnits LimitLender::amountFor(const Accounts &accounts, const Borrower &borrower, LimitUnits capacity) const
+{
+    LimitUnits lent = 0;
+    double demand = 0;
+    for (const auto &[other, account] : accounts) {
+        lent += other == borrower ? 0 : largest(account.loans);
+        demand += static_cast<double>(account.demand);
+    }
+    // A tenth goes to all hosts alike, so that a host where demand begins finds something; all of it while there is no demand.
+    constexpr double equalPart = 0.1;
+    const auto hosts = static_cast<double>(std::max(m_borrowers, accounts.size()));
+    const double wanted = static_cast<double>(accounts.at(borrower).demand);
+    const double part = demand > 0 ? equalPart / hosts + (1 - equalPart) * wanted / demand : 1 / hosts;
+    const auto target = static_cast<LimitUnits>(part * static_cast<double>(capacity));
+    return std::min(target, capacity - std::min(capacity, lent));
+}
+
+void LimitLender::expire(Accounts &accounts, TimePoint now) const
+{
+    for (auto &[borrower, account] : accounts) {
+        std::erase_if(account.loans, [&](const Loan &loan) {
+            return loan.until <= now;
+        });
+    }
+    std::erase_if(accounts, [&](const auto &entry) {
+        return entry.second.loans.empty() && now - entry.second.reported > m_settings.grantValidity;
+    });
+}
+
+LimitAuthority::LimitAuthority(HostId self, std::uint64_t incarnation, std::uint32_t group, LimitDivisionSettings settings)
+    : m_self(std::move(self))
+    , m_incarnation(incarnation)
+    , m_group(group)
+    , m_settings(settings)
+{
+}
+
+LimitAuthority::Actions LimitAuthority::handle(const AuthorityEvent &event, TimePoint now)
+{
+    Actions actions;
+    if (const auto *wanted = std::get_if<AuthorityWanted>(&event)) {
+        m_wanted = wanted->wanted;
+        m_lastExpiry = wanted->lastExpiry;
+    } else if (const auto *read = std::get_if<AuthorityRead>(&event)) {
+        m_calling = false;
+        onRead(*read, now, actions);
+    } else if (const auto *written = std::get_if<AuthorityWritten>(&event)) {
+        m_calling = false;
+        onWritten(written->version, now, actions);
+    } else if (std::holds_alternative<AuthorityConflict>(event)) {
+        m_calling = false;
+        m_version.reset();
+    } else if (std::holds_alternative<AuthorityCallLost>(event)) {
+        m_calling = false;
+        m_version.reset();
+        m_notBefore = now + m_settings.storeRetry;
+    }
+    tick(now, actions);
+    return actions;
+}
+
+void LimitAuthority::onRead(const AuthorityRead &event, TimePoint now, Actions &actions)
+{
+    const bool own = event.version != 0 && event.value.holder == m_self && event.value.incarnation == m_incarnation;
+    if (event.version != m_expected) {
+        if (own && m_oldestSent && event.value.term == m_written.term) {
+            // A write whose response was lost took effect.
+            m_written = event.value;
+            onWritten(event.version, now, actions);
+            return;
+        }
+        // No write of this host can take effect any more.
+        m_oldestSent.reset();
+    }
+    if (!own) {
+        end(actions);
+    }
+    m_version = event.version;
+    m_value = event.value;
+    const Duration wait = event.version == 0 || own ? Duration::zero() : withDrift(event.value.wait);
+    m_takeOver = std::max(now + wait, m_until);
+}
+
+void LimitAuthority::onWritten(std::uint64_t version, TimePoint now, Actions &actions)
+{
+    m_version = version;
+    m_value = m_written;
+    const TimePoint sent = m_oldestSent.value_or(now);
+    m_oldestSent.reset();
+    if (m_value.holder != m_self) {
+        m_takeOver = std::max(now + withDrift(m_value.wait), m_until);
+        return;
+    }
+    m_takeOver = std::max(now, m_until);
+    const TimePoint until = sent + m_settings.authorityValidity;
+    if (until > now && m_wanted) {
+        m_holding = true;
+        m_until = until;
+        actions.emplace_back(AllowLending{.term = m_value.term, .until = until});
+    }
+}
+
+void LimitAuthority::end(Actions &actions)
+{
+    if (m_holding) {
+        m_holding = false;
+        actions.emplace_back(EndLending{});
+    }
+}
+
+void LimitAuthority::tick(TimePoint now, Actions &actions)
+{
+    if (m_holding && (now >= m_until || !m_wanted)) {
+        end(actions);
+    }
+    if (m_calling || now < m_notBefore) {
+        return;
+    }
+    const bool ownValue = m_version && *m_version != 0 && m_value.holder == m_self && m_value.incarnation == m_incarnation;
+    if (!m_wanted) {
+        if (ownValue) {
+            const Duration wait = m_lastExpiry > now ? m_lastExpiry - now : Duration::zero();
+            write({.holder = HostId(), .incarnation = 0, .term = m_value.term, .wait = wait}, now, actions);
+        }
+        return;
+    }
+    if (!m_version) {
+        m_calling = true;
+        actions.emplace_back(ReadAuthority{m_group});
+        return;
+    }
+    if (m_holding && ownValue) {
+        if (now >= m_until - m_settings.authorityValidity + m_settings.authorityRenewal) {
+            write(m_value, now, actions);
+        }
+        return;
+    }
+    if (now >= m_takeOver) {
+        write({.holder = m_self, .incarnation = m_incarnation, .term = *m_version + 1, .wait = m_settings.authorityValidity}, now, actions);
+    }
+}
+
+void LimitAuthority::write(LimitTerm value, TimePoint now, Actions &actions)
+{
+    m_calling = true;
+    m_written = std::move(value);
+    m_expected = *m_version;
+    m_oldestSent = std::min(m_oldestSent.value_or(now), now);
+    actions.emplace_back(WriteAuthority{.group = m_group, .expectedVersion = *m_version, .value = m_written});
+}
+
+Duration LimitAuthority::withDrift(Duration wait) const
+{
+    return scaled(wait, 1 + m_settings.clockDrift);
+}
+
+}
--- /dev/null
+++ b/Source/Admission/LimitDivision.h
@@ -0,0 +1,355 @@
+#pragma once
+
+#include "Base/Ids.h"
+#include "Base/Time.h"
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <tuple>
+#include <variant>
+#include <vector>
+
+namespace Mangofall {
+
+// Divides the fleet-wide limits of organisations between hosts. Organisations are hashed into groups. One host at a time
+// holds the authority over a group, through the platform's store, and lends shares of the group's limits to hosts. A share
+// is the sum of a floor, which needs no message, and of loans that expire. The sum of the shares in force never exceeds
+// the limit, provided that at most maxHosts hosts run and that clocks run at rates within clockDrift of each other.
+
+enum class LimitKind {
+    RequestRate, ///< Units of thousandths of a request per second.
+    TokensInFlight, ///< Units of tokens.
+};
+
+using LimitUnits = std::uint64_t;
+
+struct LimitKey {
+    OrganisationId organisation;
+    LimitKind kind = LimitKind::RequestRate;
+
+    friend bool operator==(const LimitKey &, const LimitKey &) = default;
+    friend bool operator<(const LimitKey &left, const LimitKey &right)
+    {
+        return std::tie(left.organisation, left.kind) < std::tie(right.organisation, right.kind);
+    }
+};
+
+/**
+ * \class LimitDivisionSettings
+ * \brief Times and proportions; the same on all hosts.
+ */
+struct LimitDivisionSettings {
+    std::chrono::seconds grantValidity{450}; ///< A dead host's share is lent again after this time.
+    std::chrono::seconds reportInterval{180}; ///< A loan survives one lost report.
+    std::chrono::seconds urgentInterval{10}; ///< Least time between reports caused by new demand or by a missing answer.
+    std::chrono::seconds authorityValidity{900}; ///< Store outages of up to this less authorityRenewal have no effect.
+    std::chrono::seconds authorityRenewal{300};
+    std::chrono::seconds storeRetry{10}; ///< After a lost store call.
+    std::uint32_t groups = 1024; ///< About one per host at 810 hosts, so that no host serves many.
+    std::uint32_t maxHosts = 1024; ///< Hosts that may run at the same time; 810 plus replacements.
+    std::uint32_t floorPercent = 20; ///< Part of each limit that is divided equally without loans.
+    double clockDrift = 0.01; ///< Added to every wait on another host's expiry.
+};
+
+/// Share that every host has at any time.
+LimitUnits floorShare(LimitUnits limit, const LimitDivisionSettings &settings);
+/// Part of \p limit that is lent.
+LimitUnits lendableUnits(LimitUnits limit, const LimitDivisionSettings &settings);
+/// Group of \p organisation, below settings.groups.
+std::uint32_t limitGroup(const OrganisationId &organisation, const LimitDivisionSettings &settings);
+
+/**
+ * \class LimitTraffic
+ * \brief Cost of the division in steady state, for capacity planning.
+ */
+struct LimitTraffic {
+    double bytesPerSecond = 0; ///< Of one host, sent plus received, as borrower and as holder of its part of the groups.
+    double storeWritesPerSecond = 0; ///< Of the whole fleet.
+};
+
+/// Cost if each of \p hosts hosts serves \p keysPerHost limits that are in use.
+LimitTraffic limitTraffic(std::uint32_t hosts, std::uint32_t keysPerHost, const LimitDivisionSettings &settings);
+
+struct LimitDemandEntry {
+    LimitKey key;
+    LimitUnits demand = 0;
+    std::uint64_t adopted = 0; ///< Sequence of the loan in force from the lender's term; 0 if there is none.
+};
+
+/// A host's demand for the limits of one group.
+struct LimitDemand {
+    HostId host;
+    std::uint64_t incarnation = 0;
+    std::uint64_t sequence = 0; ///< Counter within the incarnation.
+    std::uint32_t group = 0;
+    std::uint64_t term = 0; ///< Lender's term to which the entries' adopted sequences refer.
+    std::vector<LimitDemandEntry> entries;
+};
+
+struct LimitGrantEntry {
+    LimitKey key;
+    LimitUnits amount = 0;
+};
+
+/// Answer to one LimitDemand. The validity counts from the moment at which the borrower sent that demand.
+struct LimitGrant {
+    HostId host;
+    std::uint64_t incarnation = 0;
+    std::uint64_t sequence = 0; ///< Of the demand.
+    std::uint32_t group = 0;
+    std::uint64_t term = 0;
+    Duration validity{};
+    std::vector<LimitGrantEntry> entries;
+};
+
+struct LimitsChanged {
+    std::map<LimitKey, LimitUnits> limits; ///< Keys without a limit are absent.
+};
+
+/// The live host that should hold the authority over each group, in this host's view.
+struct LendersChanged {
+    std::map<std::uint32_t, HostId> lenders;
+};
+
+/// Demand for a limit since the last observation, in the key's units.
+struct DemandObserved {
+    LimitKey key;
+    LimitUnits demand = 0;
+};
+
+struct LimitGrantReceived {
+    LimitGrant grant;
+};
+
+struct BorrowerTick {
+};
+
+using BorrowerEvent = std::variant<LimitsChanged, LendersChanged, DemandObserved, LimitGrantReceived, BorrowerTick>;
+
+struct SendLimitDemand {
+    HostId lender;
+    LimitDemand demand;
+};
+
+using BorrowerAction = std::variant<SendLimitDemand>;
+
+/**
+ * \class LimitBorrower
+ * \brief Holds this host's shares: on every host.
+ */
+class LimitBorrower
+{
+public:
+    using Actions = std::vector<BorrowerAction>;
+
+    LimitBorrower(HostId self, std::uint64_t incarnation, LimitDivisionSettings settings);
+
+    Actions handle(const BorrowerEvent &event, TimePoint now);
+
+    /// Share in force at \p now; empty if the key has no limit.
+    std::optional<LimitUnits> shareOf(const LimitKey &key, TimePoint now) const;
+
+private:
+    struct Holding {
+        std::uint64_t sequence = 0;
+        LimitUnits amount = 0;
+        TimePoint until;
+    };
+
+    struct Group {
+        std::map<LimitKey, LimitUnits> demand;
+        TimePoint lastReport = TimePoint::min();
+        bool urgent = false;
+        bool answered = true; ///< Whether the last report has been answered.
+        std::uint64_t term = 0; ///< Newest lender's term heard of.
+    };
+
+    void adopt(const LimitGrant &grant);
+    void observe(const DemandObserved &event, TimePoint now);
+    Actions tick(TimePoint now);
+    LimitDemand compose(std::uint32_t group, Group &state, TimePoint now);
+
+    HostId m_self;
+    std::uint64_t m_incarnation;
+    LimitDivisionSettings m_settings;
+    std::map<LimitKey, LimitUnits> m_limits;
+    std::map<std::uint32_t, HostId> m_lenders;
+    std::map<std::uint32_t, Group> m_groups;
+    std::map<LimitKey, std::map<std::uint64_t, Holding>> m_holdings; ///< By lender's term.
+    std::map<std::uint64_t, TimePoint> m_sent; ///< Send times of demands that may still be answered.
+    std::uint64_t m_sequence = 0;
+};
+
+/// Authority over the group lasts until \c until; the limits are those in force here.
+struct LendingAllowed {
+    TimePoint until;
+};
+
+/// The number of hosts that may borrow.
+struct BorrowersChanged {
+    std::size_t hosts = 0;
+};
+
+struct LimitDemandReceived {
+    LimitDemand demand;
+};
+
+using LenderEvent = std::variant<LimitsChanged, LendingAllowed, BorrowersChanged, LimitDemandReceived>;
+
+struct SendLimitGrant {
+    HostId host;
+    LimitGrant grant;
+};
+
+using LenderAction = std::variant<SendLimitGrant>;
+
+/**
+ * \class LimitLender
+ * \brief Lends the limits of one group during one term of authority.
+ *
+ * A lowered limit applies to new loans; the shares' sum is below it when the earlier loans have expired.
+ */
+class LimitLender
+{
+public:
+    using Actions = std::vector<LenderAction>;
+
+    LimitLender(std::uint32_t group, std::uint64_t term, LimitDivisionSettings settings);
+
+    Actions handle(const LenderEvent &event, TimePoint now);
+
+    /// Latest expiry of a loan; the authority is released with this wait.
+    TimePoint lastExpiry() const;
+
+private:
+    using Borrower = std::pair<HostId, std::uint64_t>;
+
+    struct Loan {
+        std::uint64_t sequence = 0;
+        LimitUnits amount = 0;
+        TimePoint until; ///< With the allowance for clock drift.
+    };
+
+    struct Account {
+        LimitUnits demand = 0;
+        TimePoint reported;
+        std::vector<Loan> loans; ///< The borrower uses one of them; which one is unknown until it reports.
+    };
+
+    using Accounts = std::map<Borrower, Account>;
+
+    Actions lend(const LimitDemand &demand, TimePoint now);
+    LimitUnits amountFor(const Accounts &accounts, const Borrower &borrower, LimitUnits capacity) const;
+    void expire(Accounts &accounts, TimePoint now) const;
+
+    std::uint32_t m_group;
+    std::uint64_t m_term;
+    LimitDivisionSettings m_settings;
+    std::map<LimitKey, LimitUnits> m_limits;
+    std::map<LimitKey, Accounts> m_accounts;
+    std::map<Borrower, std::pair<std::uint64_t, TimePoint>> m_lastDemands; ///< Sequence and time of the last demand answered.
+    std::size_t m_borrowers = 1;
+    TimePoint m_until = TimePoint::min();
+    TimePoint m_lastExpiry = TimePoint::min();
+};
+
+/// Value of a group's authority key in the store.
+struct LimitTerm {
+    HostId holder; ///< Empty if released.
+    std::uint64_t incarnation = 0;
+    std::uint64_t term = 0;
+    Duration wait{}; ///< How long a successor must see this version unchanged before it takes over.
+};
+
+/// Whether this host should hold the authority; \c lastExpiry is that of its lender.
+struct AuthorityWanted {
+    bool wanted = false;
+    TimePoint lastExpiry;
+};
+
+/// Version 0 means that the key does not exist.
+struct AuthorityRead {
+    std::uint64_t version = 0;
+    LimitTerm value;
+};
+
+struct AuthorityWritten {
+    std::uint64_t version = 0;
+};
+
+struct AuthorityConflict {
+};
+
+/// A call timed out or its response was lost; a write may have taken effect or may still do so.
+struct AuthorityCallLost {
+};
+
+struct AuthorityTick {
+};
+
+using AuthorityEvent = std::variant<AuthorityWanted, AuthorityRead, AuthorityWritten, AuthorityConflict, AuthorityCallLost, AuthorityTick>;
+
+struct ReadAuthority {
+    std::uint32_t group = 0;
+};
+
+struct WriteAuthority {
+    std::uint32_t group = 0;
+    std::uint64_t expectedVersion = 0;
+    LimitTerm value;
+};
+
+/// Lend during \c term until \c until; a new term starts with a new LimitLender.
+struct AllowLending {
+    std::uint64_t term = 0;
+    TimePoint until;
+};
+
+struct EndLending {
+};
+
+using AuthorityAction = std::variant<ReadAuthority, WriteAuthority, AllowLending, EndLending>;
+
+/**
+ * \class LimitAuthority
+ * \brief Acquires, renews and releases the authority over one group through compare-and-swap.
+ *
+ * A successor waits until the former holder's authority has run out by any clock within the drift; loans end with it.
+ */
+class LimitAuthority
+{
+public:
+    using Actions = std::vector<AuthorityAction>;
+
+    LimitAuthority(HostId self, std::uint64_t incarnation, std::uint32_t group, LimitDivisionSettings settings);
+
+    Actions handle(const AuthorityEvent &event, TimePoint now);
+
+private:
+    void onRead(const AuthorityRead &event, TimePoint now, Actions &actions);
+    void onWritten(std::uint64_t version, TimePoint now, Actions &actions);
+    void end(Actions &actions);
+    void tick(TimePoint now, Actions &actions);
+    void write(LimitTerm value, TimePoint now, Actions &actions);
+    Duration withDrift(Duration wait) const;
+
+    HostId m_self;
+    std::uint64_t m_incarnation;
+    std::uint32_t m_group;
+    LimitDivisionSettings m_settings;
+    bool m_wanted = false;
+    bool m_calling = false;
+    bool m_holding = false;
+    TimePoint m_until; ///< End of the last term; no loan of it lasts longer, and no new term starts before.
+    TimePoint m_lastExpiry;
+    std::optional<std::uint64_t> m_version; ///< Version last seen; empty if it must be read again.
+    LimitTerm m_value; ///< Value at that version.
+    TimePoint m_takeOver; ///< When the value seen may be replaced.
+    LimitTerm m_written;
+    std::uint64_t m_expected = 0; ///< Version that the unresolved writes replace.
+    std::optional<TimePoint> m_oldestSent; ///< Earliest unresolved write; a successor may have seen its effect since then.
+    TimePoint m_notBefore = TimePoint::min();
+};
+
+}
--- a/Source/Membership/HeartbeatPlan.h
+++ b/Source/Membership/HeartbeatPlan.h
@@ -15,7 +15,7 @@
  * \brief Limits from which the heartbeat plan derives who sends to whom and how often.
  */
 struct HeartbeatPlanSettings {
-    double budget = 5400; ///< B/s sent plus received; leaves a tenth of 6 KB/s for probes, spread suspicions and changes.
+    double budget = 4500; ///< B/s sent plus received; the rest of 6 KB/s is for the division of limits, probes and spread suspicions.
     std::chrono::milliseconds watchInterval{1000};
     std::chrono::milliseconds linkInterval{5000}; ///< Upper bound; the mesh interval if that is shorter.
     std::size_t watchers = 2; ///< Detection must survive the death of one watcher together with the watched host.
--- a/Source/Membership/HostStatus.h
+++ b/Source/Membership/HostStatus.h
@@ -36,7 +36,7 @@
 };
 
 /// Added to the last heartbeat's sequence in a claim of death, so that it supersedes the claim of an observer who saw more heartbeats.
-/// A host sends up to about 10 sequences a second, and observers differ by the mesh interval of about 12 s at most.
+/// A host sends up to about 10 sequences a second, and observers differ by the mesh interval of about 18 s at most.
 constexpr std::uint64_t deathSequenceMargin = 256;
 
 /// Whether \p claim is newer than \p known: compares incarnation, then sequence, then state. Merging by it is commutative and idempotent.
--- /dev/null
+++ b/Tests/Membership/LimitDivisionTest.cpp
@@ -0,0 +1,435 @@
+// CppUTest redefines new, which these headers use in other forms.
+#include "Base/RandomEngine.h"
+
+#include <variant>
+
+#include "Property.h"
+
+#include "Admission/LimitDivision.h"
+#include "Membership/HeartbeatPlan.h"
+
+#include <algorithm>
+#include <memory>
+#include <set>
+
+using namespace Mangofall;
+using std::chrono::seconds;
+
+namespace {
+
+const LimitKey key{OrganisationId("engravers"), LimitKind::TokensInFlight};
+constexpr LimitUnits limit = 1'000'003;
+constexpr int hostCount = 4;
+
+LimitDivisionSettings settingsForTests()
+{
+    LimitDivisionSettings settings;
+    settings.groups = 1;
+    settings.maxHosts = hostCount;
+    settings.grantValidity = seconds(30);
+    settings.reportInterval = seconds(12);
+    settings.urgentInterval = seconds(2);
+    settings.authorityValidity = seconds(60);
+    settings.authorityRenewal = seconds(20);
+    settings.storeRetry = seconds(3);
+    return settings;
+}
+
+const LimitsChanged limits{{{key, limit}}};
+
+HostId nameOf(int host)
+{
+    return HostId("host" + std::to_string(host));
+}
+
+/// One process: it borrows, and lends while it has the authority.
+struct Process {
+    Process(int number, std::uint64_t incarnation)
+        : borrower(nameOf(number), incarnation, settingsForTests())
+        , authority(nameOf(number), incarnation, 0, settingsForTests())
+    {
+        borrower.handle(limits, TimePoint());
+    }
+
+    LimitBorrower borrower;
+    LimitAuthority authority;
+    std::unique_ptr<LimitLender> lender;
+    std::uint64_t term = 0;
+    bool running = true; ///< False while paused or dead.
+    std::uint64_t call = 0; ///< Store call that is not complete; 0 if there is none. A call completes once, by its answer or a timeout.
+    TimePoint called;
+};
+
+using StoreCall = std::variant<ReadAuthority, WriteAuthority>;
+using Message = std::variant<LimitDemand, LimitGrant, StoreCall, AuthorityEvent>;
+
+struct Envelope {
+    int from = 0;
+    int to = 0; ///< The store if equal to hostCount.
+    Message message;
+    std::uint64_t call = 0; ///< Set for store calls and their answers.
+};
+
+/// Hosts, the store's key and the messages in flight; the property chooses what happens next.
+struct Fleet {
+    std::vector<Process> processes;
+    std::vector<Envelope> messages;
+    TimePoint now{seconds(10'000)};
+    std::uint64_t version = 0;
+    LimitTerm value;
+    int terms = 0;
+    std::uint64_t calls = 0;
+
+    Fleet()
+    {
+        for (int host = 0; host < hostCount; ++host) {
+            processes.emplace_back(host, 1);
+        }
+    }
+
+    Process &at(int host)
+    {
+        return processes[static_cast<std::size_t>(host)];
+    }
+
+    void call(int host, const StoreCall &request)
+    {
+        at(host).call = ++calls;
+        at(host).called = now;
+        messages.push_back({host, hostCount, request, calls});
+    }
+
+    void authority(int host, const AuthorityEvent &event)
+    {
+        Process &process = at(host);
+        for (const AuthorityAction &action : process.authority.handle(event, now)) {
+            if (const auto *read = std::get_if<ReadAuthority>(&action)) {
+                call(host, *read);
+            } else if (const auto *write = std::get_if<WriteAuthority>(&action)) {
+                call(host, *write);
+            } else if (const auto *allow = std::get_if<AllowLending>(&action)) {
+                if (!process.lender || process.term != allow->term) {
+                    process.lender = std::make_unique<LimitLender>(0, allow->term, settingsForTests());
+                    process.term = allow->term;
+                    ++terms;
+                    process.lender->handle(limits, now);
+                    process.lender->handle(BorrowersChanged{hostCount}, now);
+                }
+                process.lender->handle(LendingAllowed{allow->until}, now);
+            } else {
+                process.lender.reset();
+            }
+        }
+    }
+
+    void want(int host, bool wanted)
+    {
+        Process &process = at(host);
+        authority(host, AuthorityWanted{wanted, process.lender ? process.lender->lastExpiry() : TimePoint()});
+    }
+
+    void borrow(int host, const BorrowerEvent &event)
+    {
+        for (const BorrowerAction &action : at(host).borrower.handle(event, now)) {
+            const auto &send = std::get<SendLimitDemand>(action);
+            for (int lender = 0; lender < hostCount; ++lender) {
+                if (nameOf(lender) == send.lender) {
+                    messages.push_back({host, lender, send.demand});
+                }
+            }
+        }
+    }
+
+    void store(int host, const StoreCall &call, std::uint64_t number)
+    {
+        AuthorityEvent answer = AuthorityRead{version, value};
+        if (const auto *write = std::get_if<WriteAuthority>(&call)) {
+            if (write->expectedVersion == version) {
+                value = write->value;
+                answer = AuthorityWritten{++version};
+            } else {
+                answer = AuthorityConflict();
+            }
+        }
+        messages.push_back({hostCount, host, answer, number});
+    }
+
+    void deliver(const Envelope &envelope)
+    {
+        if (envelope.to == hostCount) {
+            store(envelope.from, std::get<StoreCall>(envelope.message), envelope.call);
+            return;
+        }
+        Process &process = at(envelope.to);
+        if (!process.running) {
+            return;
+        }
+        if (const auto *demand = std::get_if<LimitDemand>(&envelope.message)) {
+            if (process.lender) {
+                for (const LenderAction &action : process.lender->handle(LimitDemandReceived{*demand}, now)) {
+                    messages.push_back({envelope.to, envelope.from, std::get<SendLimitGrant>(action).grant});
+                }
+            }
+        } else if (const auto *grant = std::get_if<LimitGrant>(&envelope.message)) {
+            borrow(envelope.to, LimitGrantReceived{*grant});
+        } else if (envelope.call == process.call) {
+            process.call = 0;
+            authority(envelope.to, std::get<AuthorityEvent>(envelope.message));
+        }
+    }
+
+    /// Delivers message \p index; keeps a copy for later if \p twice. A store call takes effect once.
+    void deliverAt(std::size_t index, bool twice)
+    {
+        const Envelope envelope = messages[index];
+        if (!twice || envelope.to == hostCount) {
+            messages.erase(messages.begin() + static_cast<std::ptrdiff_t>(index));
+        }
+        deliver(envelope);
+    }
+
+    void tick()
+    {
+        for (int host = 0; host < hostCount; ++host) {
+            if (at(host).running) {
+                const bool late = at(host).call != 0 && now - at(host).called > seconds(5);
+                at(host).call = late ? 0 : at(host).call;
+                authority(host, late ? AuthorityEvent(AuthorityCallLost()) : AuthorityEvent(AuthorityTick()));
+                borrow(host, BorrowerTick());
+            }
+        }
+    }
+
+    LimitUnits sum() const
+    {
+        LimitUnits total = 0;
+        for (const Process &process : processes) {
+            total += *process.borrower.shareOf(key, now);
+        }
+        return total;
+    }
+
+    /// Runs without faults: everything is delivered at once, with ticks every second.
+    void run(seconds time)
+    {
+        for (seconds passed{0}; passed < time; passed += seconds(1)) {
+            now += seconds(1);
+            tick();
+            while (!messages.empty()) {
+                deliverAt(0, false);
+            }
+        }
+    }
+};
+
+}
+
+TEST_GROUP(LimitDivisionTest){};
+
+// Guards against shares whose sum exceeds the limit, when messages are delayed, lost, duplicated or reordered, store answers are lost,
+// hosts pause, die and restart, and two hosts both want the authority.
+TEST(LimitDivisionTest, SharesNeverExceedLimit)
+{
+    int terms = 0;
+    std::size_t loans = 0;
+    Testing::checkProperty("the sum of the shares in force is at most the limit", [&] {
+        RandomEngine engine(*rc::gen::resize(1000, rc::gen::arbitrary<std::uint64_t>()));
+        const auto below = [&](std::uint32_t bound) {
+            return static_cast<int>(engine() % bound);
+        };
+        std::set<std::pair<int, int>> blocked;
+        Fleet fleet;
+        fleet.want(0, true);
+        fleet.want(1, true);
+        std::uint64_t incarnation = 1;
+        const int faults = below(4); // calm runs reach states that need many messages in order
+        const int longest = below(2) == 0 ? 800 : 8000;
+        for (int step = 0; step < 4000; ++step) {
+            const int host = below(hostCount);
+            const int fault = below(100) < 4 * faults ? 1 + below(7) : -1;
+            if (fault == 1 && !fleet.messages.empty()) {
+                fleet.messages.erase(fleet.messages.begin() + below(static_cast<std::uint32_t>(fleet.messages.size())));
+            } else if (fault == 2) {
+                fleet.want(host % 2, below(4) != 0);
+            } else if (fault == 3) {
+                fleet.at(host).running = !fleet.at(host).running || below(2) == 0;
+            } else if (fault == 4 && below(4) == 0) {
+                // A store call of the dead process may still take effect.
+                fleet.at(host) = Process(host, ++incarnation);
+                fleet.want(host, host < 2);
+            } else if (fault >= 6) {
+                // A link that is blocked holds its messages back until it opens again.
+                const std::pair link = fault == 6 ? std::pair{host % 2, hostCount} : std::pair{below(hostCount + 1), host};
+                if (blocked.erase(link) == 0) {
+                    blocked.insert(link);
+                }
+            } else if (fault == 5) {
+                fleet.now += seconds(below(70));
+            } else if (!fleet.messages.empty() && below(4) != 0) {
+                const auto start = fleet.messages.begin() + (below(4) == 0 ? below(static_cast<std::uint32_t>(fleet.messages.size())) : 0);
+                const auto open = std::find_if(start, fleet.messages.end(), [&](const Envelope &envelope) {
+                    return !blocked.contains({envelope.from, envelope.to});
+                });
+                if (open != fleet.messages.end()) {
+                    fleet.deliverAt(static_cast<std::size_t>(open - fleet.messages.begin()), below(10) == 0);
+                }
+            } else {
+                fleet.borrow(host, LendersChanged{{{0, nameOf(below(2))}}});
+                fleet.borrow(host, DemandObserved{key, below(8) == 0 ? LimitUnits{1} << static_cast<unsigned>(below(40)) : 0});
+                fleet.now += std::chrono::milliseconds(below(static_cast<std::uint32_t>(longest)));
+                fleet.tick();
+            }
+            RC_ASSERT(fleet.sum() <= limit);
+            for (const Process &process : fleet.processes) {
+                loans += *process.borrower.shareOf(key, fleet.now) > floorShare(limit, settingsForTests()) ? 1 : 0;
+            }
+        }
+        terms += fleet.terms;
+    });
+    CHECK_TEXT(loans > 10'000 && terms > 500, "the runs must contain loans and changes of the authority");
+}
+
+// Guards against authority that outlasts what a successor waits for: counted from the answer, from a write that did not take effect, or
+// anew while loans of an ended term run.
+TEST(LimitDivisionTest, AuthorityCountsFromEarliestWrite)
+{
+    LimitAuthority authority(nameOf(0), 1, 0, settingsForTests());
+    const auto at = [](int second) {
+        return TimePoint(seconds(second));
+    };
+    const auto allowed = [](const LimitAuthority::Actions &actions) {
+        return actions.empty() || !std::holds_alternative<AllowLending>(actions[0]) ? TimePoint() : std::get<AllowLending>(actions[0]).until;
+    };
+    authority.handle(AuthorityWanted{true, TimePoint()}, at(0));
+    const auto first = authority.handle(AuthorityRead{0, {}}, at(1));
+    const LimitTerm value = std::get<WriteAuthority>(first[0]).value;
+    authority.handle(AuthorityCallLost(), at(6));
+    authority.handle(AuthorityTick(), at(10));
+    CHECK_TEXT(allowed(authority.handle(AuthorityRead{1, value}, at(12))) == at(61), "the write was sent at second 1");
+    LONGS_EQUAL(1, authority.handle(AuthorityTick(), at(21)).size());
+    authority.handle(AuthorityCallLost(), at(26));
+    authority.handle(AuthorityTick(), at(30));
+    const auto again = authority.handle(AuthorityRead{1, value}, at(35));
+    CHECK_TEXT(allowed(again) == TimePoint(), "the renewal has not taken effect");
+    LONGS_EQUAL(1, std::get<WriteAuthority>(again[0]).expectedVersion);
+    CHECK_TEXT(allowed(authority.handle(AuthorityWritten{2}, at(36))) == at(81), "the renewal of second 21 may have been the one seen");
+    const auto release = authority.handle(AuthorityWanted{false, at(70)}, at(40));
+    CHECK(std::holds_alternative<EndLending>(release[0]));
+    CHECK(std::get<WriteAuthority>(release[1]).value.wait == seconds(30));
+    authority.handle(AuthorityWanted{true, at(70)}, at(41));
+    authority.handle(AuthorityCallLost(), at(45));
+    authority.handle(AuthorityTick(), at(50));
+    LONGS_EQUAL_TEXT(0, authority.handle(AuthorityRead{2, value}, at(51)).size(), "loans of the ended term may run until second 81");
+    const auto next = authority.handle(AuthorityTick(), at(81));
+    LONGS_EQUAL(3, std::get<WriteAuthority>(next[0]).value.term);
+}
+
+// Guards against loans that are lent again while their borrower may still use them, and against grants that overtake each other.
+TEST(LimitDivisionTest, LenderKeepsWhatBorrowerMayUse)
+{
+    const LimitDivisionSettings settings = settingsForTests();
+    const TimePoint now{seconds(100)};
+    LimitLender lender(0, 7, settings);
+    lender.handle(limits, now);
+    lender.handle(LendingAllowed{now + seconds(60)}, now);
+    lender.handle(BorrowersChanged{2}, now);
+    const auto ask = [&](int host, std::uint64_t sequence, std::uint64_t term, LimitUnits demand, std::uint64_t adopted) -> std::optional<LimitUnits> {
+        const auto actions = lender.handle(LimitDemandReceived{{nameOf(host), 1, sequence, 0, term, {{key, demand, adopted}}}}, now);
+        return actions.empty() ? std::nullopt : std::optional(std::get<SendLimitGrant>(actions[0]).grant.entries.at(0).amount);
+    };
+    const LimitUnits all = lendableUnits(limit, settings);
+    const LimitUnits first = *ask(1, 10, 7, 1000, 0);
+    CHECK(first > all * 9 / 10);
+    CHECK_TEXT(!ask(1, 10, 7, 1000, 0), "a duplicate is not answered");
+    CHECK(*ask(2, 1, 7, 1'000'000, 0) <= all - first);
+    CHECK(*ask(1, 11, 7, 1, 10) < first / 2); // lost on its way: the borrower goes on using the first loan
+    CHECK(*ask(2, 2, 7, 1'000'000, 1) <= all - first);
+    CHECK(*ask(1, 12, 6, 1, 11) < first); // refers to another term, so it releases nothing
+    CHECK(*ask(2, 3, 7, 1'000'000, 2) <= all - first);
+    ask(1, 13, 7, 1, 12);
+    CHECK_TEXT(*ask(2, 4, 7, 1'000'000, 3) > all - first, "the first loan is no longer in use");
+
+    LimitBorrower borrower(nameOf(1), 1, settings);
+    borrower.handle(limits, now);
+    borrower.handle(LendersChanged{{{0, nameOf(0)}}}, now);
+    borrower.handle(DemandObserved{key, 1000}, now);
+    borrower.handle(BorrowerTick(), now);
+    borrower.handle(BorrowerTick(), now + seconds(2));
+    borrower.handle(LimitGrantReceived{{nameOf(1), 1, 2, 0, 7, seconds(30), {{key, 100}}}}, now);
+    borrower.handle(LimitGrantReceived{{nameOf(1), 1, 1, 0, 7, seconds(30), {{key, 500}}}}, now);
+    LONGS_EQUAL(floorShare(limit, settings) + 100, *borrower.shareOf(key, now));
+    LONGS_EQUAL(floorShare(limit, settings), *borrower.shareOf(key, now + seconds(32)));
+}
+
+// Guards against shares that do not follow demand, and against unequal ones while demand is unknown.
+TEST(LimitDivisionTest, SharesFollowDemand)
+{
+    Fleet fleet;
+    fleet.want(0, true);
+    for (int host = 0; host < hostCount; ++host) {
+        LONGS_EQUAL(floorShare(limit, settingsForTests()), *fleet.at(host).borrower.shareOf(key, fleet.now));
+        fleet.borrow(host, LendersChanged{{{0, nameOf(0)}}});
+    }
+    for (int round = 0; round < 100; ++round) {
+        fleet.borrow(1, DemandObserved{key, 900'000});
+        fleet.borrow(2, DemandObserved{key, 300'000});
+        fleet.run(seconds(1));
+    }
+    const LimitUnits large = *fleet.at(1).borrower.shareOf(key, fleet.now);
+    const LimitUnits small = *fleet.at(2).borrower.shareOf(key, fleet.now);
+    const LimitUnits idle = *fleet.at(3).borrower.shareOf(key, fleet.now);
+    CHECK(large > 2 * small - 2 * idle && small > idle);
+    CHECK_TEXT(large + small > limit * 8 / 10, "hosts with demand hold most of the limit");
+}
+
+// Guards against a dead host's share that is lost for longer than the loan's validity, or given away earlier.
+TEST(LimitDivisionTest, DeadHostsShareReturnsAfterItsValidity)
+{
+    Fleet fleet;
+    fleet.want(0, true);
+    const auto use = [&](std::initializer_list<int> hosts, int time) {
+        for (int second = 0; second < time; ++second) {
+            for (const int host : hosts) {
+                fleet.borrow(host, LendersChanged{{{0, nameOf(0)}}});
+                fleet.borrow(host, DemandObserved{key, 900'000});
+            }
+            fleet.run(seconds(1));
+        }
+    };
+    use({1, 2}, 100);
+    const LimitUnits shared = *fleet.at(2).borrower.shareOf(key, fleet.now);
+    fleet.at(1).running = false;
+    use({2}, 10);
+    CHECK(*fleet.at(2).borrower.shareOf(key, fleet.now) <= shared);
+    use({2}, 70);
+    CHECK(*fleet.at(2).borrower.shareOf(key, fleet.now) > limit * 7 / 10);
+}
+
+// Guards against hosts without any share during a long store outage.
+TEST(LimitDivisionTest, FloorRemainsWithoutStore)
+{
+    Fleet fleet;
+    fleet.want(0, true);
+    fleet.borrow(0, LendersChanged{{{0, nameOf(0)}}});
+    fleet.borrow(0, DemandObserved{key, 900'000});
+    fleet.run(seconds(10));
+    CHECK(*fleet.at(0).borrower.shareOf(key, fleet.now) > floorShare(limit, settingsForTests()));
+    for (int second = 0; second < 100; ++second) {
+        fleet.now += seconds(1);
+        fleet.tick();
+        while (!fleet.messages.empty()) {
+            const bool storeCall = fleet.messages[0].to == hostCount;
+            storeCall ? static_cast<void>(fleet.messages.erase(fleet.messages.begin())) : fleet.deliverAt(0, false);
+        }
+    }
+    LONGS_EQUAL(floorShare(limit, settingsForTests()), *fleet.at(0).borrower.shareOf(key, fleet.now));
+}
+
+// Guards against a cost of the division that does not fit beside the heartbeats within 6 KB/s.
+TEST(LimitDivisionTest, TrafficFitsBesideHeartbeats)
+{
+    const LimitTraffic traffic = limitTraffic(810, 300, LimitDivisionSettings());
+    UT_PRINT((std::to_string(traffic.bytesPerSecond) + " B/s per host, " + std::to_string(traffic.storeWritesPerSecond) + " store writes/s").c_str());
+    CHECK(traffic.bytesPerSecond > 0 && traffic.bytesPerSecond + HeartbeatPlanSettings().budget < 6000);
+    CHECK(traffic.storeWritesPerSecond < 10);
+}
