--- a/Source/Admission/LimitDivision.cpp
+++ b/Source/Admission/LimitDivision.cpp
@@ -42,6 +42,11 @@
     return static_cast<std::uint32_t>(hash64(organisation.value()) % settings.groups);
 }
 
+std::string limitAuthorityKey(std::uint32_t group)
+{
+    return "mangofall/limits/" + std::to_string(group);
+}
+
 LimitTraffic limitTraffic(std::uint32_t hosts, std::uint32_t keysPerHost, const LimitDivisionSettings &settings)
 {
     constexpr double exchangeBytes = 2 * (4 + 40) + 3 * 52; // two frame prefixes with fixed fields; two data packets, one acknowledgement
@@ -51,7 +56,7 @@
     const double borrowing = (groupsInUse * exchangeBytes + keysPerHost * entryBytes) / Seconds(settings.reportInterval).count();
     // What all borrowers exchange with the holders, divided by the hosts; a host holds groups / hosts of them, rounded up.
     const double lending = borrowing * hosts * std::ceil(groups / hosts) / groups;
-    return {.bytesPerSecond = borrowing + lending, .storeWritesPerSecond = groups / Seconds(settings.authorityRenewal).count()};
+    return {.bytesPerSecond = borrowing + lending, .storeWritesPerSecond = groups / Seconds(settings.authority.renewal).count()};
 }
 
 LimitBorrower::LimitBorrower(HostId self, std::uint64_t incarnation, LimitDivisionSettings settings)
@@ -268,131 +273,4 @@
     });
 }
 
-LimitAuthority::LimitAuthority(HostId self, std::uint64_t incarnation, std::uint32_t group, LimitDivisionSettings settings)
-    : m_self(std::move(self))
-    , m_incarnation(incarnation)
-    , m_group(group)
-    , m_settings(settings)
-{
-}
-
-LimitAuthority::Actions LimitAuthority::handle(const AuthorityEvent &event, TimePoint now)
-{
-    Actions actions;
-    if (const auto *wanted = std::get_if<AuthorityWanted>(&event)) {
-        m_wanted = wanted->wanted;
-        m_lastExpiry = wanted->lastExpiry;
-    } else if (const auto *read = std::get_if<AuthorityRead>(&event)) {
-        m_calling = false;
-        onRead(*read, now, actions);
-    } else if (const auto *written = std::get_if<AuthorityWritten>(&event)) {
-        m_calling = false;
-        onWritten(written->version, now, actions);
-    } else if (std::holds_alternative<AuthorityConflict>(event)) {
-        m_calling = false;
-        m_version.reset();
-    } else if (std::holds_alternative<AuthorityCallLost>(event)) {
-        m_calling = false;
-        m_version.reset();
-        m_notBefore = now + m_settings.storeRetry;
-    }
-    tick(now, actions);
-    return actions;
-}
-
-void LimitAuthority::onRead(const AuthorityRead &event, TimePoint now, Actions &actions)
-{
-    const bool own = event.version != 0 && event.value.holder == m_self && event.value.incarnation == m_incarnation;
-    if (event.version != m_expected) {
-        if (own && m_oldestSent && event.value.term == m_written.term) {
-            // A write whose response was lost took effect.
-            m_written = event.value;
-            onWritten(event.version, now, actions);
-            return;
-        }
-        // No write of this host can take effect any more.
-        m_oldestSent.reset();
-    }
-    if (!own) {
-        end(actions);
-    }
-    m_version = event.version;
-    m_value = event.value;
-    const Duration wait = event.version == 0 || own ? Duration::zero() : withDrift(event.value.wait);
-    m_takeOver = std::max(now + wait, m_until);
-}
-
-void LimitAuthority::onWritten(std::uint64_t version, TimePoint now, Actions &actions)
-{
-    m_version = version;
-    m_value = m_written;
-    const TimePoint sent = m_oldestSent.value_or(now);
-    m_oldestSent.reset();
-    if (m_value.holder != m_self) {
-        m_takeOver = std::max(now + withDrift(m_value.wait), m_until);
-        return;
-    }
-    m_takeOver = std::max(now, m_until);
-    const TimePoint until = sent + m_settings.authorityValidity;
-    if (until > now && m_wanted) {
-        m_holding = true;
-        m_until = until;
-        actions.emplace_back(AllowLending{.term = m_value.term, .until = until});
-    }
-}
-
-void LimitAuthority::end(Actions &actions)
-{
-    if (m_holding) {
-        m_holding = false;
-        actions.emplace_back(EndLending{});
-    }
-}
-
-void LimitAuthority::tick(TimePoint now, Actions &actions)
-{
-    if (m_holding && (now >= m_until || !m_wanted)) {
-        end(actions);
-    }
-    if (m_calling || now < m_notBefore) {
-        return;
-    }
-    const bool ownValue = m_version && *m_version != 0 && m_value.holder == m_self && m_value.incarnation == m_incarnation;
-    if (!m_wanted) {
-        if (ownValue) {
-            const Duration wait = m_lastExpiry > now ? m_lastExpiry - now : Duration::zero();
-            write({.holder = HostId(), .incarnation = 0, .term = m_value.term, .wait = wait}, now, actions);
-        }
-        return;
-    }
-    if (!m_version) {
-        m_calling = true;
-        actions.emplace_back(ReadAuthority{m_group});
-        return;
-    }
-    if (m_holding && ownValue) {
-        if (now >= m_until - m_settings.authorityValidity + m_settings.authorityRenewal) {
-            write(m_value, now, actions);
-        }
-        return;
-    }
-    if (now >= m_takeOver) {
-        write({.holder = m_self, .incarnation = m_incarnation, .term = *m_version + 1, .wait = m_settings.authorityValidity}, now, actions);
-    }
-}
-
-void LimitAuthority::write(LimitTerm value, TimePoint now, Actions &actions)
-{
-    m_calling = true;
-    m_written = std::move(value);
-    m_expected = *m_version;
-    m_oldestSent = std::min(m_oldestSent.value_or(now), now);
-    actions.emplace_back(WriteAuthority{.group = m_group, .expectedVersion = *m_version, .value = m_written});
-}
-
-Duration LimitAuthority::withDrift(Duration wait) const
-{
-    return scaled(wait, 1 + m_settings.clockDrift);
-}
-
 }
--- a/Source/Admission/LimitDivision.h
+++ b/Source/Admission/LimitDivision.h
@@ -1,7 +1,6 @@
 #pragma once
 
-#include "Base/Ids.h"
-#include "Base/Time.h"
+#include "Membership/StoreLease.h"
 
 #include <cstdint>
 #include <map>
@@ -43,19 +42,23 @@
     std::chrono::seconds grantValidity{450}; ///< A dead host's share is lent again after this time.
     std::chrono::seconds reportInterval{180}; ///< A loan survives one lost report.
     std::chrono::seconds urgentInterval{10}; ///< Least time between reports caused by new demand or by a missing answer.
-    std::chrono::seconds authorityValidity{900}; ///< Store outages of up to this less authorityRenewal have no effect.
-    std::chrono::seconds authorityRenewal{300};
-    std::chrono::seconds storeRetry{10}; ///< After a lost store call.
+    /// Lease on each group's authority. Store outages shorter than validity less renewal have no effect.
+    LeaseSettings authority{.validity = std::chrono::seconds(900),
+                            .renewal = std::chrono::seconds(300),
+                            .successorWait = std::chrono::seconds(900),
+                            .retry = std::chrono::seconds(10)};
     std::uint32_t groups = 1024; ///< About one per host at 810 hosts, so that no host serves many.
     std::uint32_t maxHosts = 1024; ///< Hosts that may run at the same time; 810 plus replacements.
     std::uint32_t floorPercent = 20; ///< Part of each limit that is divided equally without loans.
-    double clockDrift = 0.01; ///< Added to every wait on another host's expiry.
+    double clockDrift = 0.01; ///< Added to the lender's expiry of each loan.
 };
 
 /// Share that every host has at any time.
 LimitUnits floorShare(LimitUnits limit, const LimitDivisionSettings &settings);
 /// Part of \p limit that is lent.
 LimitUnits lendableUnits(LimitUnits limit, const LimitDivisionSettings &settings);
+/// Key of the lease that gives the authority over \p group.
+std::string limitAuthorityKey(std::uint32_t group);
 /// Group of \p organisation, below settings.groups.
 std::uint32_t limitGroup(const OrganisationId &organisation, const LimitDivisionSettings &settings);
 
@@ -181,7 +184,7 @@
     std::uint64_t m_sequence = 0;
 };
 
-/// Authority over the group lasts until \c until; the limits are those in force here.
+/// The StoreLease on the group's authority, in the lender's term, lasts until \c until; the limits are those in force here.
 struct LendingAllowed {
     TimePoint until;
 };
@@ -254,102 +257,4 @@
     TimePoint m_lastExpiry = TimePoint::min();
 };
 
-/// Value of a group's authority key in the store.
-struct LimitTerm {
-    HostId holder; ///< Empty if released.
-    std::uint64_t incarnation = 0;
-    std::uint64_t term = 0;
-    Duration wait{}; ///< How long a successor must see this version unchanged before it takes over.
-};
-
-/// Whether this host should hold the authority; \c lastExpiry is that of its lender.
-struct AuthorityWanted {
-    bool wanted = false;
-    TimePoint lastExpiry;
-};
-
-/// Version 0 means that the key does not exist.
-struct AuthorityRead {
-    std::uint64_t version = 0;
-    LimitTerm value;
-};
-
-struct AuthorityWritten {
-    std::uint64_t version = 0;
-};
-
-struct AuthorityConflict {
-};
-
-/// A call timed out or its response was lost; a write may have taken effect or may still do so.
-struct AuthorityCallLost {
-};
-
-struct AuthorityTick {
-};
-
-using AuthorityEvent = std::variant<AuthorityWanted, AuthorityRead, AuthorityWritten, AuthorityConflict, AuthorityCallLost, AuthorityTick>;
-
-struct ReadAuthority {
-    std::uint32_t group = 0;
-};
-
-struct WriteAuthority {
-    std::uint32_t group = 0;
-    std::uint64_t expectedVersion = 0;
-    LimitTerm value;
-};
-
-/// Lend during \c term until \c until; a new term starts with a new LimitLender.
-struct AllowLending {
-    std::uint64_t term = 0;
-    TimePoint until;
-};
-
-struct EndLending {
-};
-
-using AuthorityAction = std::variant<ReadAuthority, WriteAuthority, AllowLending, EndLending>;
-
-/**
- * \class LimitAuthority
- * \brief Acquires, renews and releases the authority over one group through compare-and-swap.
- *
- * A successor waits until the former holder's authority has run out by any clock within the drift; loans end with it.
- */
-class LimitAuthority
-{
-public:
-    using Actions = std::vector<AuthorityAction>;
-
-    LimitAuthority(HostId self, std::uint64_t incarnation, std::uint32_t group, LimitDivisionSettings settings);
-
-    Actions handle(const AuthorityEvent &event, TimePoint now);
-
-private:
-    void onRead(const AuthorityRead &event, TimePoint now, Actions &actions);
-    void onWritten(std::uint64_t version, TimePoint now, Actions &actions);
-    void end(Actions &actions);
-    void tick(TimePoint now, Actions &actions);
-    void write(LimitTerm value, TimePoint now, Actions &actions);
-    Duration withDrift(Duration wait) const;
-
-    HostId m_self;
-    std::uint64_t m_incarnation;
-    std::uint32_t m_group;
-    LimitDivisionSettings m_settings;
-    bool m_wanted = false;
-    bool m_calling = false;
-    bool m_holding = false;
-    TimePoint m_until; ///< End of the last term; no loan of it lasts longer, and no new term starts before.
-    TimePoint m_lastExpiry;
-    std::optional<std::uint64_t> m_version; ///< Version last seen; empty if it must be read again.
-    LimitTerm m_value; ///< Value at that version.
-    TimePoint m_takeOver; ///< When the value seen may be replaced.
-    LimitTerm m_written;
-    std::uint64_t m_expected = 0; ///< Version that the unresolved writes replace.
-    std::optional<TimePoint> m_oldestSent; ///< Earliest unresolved write; a successor may have seen its effect since then.
-    TimePoint m_notBefore = TimePoint::min();
-};
-
 }
--- a/Tests/Membership/LimitDivisionTest.cpp
+++ b/Tests/Membership/LimitDivisionTest.cpp
@@ -29,9 +29,7 @@
     settings.grantValidity = seconds(30);
     settings.reportInterval = seconds(12);
     settings.urgentInterval = seconds(2);
-    settings.authorityValidity = seconds(60);
-    settings.authorityRenewal = seconds(20);
-    settings.storeRetry = seconds(3);
+    settings.authority = {.validity = seconds(60), .renewal = seconds(20), .successorWait = seconds(60), .retry = seconds(3)};
     return settings;
 }
 
@@ -46,13 +44,13 @@
 struct Process {
     Process(int number, std::uint64_t incarnation)
         : borrower(nameOf(number), incarnation, settingsForTests())
-        , authority(nameOf(number), incarnation, 0, settingsForTests())
+        , authority(nameOf(number), incarnation, limitAuthorityKey(0), settingsForTests().authority)
     {
         borrower.handle(limits, TimePoint());
     }
 
     LimitBorrower borrower;
-    LimitAuthority authority;
+    StoreLease authority;
     std::unique_ptr<LimitLender> lender;
     std::uint64_t term = 0;
     bool running = true; ///< False while paused or dead.
@@ -60,8 +58,8 @@
     TimePoint called;
 };
 
-using StoreCall = std::variant<ReadAuthority, WriteAuthority>;
-using Message = std::variant<LimitDemand, LimitGrant, StoreCall, AuthorityEvent>;
+using StoreCall = std::variant<ReadLease, WriteLease>;
+using Message = std::variant<LimitDemand, LimitGrant, StoreCall, LeaseEvent>;
 
 struct Envelope {
     int from = 0;
@@ -76,7 +74,7 @@
     std::vector<Envelope> messages;
     TimePoint now{seconds(10'000)};
     std::uint64_t version = 0;
-    LimitTerm value;
+    LeaseValue value;
     int terms = 0;
     std::uint64_t calls = 0;
 
@@ -99,15 +97,15 @@
         messages.push_back({host, hostCount, request, calls});
     }
 
-    void authority(int host, const AuthorityEvent &event)
+    void authority(int host, const LeaseEvent &event)
     {
         Process &process = at(host);
-        for (const AuthorityAction &action : process.authority.handle(event, now)) {
-            if (const auto *read = std::get_if<ReadAuthority>(&action)) {
+        for (const LeaseAction &action : process.authority.handle(event, now)) {
+            if (const auto *read = std::get_if<ReadLease>(&action)) {
                 call(host, *read);
-            } else if (const auto *write = std::get_if<WriteAuthority>(&action)) {
+            } else if (const auto *write = std::get_if<WriteLease>(&action)) {
                 call(host, *write);
-            } else if (const auto *allow = std::get_if<AllowLending>(&action)) {
+            } else if (const auto *allow = std::get_if<LeaseGranted>(&action)) {
                 if (!process.lender || process.term != allow->term) {
                     process.lender = std::make_unique<LimitLender>(0, allow->term, settingsForTests());
                     process.term = allow->term;
@@ -125,7 +123,7 @@
     void want(int host, bool wanted)
     {
         Process &process = at(host);
-        authority(host, AuthorityWanted{wanted, process.lender ? process.lender->lastExpiry() : TimePoint()});
+        authority(host, LeaseWanted{wanted, process.lender ? process.lender->lastExpiry() : TimePoint()});
     }
 
     void borrow(int host, const BorrowerEvent &event)
@@ -142,13 +140,13 @@
 
     void store(int host, const StoreCall &call, std::uint64_t number)
     {
-        AuthorityEvent answer = AuthorityRead{version, value};
-        if (const auto *write = std::get_if<WriteAuthority>(&call)) {
+        LeaseEvent answer = LeaseRead{version, value};
+        if (const auto *write = std::get_if<WriteLease>(&call)) {
             if (write->expectedVersion == version) {
                 value = write->value;
-                answer = AuthorityWritten{++version};
+                answer = LeaseWritten{++version};
             } else {
-                answer = AuthorityConflict();
+                answer = LeaseConflict();
             }
         }
         messages.push_back({hostCount, host, answer, number});
@@ -174,7 +172,7 @@
             borrow(envelope.to, LimitGrantReceived{*grant});
         } else if (envelope.call == process.call) {
             process.call = 0;
-            authority(envelope.to, std::get<AuthorityEvent>(envelope.message));
+            authority(envelope.to, std::get<LeaseEvent>(envelope.message));
         }
     }
 
@@ -194,7 +192,7 @@
             if (at(host).running) {
                 const bool late = at(host).call != 0 && now - at(host).called > seconds(5);
                 at(host).call = late ? 0 : at(host).call;
-                authority(host, late ? AuthorityEvent(AuthorityCallLost()) : AuthorityEvent(AuthorityTick()));
+                authority(host, late ? LeaseEvent(LeaseCallLost()) : LeaseEvent(LeaseTick()));
                 borrow(host, BorrowerTick());
             }
         }
@@ -293,35 +291,35 @@
 // anew while loans of an ended term run.
 TEST(LimitDivisionTest, AuthorityCountsFromEarliestWrite)
 {
-    LimitAuthority authority(nameOf(0), 1, 0, settingsForTests());
+    StoreLease authority(nameOf(0), 1, limitAuthorityKey(0), settingsForTests().authority);
     const auto at = [](int second) {
         return TimePoint(seconds(second));
     };
-    const auto allowed = [](const LimitAuthority::Actions &actions) {
-        return actions.empty() || !std::holds_alternative<AllowLending>(actions[0]) ? TimePoint() : std::get<AllowLending>(actions[0]).until;
+    const auto allowed = [](const StoreLease::Actions &actions) {
+        return actions.empty() || !std::holds_alternative<LeaseGranted>(actions[0]) ? TimePoint() : std::get<LeaseGranted>(actions[0]).until;
     };
-    authority.handle(AuthorityWanted{true, TimePoint()}, at(0));
-    const auto first = authority.handle(AuthorityRead{0, {}}, at(1));
-    const LimitTerm value = std::get<WriteAuthority>(first[0]).value;
-    authority.handle(AuthorityCallLost(), at(6));
-    authority.handle(AuthorityTick(), at(10));
-    CHECK_TEXT(allowed(authority.handle(AuthorityRead{1, value}, at(12))) == at(61), "the write was sent at second 1");
-    LONGS_EQUAL(1, authority.handle(AuthorityTick(), at(21)).size());
-    authority.handle(AuthorityCallLost(), at(26));
-    authority.handle(AuthorityTick(), at(30));
-    const auto again = authority.handle(AuthorityRead{1, value}, at(35));
+    authority.handle(LeaseWanted{true, TimePoint()}, at(0));
+    const auto first = authority.handle(LeaseRead{0, {}}, at(1));
+    const LeaseValue value = std::get<WriteLease>(first[0]).value;
+    authority.handle(LeaseCallLost(), at(6));
+    authority.handle(LeaseTick(), at(10));
+    CHECK_TEXT(allowed(authority.handle(LeaseRead{1, value}, at(12))) == at(61), "the write was sent at second 1");
+    LONGS_EQUAL(1, authority.handle(LeaseTick(), at(21)).size());
+    authority.handle(LeaseCallLost(), at(26));
+    authority.handle(LeaseTick(), at(30));
+    const auto again = authority.handle(LeaseRead{1, value}, at(35));
     CHECK_TEXT(allowed(again) == TimePoint(), "the renewal has not taken effect");
-    LONGS_EQUAL(1, std::get<WriteAuthority>(again[0]).expectedVersion);
-    CHECK_TEXT(allowed(authority.handle(AuthorityWritten{2}, at(36))) == at(81), "the renewal of second 21 may have been the one seen");
-    const auto release = authority.handle(AuthorityWanted{false, at(70)}, at(40));
-    CHECK(std::holds_alternative<EndLending>(release[0]));
-    CHECK(std::get<WriteAuthority>(release[1]).value.wait == seconds(30));
-    authority.handle(AuthorityWanted{true, at(70)}, at(41));
-    authority.handle(AuthorityCallLost(), at(45));
-    authority.handle(AuthorityTick(), at(50));
-    LONGS_EQUAL_TEXT(0, authority.handle(AuthorityRead{2, value}, at(51)).size(), "loans of the ended term may run until second 81");
-    const auto next = authority.handle(AuthorityTick(), at(81));
-    LONGS_EQUAL(3, std::get<WriteAuthority>(next[0]).value.term);
+    LONGS_EQUAL(1, std::get<WriteLease>(again[0]).expectedVersion);
+    CHECK_TEXT(allowed(authority.handle(LeaseWritten{2}, at(36))) == at(81), "the renewal of second 21 may have been the one seen");
+    const auto release = authority.handle(LeaseWanted{false, at(70)}, at(40));
+    CHECK(std::holds_alternative<LeaseEnded>(release[0]));
+    CHECK(std::get<WriteLease>(release[1]).value.wait == seconds(30));
+    authority.handle(LeaseWanted{true, at(70)}, at(41));
+    authority.handle(LeaseCallLost(), at(45));
+    authority.handle(LeaseTick(), at(50));
+    LONGS_EQUAL_TEXT(0, authority.handle(LeaseRead{2, value}, at(51)).size(), "loans of the ended term may run until second 81");
+    const auto next = authority.handle(LeaseTick(), at(81));
+    LONGS_EQUAL(3, std::get<WriteLease>(next[0]).value.term);
 }
 
 // Guards against loans that are lent again while their borrower may still use them, and against grants that overtake each other.
