--- a/Source/Admission/UpstreamDispatcher.cpp
+++ b/Source/Admission/UpstreamDispatcher.cpp
@@ -273,9 +273,7 @@
 {
     m_released = false;
     m_former.began(event.assumedRequests, event.assumedPrefillTokens);
-    if (acceptsWork(m_health.state())) {
-        m_health.becomeCold(now);
-    }
+    m_health.takenOver(now);
 }
 
 void UpstreamDispatcher::on(TimePoint, const DispatcherEvent::HandOverReceived &event)
@@ -514,7 +512,12 @@
     }
     const Caps caps = m_health.caps();
     const double reserve = largestReserve * std::clamp(m_preset.shortWeight, 0.0, 1.0);
-    return fits(attempt, static_cast<std::uint32_t>(reserve * caps.requests), static_cast<std::uint64_t>(reserve * static_cast<double>(caps.prefillTokens)));
+    auto tokens = static_cast<std::uint64_t>(reserve * static_cast<double>(caps.prefillTokens));
+    if (attempt.uncachedTokens + tokens > caps.prefillTokens) {
+        // The largest prompts would otherwise wait until they are due.
+        tokens = 0;
+    }
+    return fits(attempt, static_cast<std::uint32_t>(reserve * caps.requests), tokens);
 }
 
 bool UpstreamDispatcher::shortsHeldBack(TimePoint now) const
--- a/Source/Admission/UpstreamHealth.cpp
+++ b/Source/Admission/UpstreamHealth.cpp
@@ -45,10 +45,10 @@
     m_epoch = epoch;
     m_uptime = uptime;
     if (restarted || (first && m_state == UpstreamState::Unknown)) {
-        const bool blocked = m_state == UpstreamState::Out || m_state == UpstreamState::Suspect;
         const UpstreamState kept = m_state;
         becomeCold(now);
-        m_state = blocked ? kept : UpstreamState::Cold;
+        // A restart ends an announced shutdown; operators' decisions and a pending probe stay.
+        m_state = kept == UpstreamState::Out || kept == UpstreamState::Suspect ? kept : UpstreamState::Cold;
     }
 }
 
@@ -98,6 +98,13 @@
     }
 }
 
+void UpstreamHealth::takenOver(TimePoint now)
+{
+    const UpstreamState kept = m_state;
+    becomeCold(now);
+    m_state = acceptsWork(kept) ? UpstreamState::Cold : kept;
+}
+
 void UpstreamHealth::becomeCold(TimePoint now)
 {
     m_state = UpstreamState::Cold;
--- a/Source/Admission/UpstreamHealth.h
+++ b/Source/Admission/UpstreamHealth.h
@@ -38,8 +38,8 @@
     void broughtBack(TimePoint now);
     void leaving();
 
-    /// Back to the cold caps, for example because another host's dispatcher may still be active.
-    void becomeCold(TimePoint now);
+    /// Back to the cold caps in any state, because another host's dispatcher may still be active.
+    void takenOver(TimePoint now);
 
     /// Takes over the caps that the former dispatcher has learned.
     void adoptCaps(const Caps &caps);
@@ -51,6 +51,7 @@
     void overloaded(TimePoint now, TimePoint sentAt);
 
 private:
+    void becomeCold(TimePoint now);
     void updateWarmth();
 
     Caps m_cold;
--- a/Source/Routing/EstimatedFirstTokenChooser.cpp
+++ b/Source/Routing/EstimatedFirstTokenChooser.cpp
@@ -10,6 +10,9 @@
 
 namespace {
 
+// Factor at shortWeight 1 by which a long prompt's estimate is raised, in addition to 1, at an upstream for short ones.
+constexpr double overflowPenalty = 4;
+
 using Candidates = std::vector<const UpstreamView *>;
 
 bool fitsCap(const RequestProfile &request, const UpstreamView &view)
@@ -20,10 +23,7 @@
 
 bool servesClass(const RequestProfile &request, const UpstreamView &view)
 {
-    if (request.lengthClass == LengthClass::Long) {
-        return view.takesLong;
-    }
-    return !view.takesLong || LongShareAllocator::lendsToShort(view);
+    return request.lengthClass == LengthClass::Long || !view.takesLong || LongShareAllocator::lendsToShort(view);
 }
 
 /// Views that accept work; narrowed to those whose cap holds the prompt and that serve its class, as far as any are left.
@@ -88,7 +88,12 @@
 Seconds EstimatedFirstTokenChooser::cost(const RequestProfile &request, const UpstreamView &view) const
 {
     Seconds total = m_estimator.timeToFirstToken(request, view);
-    if (request.lengthClass != LengthClass::Long && view.prefillTokens(LengthClass::Long) > 0) {
+    if (request.lengthClass == LengthClass::Long) {
+        // An upstream of the short ones is used when the wait at the long ones is several times as long, so that a share
+        // that is too small for the load does not hold long prompts until they are due.
+        return view.takesLong ? total : total * (1 + overflowPenalty * m_shortWeight);
+    }
+    if (view.prefillTokens(LengthClass::Long) > 0) {
         // At shortWeight 0.5 a second of delay to the long prompt counts as much as a second of the short one's own wait.
         total += 2 * (1 - m_shortWeight) * m_estimator.prefillTime(request, view);
     }
--- a/Source/Routing/EstimatedFirstTokenChooser.h
+++ b/Source/Routing/EstimatedFirstTokenChooser.h
@@ -11,9 +11,9 @@
  * \class EstimatedFirstTokenChooser
  * \brief Default policy: the least estimated time to first token among some random candidates and the best cache holder.
  *
- * Long prompts compare all upstreams that take long ones. Short and medium prompts use the upstreams that take no long
- * ones and those that have no long work now; the delay that they would cause to a long prompt counts with the preset's
- * weight. A cached prefix only shortens the estimate, so it is overridden when the wait exceeds the time it saves.
+ * Long prompts compare all upstreams and use one that takes no long ones only if its estimate is several times better. Short and medium prompts use the
+ * upstreams that take no long ones and those that have no long work now; the delay that they would cause to a long prompt counts with the preset's weight. A
+ * cached prefix only shortens the estimate, so it is overridden when the wait exceeds the time it saves.
  */
 class EstimatedFirstTokenChooser final : public UpstreamChooser
 {
--- a/Source/Routing/LongShareAllocator.cpp
+++ b/Source/Routing/LongShareAllocator.cpp
@@ -10,8 +10,9 @@
 
 namespace {
 
-// The odds of a long upstream change by this power of e between shortWeight 0.5 and 0 or 1.
-constexpr double weightExponent = 1;
+// The odds of a long upstream change by this power of e between shortWeight 0.5 and 0 or 1. With 1, weight 1 left the long
+// upstreams overloaded at 70% load, and long prompts waited until they were due.
+constexpr double weightExponent = 0.4;
 // The number of long upstreams changes only if the target is off by more than this, so that noise moves no prompts.
 constexpr double hysteresis = 0.75;
 
--- a/Tests/Admission/UpstreamDispatcherTest.cpp
+++ b/Tests/Admission/UpstreamDispatcherTest.cpp
@@ -46,12 +46,12 @@
             enqueue();
         } else if (kind < 75) {
             progress(kind);
-        } else if (kind < 85) {
+        } else if (kind < 82) {
             report();
-        } else if (kind < 90) {
+        } else if (kind < 85) {
             apply(DispatcherEvent::Tick{});
         } else {
-            change(kind);
+            change(*rc::gen::inRange(0, 13));
         }
     }
 
@@ -83,7 +83,8 @@
         attempt.attempt.sequence = ++m_sequence;
         attempt.organisation = OrganisationId(std::to_string(*rc::gen::inRange(0, 3)));
         attempt.lengthClass = static_cast<LengthClass>(*rc::gen::inRange(0, 3));
-        attempt.promptTokens = *rc::gen::inRange<std::uint64_t>(0, attempt.lengthClass == LengthClass::Long ? 70'000 : 5'000);
+        constexpr PerClass<std::uint64_t> largest = {5'000, 30'000, 70'000};
+        attempt.promptTokens = *rc::gen::inRange<std::uint64_t>(0, largest[indexOf(attempt.lengthClass)]);
         attempt.uncachedTokens = attempt.promptTokens;
         attempt.arrival = m_now;
         attempt.deadline = m_now + std::chrono::milliseconds(*rc::gen::inRange(0, 20'000));
@@ -148,35 +149,38 @@
     void change(int kind)
     {
         switch (kind) {
-        case 90:
+        case 0:
             ++m_epoch;
             break;
-        case 91:
+        case 1:
             apply(DispatcherEvent::Unresponsive{});
             break;
-        case 92:
+        case 2:
             apply(DispatcherEvent::TakenOut{});
             break;
-        case 93:
+        case 3:
             apply(DispatcherEvent::UpstreamLeaving{});
             break;
-        case 94:
+        case 4:
             apply(DispatcherEvent::Released{});
             break;
-        case 95:
+        case 5:
+        case 9:
+        case 10:
+        case 11:
             beginTakeover();
             break;
-        case 96:
+        case 6:
             if (!m_formerDead) {
                 handOver();
             }
             break;
-        case 97:
+        case 7:
             m_formerDead = true;
             m_diedAt = m_now;
             apply(DispatcherEvent::OldOwnerDead{});
             break;
-        case 98:
+        case 8:
             apply(DispatcherEvent::ProbeSucceeded{});
             break;
         default:
@@ -187,7 +191,7 @@
     /// The former owner runs at most what its last summary said.
     void beginTakeover()
     {
-        m_former = *rc::gen::container<std::vector<std::uint64_t>>(*rc::gen::inRange<std::size_t>(0, 4), rc::gen::inRange<std::uint64_t>(0, 6'000));
+        m_former = *rc::gen::container<std::vector<std::uint64_t>>(*rc::gen::inRange<std::size_t>(0, 4), rc::gen::inRange<std::uint64_t>(0, 8'000));
         std::uint64_t tokens = 0;
         for (const std::uint64_t prompt : m_former) {
             tokens += prompt;
@@ -224,6 +228,9 @@
                 RC_ASSERT(m_sent.contains(cancel->attempt.sequence));
             }
         }
+        if (!m_settled && !m_maybeSettled) {
+            RC_ASSERT(m_dispatcher.summary().caps == (Caps{makeSpec().coldRequests, makeSpec().coldPrefillTokens}));
+        }
         m_history.emplace_back(m_now, static_cast<std::uint32_t>(m_sent.size() + m_former.size()));
         RC_ASSERT(m_dispatcher.inFlight().size() == m_sent.size());
     }
@@ -324,3 +331,25 @@
     dispatcher.handle(now + 2s, DispatcherEvent::LoadReported{1, 2s, 0, 0, 1s});
     LONGS_EQUAL(1, dispatcher.inFlight().size());
 }
+
+// Guards against a full queue of one organisation that shuts out another one.
+TEST(UpstreamDispatcherTest, FullQueueAdmitsAnOrganisationBelowItsShare)
+{
+    Preset preset;
+    preset.queueLimit = 4;
+    UpstreamDispatcher dispatcher(makeSpec(), preset);
+    QueuedAttempt attempt;
+    attempt.organisation = OrganisationId("large");
+    attempt.deadline = TimePoint(1h);
+    for (attempt.attempt.sequence = 1; attempt.attempt.sequence <= 6; ++attempt.attempt.sequence) {
+        dispatcher.handle(TimePoint(), DispatcherEvent::Enqueued{attempt});
+    }
+    const auto full = dispatcher.handle(TimePoint(), DispatcherEvent::Enqueued{attempt});
+    CHECK(std::get<DispatcherAction::Refuse>(full.at(0)).attempt == attempt.attempt);
+    attempt.attempt.sequence = 8;
+    attempt.organisation = OrganisationId("small");
+    const auto evicted = dispatcher.handle(TimePoint(), DispatcherEvent::Enqueued{attempt});
+    LONGS_EQUAL(6, std::get<DispatcherAction::Refuse>(evicted.at(0)).attempt.sequence);
+    CHECK(std::get<DispatcherAction::Refuse>(evicted.at(0)).kind == ErrorKind::QueueFull);
+    LONGS_EQUAL(4, dispatcher.summary().queuedRequests);
+}
