--- a/Source/Admission/LimitDivision.h
+++ b/Source/Admission/LimitDivision.h
@@ -43,7 +43,7 @@
     std::chrono::seconds reportInterval{180}; ///< A loan survives one lost report.
     std::chrono::seconds urgentInterval{10}; ///< Least time between reports caused by new demand or by a missing answer.
     /// Lease on each group's authority. Store outages shorter than validity less renewal have no effect.
-    LeaseSettings authority{.validity = std::chrono::seconds(900),
+    Membership::LeaseSettings authority{.validity = std::chrono::seconds(900),
                             .renewal = std::chrono::seconds(300),
                             .successorWait = std::chrono::seconds(900),
                             .retry = std::chrono::seconds(10)};
--- /dev/null
+++ b/Source/Daemon/AnswerSession.h
@@ -0,0 +1,114 @@
+#pragma once
+
+#include "Daemon/AttemptListener.h"
+#include "Daemon/EntryRouter.h"
+#include "Daemon/TrafficWorker.h"
+#include "Peer/PeerMessages_generated.h"
+#include "Streams/StreamSession.h"
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include <deque>
+#include <functional>
+#include <map>
+#include <optional>
+#include <string>
+
+namespace Mangofall {
+
+/**
+ * \class AnswerRequest
+ * \brief What a session sends to an upstream, whichever attempt it is.
+ */
+struct AnswerRequest {
+    RequestProfile profile;
+    std::uint32_t weight = 1;
+    RequestId id;
+    std::string method;
+    std::string target;
+    std::vector<std::pair<std::string, std::string>> headers;
+    bool tokenStream = true;
+    std::size_t promptBytes = 0;
+    std::string traceParent;
+    /// Makes the body; the argument is the text that another upstream already delivered, or empty.
+    std::function<std::string(std::string_view)> makeBody;
+};
+
+/**
+ * \class AnswerSession
+ * \brief Drives one caller's StreamSession: carries out its actions and turns messages into its events.
+ *
+ * The caller's coroutine takes the pieces of the answer with next().
+ */
+class AnswerSession : private AttemptListener
+{
+public:
+    /// \p worker must outlive the session.
+    AnswerSession(TrafficWorker &worker, AnswerRequest request);
+    ~AnswerSession() override;
+    AnswerSession(const AnswerSession &) = delete;
+    AnswerSession &operator=(const AnswerSession &) = delete;
+
+    /// The next piece of the answer; empty once it ended.
+    boost::asio::awaitable<std::optional<std::string>> next();
+
+    /// The caller is gone: cancels what runs.
+    void callerLeft();
+
+    /// Set once next() returned nothing.
+    ErrorKind error() const;
+    bool notRun() const;
+
+    /// Status and content type that the upstream answered with; 0 before the answer began.
+    unsigned upstreamStatus() const;
+    const std::string &contentType() const;
+    std::uint64_t promptTokens() const;
+    std::uint32_t tokens() const;
+
+private:
+    void handleAnswer(const Wire::PeerMessageT &message) override;
+    void handleLinkBroken(const HostId &host) override;
+
+    void apply(const StreamEvent &event);
+    void carryOut(const std::vector<StreamAction> &actions);
+    void on(const ChooseUpstream &action);
+    void on(const OpenAttempt &action);
+    void on(const CloseConnection &action);
+    void on(const CancelAttempt &action);
+    void on(const ProbeUpstream &action);
+    void on(const SuspectUpstream &action);
+    void on(const PauseReading &action);
+    void on(const ResumeReading &action);
+    void on(const Deliver &action);
+    void on(const Finish &action);
+    void on(const Fail &action);
+    void handleEnd(const Wire::StreamEndT &end);
+    void setPaused(std::uint64_t connection, bool paused);
+    void wake();
+
+    TrafficWorker &m_worker;
+    AnswerRequest m_request;
+    TrafficWorker::SessionGuard m_guard;
+    StreamSession m_session;
+    boost::asio::steady_timer m_timer;
+    std::deque<StreamEvent> m_events;
+    bool m_applying = false;
+    std::deque<std::string> m_pieces;
+    bool m_awaitingWrite = false; ///< A piece was taken and CallerReady is due with the next call.
+    std::string m_delivered; ///< Text for a continuation on another upstream.
+    AttemptId m_attempt;
+    UpstreamId m_upstream;
+    ConnectionNumber m_connection = 0;
+    std::map<UpstreamId, std::uint64_t> m_cachedTokens;
+    std::map<std::uint64_t, std::uint64_t> m_probes; ///< Worker's probe number to the session's.
+    bool m_ended = false;
+    ErrorKind m_error = ErrorKind::None;
+    bool m_notRun = false;
+    unsigned m_status = 0;
+    std::string m_contentType;
+    std::uint64_t m_promptTokens = 0;
+    std::uint32_t m_tokens = 0;
+};
+
+}
--- /dev/null
+++ b/Source/Daemon/CallerHandler.h
@@ -0,0 +1,61 @@
+#pragma once
+
+#include "Base/ErrorKind.h"
+#include "Config/OrganisationSpec.h"
+#include "Config/RouteSpec.h"
+#include "Daemon/CompletionRequest.h"
+#include "Http/HttpHandler.h"
+#include "Telemetry/TraceContext.h"
+
+#include <memory>
+#include <string>
+
+namespace Mangofall {
+
+class AnswerSession;
+class HttpExchange;
+class TrafficWorker;
+
+/**
+ * \class CallerHandler
+ * \brief Answers callers: model requests, plain routes, orders, health and metrics.
+ */
+class CallerHandler : public HttpHandler
+{
+public:
+    /// \p worker must outlive the handler.
+    explicit CallerHandler(TrafficWorker &worker);
+
+    boost::asio::awaitable<void> handle(HttpExchange &exchange) override;
+    boost::asio::awaitable<void> handleUnreadable(HttpExchange &exchange, unsigned status) override;
+
+private:
+    /// A caller's request that passed the checks common to all routes.
+    struct Admitted {
+        const OrganisationSpec *organisation = nullptr;
+        RequestId id;
+        TraceContext trace;
+        std::uint64_t parentSpan = 0;
+        std::chrono::system_clock::time_point start;
+    };
+
+    boost::asio::awaitable<void> route(HttpExchange &exchange, Admitted admitted);
+    boost::asio::awaitable<void> handleCompletion(HttpExchange &exchange, const Admitted &admitted, CompletionKind kind);
+    boost::asio::awaitable<void> streamAnswer(HttpExchange &exchange, AnswerSession &session, const CompletionRequest &request, const RequestId &id);
+    boost::asio::awaitable<void> collectAnswer(HttpExchange &exchange, AnswerSession &session, const CompletionRequest &request, const RequestId &id);
+    boost::asio::awaitable<void> handleModels(HttpExchange &exchange);
+    boost::asio::awaitable<void> handlePlain(HttpExchange &exchange, const Admitted &admitted, const RouteSpec &route);
+    boost::asio::awaitable<void> handleOrder(HttpExchange &exchange, const Admitted &admitted, const RouteSpec &route);
+    boost::asio::awaitable<void> handleStatus(HttpExchange &exchange);
+    boost::asio::awaitable<void> refuse(HttpExchange &exchange, ErrorKind kind, bool notRun, const RequestId &id, std::string message = {});
+    /// Ends a stream that already began.
+    boost::asio::awaitable<void> breakOff(HttpExchange &exchange, ErrorKind kind, const RequestId &id);
+
+    ErrorKind admit(HttpExchange &exchange, Admitted &admitted);
+    void recordSpan(const Admitted &admitted, const std::string &name, ErrorKind kind);
+    void countAnswer(ErrorKind kind);
+
+    TrafficWorker &m_worker;
+};
+
+}
--- /dev/null
+++ b/Source/Daemon/ControlPlane.cpp
@@ -0,0 +1,689 @@
+#include "Daemon/ControlPlane.h"
+
+#include "Base/Hash.h"
+#include "Config/FleetJson.h"
+#include "Daemon/TrafficWorker.h"
+#include "Daemon/WireAttempt.h"
+#include "Daemon/WireLoad.h"
+#include "Peer/PeerCodec.h"
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/read.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include <nlohmann/json.hpp>
+
+#include <charconv>
+#include <csignal>
+
+namespace Mangofall {
+
+namespace {
+
+namespace Asio = boost::asio;
+
+using Json = nlohmann::json;
+
+constexpr std::chrono::milliseconds tickInterval{100};
+constexpr std::uint32_t ticksPerHostList = 20;
+constexpr std::chrono::milliseconds hostListTimeout{1000};
+constexpr std::chrono::seconds helloTimeout{2};
+constexpr std::size_t maxHelloBytes = 64UL * 1024;
+constexpr std::size_t watchersPerDataCentre = 2;
+constexpr std::size_t maxDigestLoads = 64;
+constexpr std::uint32_t ticksPerSpanFlush = 5;
+
+// After the announcement the balancer and the peers get this long to stop sending new work to a host that leaves.
+constexpr std::chrono::milliseconds settleTime{1500};
+
+// Without a known former dispatcher, hand-overs of hosts that this host has not met yet arrive within this time.
+constexpr std::chrono::seconds unknownOwnerGrace{3};
+
+const char *nameOf(Membership::HostState state)
+{
+    switch (state) {
+    case Membership::HostState::Listed:
+        return "listed";
+    case Membership::HostState::Alive:
+        return "alive";
+    case Membership::HostState::Leaving:
+        return "leaving";
+    case Membership::HostState::Suspect:
+        return "suspect";
+    case Membership::HostState::Dead:
+        break;
+    }
+    return "dead";
+}
+
+const char *nameOf(UpstreamState state)
+{
+    switch (state) {
+    case UpstreamState::Unknown:
+        return "unknown";
+    case UpstreamState::Cold:
+        return "cold";
+    case UpstreamState::Warming:
+        return "warming";
+    case UpstreamState::Warm:
+        return "warm";
+    case UpstreamState::Suspect:
+        return "suspect";
+    case UpstreamState::Out:
+        return "out";
+    case UpstreamState::Leaving:
+        break;
+    }
+    return "leaving";
+}
+
+Membership::ListedHost toListed(const HostListEntry &entry, std::uint16_t defaultPort)
+{
+    Membership::ListedHost host;
+    host.host = entry.id;
+    host.dataCentre = entry.dataCentre;
+    const std::size_t colon = entry.address.rfind(':');
+    host.address = entry.address.substr(0, colon);
+    host.port = defaultPort;
+    if (colon != std::string::npos) {
+        std::from_chars(entry.address.data() + colon + 1, entry.address.data() + entry.address.size(), host.port);
+    }
+    host.leaving = entry.state == HostListState::Leaving;
+    return host;
+}
+
+Json loadJson(const LoadSummary &load)
+{
+    return {{"upstream", load.upstream.value()},
+            {"state", nameOf(load.state)},
+            {"request_cap", load.caps.requests},
+            {"prefill_cap_tokens", load.caps.prefillTokens},
+            {"in_flight_requests", load.inFlightRequests},
+            {"queued_requests", load.queuedRequests}};
+}
+
+Wire::HandOverT toWireHandOver(const HandOverMessage &message)
+{
+    Wire::HandOverT wire;
+    wire.upstream = message.upstream.value();
+    wire.epoch = message.epoch;
+    wire.request_cap = message.caps.requests;
+    wire.prefill_cap = message.caps.prefillTokens;
+    for (const HandOverMessage::Item &item : message.inFlight) {
+        auto entry = std::make_unique<Wire::InFlightEntryT>();
+        entry->attempt = toWire(item.attempt);
+        entry->prefill_tokens = item.prefillTokens;
+        wire.in_flight.push_back(std::move(entry));
+    }
+    return wire;
+}
+
+HandOverMessage fromWireHandOver(const Wire::HandOverT &wire)
+{
+    HandOverMessage message;
+    message.upstream = UpstreamId(wire.upstream);
+    message.epoch = wire.epoch;
+    message.caps.requests = wire.request_cap;
+    message.caps.prefillTokens = wire.prefill_cap;
+    for (const auto &entry : wire.in_flight) {
+        if (entry->attempt) {
+            message.inFlight.push_back({fromWire(*entry->attempt), entry->prefill_tokens});
+        }
+    }
+    return message;
+}
+
+}
+
+ControlPlane::ControlPlane(HostContext &host, std::string operatorKey)
+    : m_host(host)
+    , m_log("control")
+    , m_context(1)
+    , m_timer(m_context)
+    , m_signals(m_context, SIGTERM, SIGINT)
+    , m_random(hash64(host.settings.hostId.value()) + host.incarnation)
+    , m_pool(host, *this)
+    , m_keyValueStore(m_context, host.settings.store)
+    , m_hostList(m_context, host.settings.hostList)
+    , m_store(m_keyValueStore, host.metrics, m_random)
+    , m_links(m_context, host, *this)
+    , m_membership(m_context, host, m_links, *this)
+    , m_configuration(m_store, m_random, *this)
+    , m_orders(m_context, host, m_pool, m_store, *this)
+    , m_operatorHandler(*this, std::move(operatorKey))
+    , m_operatorListener(m_context, m_operatorHandler, host.settings.maxBodyBytes)
+    , m_peerListener(m_context, [this](Asio::ip::tcp::socket socket) {
+        Asio::co_spawn(m_context, readHello(std::move(socket)), Asio::detached);
+    })
+{
+}
+
+ControlPlane::~ControlPlane() = default;
+
+std::error_code ControlPlane::listen()
+{
+    const Settings &settings = m_host.settings;
+    std::error_code error = m_peerListener.listen(settings.peerListener.address, settings.peerListener.port, false);
+    if (!error) {
+        error = m_operatorListener.listen(settings.operatorListener.address, settings.operatorListener.port);
+    }
+    if (!error) {
+        error = m_pool.start();
+    }
+    return error;
+}
+
+void ControlPlane::run()
+{
+    m_signals.async_wait([this](const boost::system::error_code &error, int) {
+        if (!error) {
+            startStop();
+        }
+    });
+    m_configuration.start();
+    scheduleTick();
+    m_context.run();
+    m_pool.stop();
+    m_host.spans.flush();
+}
+
+Asio::io_context &ControlPlane::context()
+{
+    return m_context;
+}
+
+std::uint16_t ControlPlane::operatorPort() const
+{
+    return m_operatorListener.port();
+}
+
+std::uint16_t ControlPlane::callerPort() const
+{
+    return m_pool.callerPort();
+}
+
+std::uint16_t ControlPlane::peerPort() const
+{
+    return m_peerListener.port();
+}
+
+void ControlPlane::submitChange(ConfigurationChange change, ConfigurationRuntime::ChangeHandler handler)
+{
+    m_configuration.submit(std::move(change), std::move(handler));
+}
+
+bool ControlPlane::settleOrder(const OrderKey &key, bool ran)
+{
+    return m_orders.settle(key, ran);
+}
+
+Json ControlPlane::statusJson() const
+{
+    Json hosts = Json::array();
+    const auto self = m_membership.table().self();
+    const char *state = m_leaving ? "leaving" : "alive";
+    hosts.push_back(
+        {{"id", self.host.value()}, {"data_centre", self.dataCentre.value()}, {"state", state}, {"revision", m_configuration.replica().revision()}});
+    for (const auto &[id, record] : m_membership.table().hosts()) {
+        Json host = {{"id", id.value()}, {"data_centre", record.status.dataCentre.value()}, {"state", nameOf(record.status.state)}};
+        host["revision"] = record.status.revision;
+        hosts.push_back(std::move(host));
+    }
+    Json upstreams = Json::array();
+    for (const auto &[worker, loads] : m_loads) {
+        for (const LoadSummary &load : loads) {
+            upstreams.push_back(loadJson(load));
+        }
+    }
+    Json json;
+    json["host"] = self.host.value();
+    json["revision"] = m_configuration.replica().revision();
+    json["preset_in_force"] = m_routing ? m_routing->configuration().presetInForce.value() : "";
+    json["admitting"] = m_admitting && !m_leaving;
+    json["dispatching"] = m_membership.mayDispatch();
+    json["leaving"] = m_leaving;
+    json["hosts"] = std::move(hosts);
+    json["upstreams"] = std::move(upstreams);
+    return json;
+}
+
+Json ControlPlane::configurationJson() const
+{
+    return m_routing ? encodeFleetConfiguration(m_routing->configuration()) : Json(nullptr);
+}
+
+Json ControlPlane::historyJson() const
+{
+    Json changes = Json::array();
+    if (m_routing) {
+        const Json configuration = encodeFleetConfiguration(m_routing->configuration());
+        changes = configuration.value("recentChanges", Json::array());
+    }
+    Json json;
+    json["changes"] = std::move(changes);
+    return json;
+}
+
+Json ControlPlane::limitsJson() const
+{
+    Json limits = Json::array();
+    if (m_routing) {
+        for (const auto &[id, organisation] : m_routing->configuration().organisations) {
+            Json limit = {{"organisation", id.value()}, {"weight", organisation.weight}};
+            limit["requests_per_second"] = organisation.requestsPerSecond;
+            limit["tokens_in_flight"] = organisation.tokensInFlight;
+            limits.push_back(std::move(limit));
+        }
+    }
+    Json json;
+    json["limits"] = std::move(limits);
+    return json;
+}
+
+Json ControlPlane::ordersJson() const
+{
+    Json orders = Json::array();
+    for (const Orders::OrderRecord &record : m_orders.unresolved()) {
+        Json order = {{"key", record.claim.key.value()}, {"organisation", record.claim.organisation.value()}};
+        order["service"] = record.claim.service.value();
+        order["upstream"] = record.claim.upstream.value();
+        order["claimed_at_ms"] = record.claim.claimedAt.time_since_epoch().count();
+        orders.push_back(std::move(order));
+    }
+    Json json;
+    json["orders"] = std::move(orders);
+    return json;
+}
+
+void ControlPlane::submitOrder(OrderSubmission &&order, std::function<void(OrderAnswer)> answered)
+{
+    auto shared = std::make_shared<OrderSubmission>(std::move(order));
+    Asio::post(m_context, [this, shared, answered = std::move(answered)] {
+        m_orders.submit(std::move(*shared), answered);
+    });
+}
+
+void ControlPlane::sendHandOver(const HandOverMessage &message)
+{
+    Asio::post(m_context, [this, message] {
+        const auto ownership = m_membership.ownership();
+        const Membership::Owner *owner = ownership ? ownership->dispatcherOf(message.upstream) : nullptr;
+        if (owner != nullptr && owner->host != m_host.settings.hostId) {
+            sendToPeer(owner->host, toMessage(toWireHandOver(message)));
+        }
+    });
+}
+
+void ControlPlane::reportLoads(std::size_t worker, std::vector<LoadSummary> loads)
+{
+    Asio::post(m_context, [this, worker, loads = std::move(loads)] {
+        for (const LoadSummary &load : loads) {
+            m_dataCentreLoads[load.upstream] = load;
+        }
+        m_loads[worker] = loads;
+    });
+}
+
+void ControlPlane::upstreamStateChanged(const UpstreamId &upstream, UpstreamState from, UpstreamState to)
+{
+    m_host.metrics.upstreamStates(nameOf(to)).Increment();
+    m_log.info("Upstream " + upstream.value() + " changed from " + nameOf(from) + " to " + nameOf(to) + ".");
+}
+
+void ControlPlane::linkBroken(const HostId &host)
+{
+    Asio::post(m_context, [this, host] {
+        m_membership.connectionBroken(host);
+    });
+}
+
+void ControlPlane::reportActivity(std::size_t worker, std::size_t sessions, std::size_t attempts, TimePoint latestDeadline)
+{
+    Asio::post(m_context, [this, worker, sessions, attempts, latestDeadline] {
+        m_activity[worker] = {sessions, attempts, latestDeadline};
+    });
+}
+
+void ControlPlane::viewChanged(const std::vector<Membership::OwnershipMoved> &moves)
+{
+    noteMoves(moves);
+    m_orders.ownershipMoved(moves);
+    chooseWatchers();
+    publish();
+}
+
+void ControlPlane::hostDied(const HostId &)
+{
+    settleTakeovers(std::chrono::steady_clock::now());
+}
+
+void ControlPlane::fetchConfiguration(const HostId &host, Revision revision)
+{
+    m_configuration.peerReported(host, revision);
+}
+
+void ControlPlane::peerReported(const HostId &host, Revision revision)
+{
+    m_configuration.peerReported(host, revision);
+}
+
+void ControlPlane::loadsReceived(const std::string &report)
+{
+    if (report.empty()) {
+        return;
+    }
+    const std::vector<LoadSummary> loads = decodeLoadReport(report);
+    for (const LoadSummary &load : loads) {
+        if (isOfDataCentre(load.upstream)) {
+            m_dataCentreLoads[load.upstream] = load;
+        }
+    }
+    m_pool.updateLoads(loads);
+}
+
+void ControlPlane::replaced()
+{
+    startStop();
+}
+
+void ControlPlane::configurationAdopted(const std::shared_ptr<const FleetConfiguration> &configuration)
+{
+    m_routing = std::make_shared<RoutingIndex>(configuration);
+    m_host.metrics.configurationRevision().Set(static_cast<double>(configuration->revision));
+    m_membership.setConfiguration(*configuration);
+    publish();
+}
+
+void ControlPlane::admittingChanged(bool admitting)
+{
+    m_admitting = admitting;
+    publish();
+}
+
+void ControlPlane::sendToPeer(const HostId &host, Wire::PeerMessageT &&message)
+{
+    const auto &hosts = m_membership.table().hosts();
+    const auto record = hosts.find(host);
+    if (record != hosts.end()) {
+        m_links.send(host, {record->second.status.address, record->second.status.port}, std::move(message));
+    }
+}
+
+std::map<HostId, PeerAddress> ControlPlane::peersOfDataCentre() const
+{
+    return m_membership.peersOfDataCentre();
+}
+
+const Membership::Owner *ControlPlane::ownerOfShard(std::uint32_t shard) const
+{
+    const auto ownership = m_membership.ownership();
+    return ownership ? ownership->ownerOf({m_host.settings.region, shard}) : nullptr;
+}
+
+std::shared_ptr<const RoutingIndex> ControlPlane::routing() const
+{
+    return m_routing;
+}
+
+void ControlPlane::handleMessage(const std::shared_ptr<PeerConnection> &connection, Wire::PeerMessageT &&message)
+{
+    if (m_membership.handle(connection, message)) {
+        return;
+    }
+    const auto inbound = m_inbound.find(connection);
+    const HostId peer = inbound == m_inbound.end() ? m_links.hostOf(connection) : inbound->second;
+    if (m_configuration.handle(peer, message) || m_orders.handle(peer, message)) {
+        return;
+    }
+    if (const Wire::HandOverT *handOver = message.body.AsHandOver()) {
+        const HandOverMessage decoded = fromWireHandOver(*handOver);
+        m_takeovers.erase(decoded.upstream);
+        TrafficWorker &worker = m_pool.pinnedWorker(decoded.upstream);
+        Asio::post(worker.context(), [&worker, decoded] {
+            worker.handleDispatcherEvent(decoded.upstream, DispatcherEvent::HandOverReceived{decoded});
+        });
+    }
+}
+
+void ControlPlane::handleClosed(const std::shared_ptr<PeerConnection> &connection)
+{
+    if (m_inbound.erase(connection) > 0) {
+        return;
+    }
+    const HostId host = m_links.hostOf(connection);
+    if (!host.empty()) {
+        m_membership.connectionBroken(host);
+    }
+}
+
+Asio::awaitable<void> ControlPlane::readHello(Asio::ip::tcp::socket accepted)
+{
+    const auto socket = std::make_shared<Asio::ip::tcp::socket>(std::move(accepted));
+    Asio::steady_timer timer(m_context, helloTimeout);
+    timer.async_wait([socket](const boost::system::error_code &error) {
+        if (!error) {
+            boost::system::error_code ignored;
+            socket->close(ignored);
+        }
+    });
+    std::array<std::uint8_t, frameHeaderBytes> header{};
+    const auto [headerError, headerBytes] = co_await Asio::async_read(*socket, Asio::buffer(header), Asio::as_tuple(Asio::use_awaitable));
+    if (headerError || frameLength(header) > maxHelloBytes) {
+        co_return;
+    }
+    std::vector<std::uint8_t> payload(frameLength(header));
+    const auto [payloadError, payloadBytes] = co_await Asio::async_read(*socket, Asio::buffer(payload), Asio::as_tuple(Asio::use_awaitable));
+    Wire::PeerMessageT message;
+    if (payloadError || decodeFrame(payload, message)) {
+        co_return;
+    }
+    const Wire::HelloT *hello = message.body.AsHello();
+    if (hello == nullptr) {
+        co_return;
+    }
+    timer.cancel();
+    if (hello->purpose == Wire::Purpose::Traffic) {
+        m_pool.adopt(std::move(*socket), HostId(hello->host));
+        co_return;
+    }
+    auto connection = std::make_shared<PeerConnection>(std::move(*socket), [this](std::size_t bytes) {
+        m_host.metrics.peerBytes("control").Increment(static_cast<double>(bytes));
+    });
+    m_inbound[connection] = HostId(hello->host);
+    connection->start(*this);
+}
+
+void ControlPlane::pollHostList()
+{
+    m_hostList.list(hostListTimeout, [this](const std::optional<std::vector<HostListEntry>> &entries) {
+        if (!entries) {
+            return;
+        }
+        std::vector<Membership::ListedHost> hosts;
+        hosts.reserve(entries->size());
+        for (const HostListEntry &entry : *entries) {
+            // Hosts whose address has no port of its own use the same peer port as this one.
+            hosts.push_back(toListed(entry, m_host.settings.peerListener.port));
+        }
+        m_membership.handleHostList(std::move(hosts));
+    });
+}
+
+void ControlPlane::scheduleTick()
+{
+    m_timer.expires_after(tickInterval);
+    m_timer.async_wait([this](const boost::system::error_code &error) {
+        if (!error) {
+            tick();
+            scheduleTick();
+        }
+    });
+}
+
+void ControlPlane::tick()
+{
+    const TimePoint now = std::chrono::steady_clock::now();
+    m_membership.tick(now, loadReport(), dataCentreLoadReport());
+    m_store.tick(now);
+    m_configuration.tick();
+    m_orders.tick(now);
+    settleTakeovers(now);
+    if (m_ticks % ticksPerHostList == 0) {
+        pollHostList();
+    }
+    if (++m_ticks % ticksPerSpanFlush == 0 && m_host.spans.flush()) {
+        m_log.warning("Spans could not be written.");
+    }
+    if (m_leaving) {
+        checkStop(now);
+    }
+}
+
+void ControlPlane::publish()
+{
+    auto snapshot = std::make_shared<ControlSnapshot>();
+    snapshot->routing = m_routing;
+    const auto ownership = m_membership.ownership();
+    if (ownership) {
+        for (const auto &[upstream, owner] : ownership->dispatchers()) {
+            snapshot->dispatchers[upstream] = owner.host;
+        }
+    }
+    for (const auto &[host, address] : m_membership.peers()) {
+        snapshot->peers[host] = address;
+    }
+    snapshot->admitting = m_admitting && !isOutOfService();
+    snapshot->leaving = m_leaving && !m_accepting;
+    snapshot->ready = snapshot->admitting && !m_leaving;
+    snapshot->dispatching = m_membership.mayDispatch();
+    m_pool.publish(snapshot);
+}
+
+void ControlPlane::noteMoves(const std::vector<Membership::OwnershipMoved> &moves)
+{
+    const TimePoint now = std::chrono::steady_clock::now();
+    for (const Membership::OwnershipMoved &move : moves) {
+        const auto *upstream = std::get_if<UpstreamId>(&move.key);
+        if (upstream == nullptr) {
+            continue;
+        }
+        if (move.now && move.now->host == m_host.settings.hostId) {
+            Takeover takeover;
+            takeover.since = now;
+            if (move.before) {
+                takeover.before = move.before->host;
+            }
+            m_takeovers[*upstream] = takeover;
+        } else {
+            m_takeovers.erase(*upstream);
+        }
+    }
+}
+
+void ControlPlane::settleTakeovers(TimePoint now)
+{
+    const auto &hosts = m_membership.table().hosts();
+    for (auto position = m_takeovers.begin(); position != m_takeovers.end();) {
+        const Takeover &takeover = position->second;
+        const auto former = takeover.before ? hosts.find(*takeover.before) : hosts.end();
+        const bool known = former != hosts.end() && former->second.status.state != Membership::HostState::Dead;
+        if (known || (!takeover.before && now - takeover.since < unknownOwnerGrace)) {
+            ++position;
+            continue;
+        }
+        TrafficWorker &worker = m_pool.pinnedWorker(position->first);
+        Asio::post(worker.context(), [&worker, upstream = position->first] {
+            worker.handleDispatcherEvent(upstream, DispatcherEvent::OldOwnerDead{});
+        });
+        position = m_takeovers.erase(position);
+    }
+}
+
+void ControlPlane::chooseWatchers()
+{
+    std::vector<std::pair<std::uint64_t, HostId>> scores;
+    const std::string key = "watchers/" + m_host.settings.dataCentre.value();
+    scores.emplace_back(rendezvousScore(key, m_host.settings.hostId.value()), m_host.settings.hostId);
+    for (const auto &[host, address] : m_membership.peersOfDataCentre()) {
+        scores.emplace_back(rendezvousScore(key, host.value()), host);
+    }
+    std::sort(scores.rbegin(), scores.rend());
+    scores.resize(std::min(scores.size(), watchersPerDataCentre));
+    m_configuration.setWatches(std::any_of(scores.begin(), scores.end(), [this](const auto &entry) {
+        return entry.second == m_host.settings.hostId;
+    }));
+}
+
+void ControlPlane::startStop()
+{
+    if (m_leaving) {
+        return;
+    }
+    m_log.info("Leaving: new work is refused, work in progress finishes.");
+    m_leaving = true;
+    m_leavingSince = std::chrono::steady_clock::now();
+    m_membership.setLeaving();
+    publish();
+}
+
+void ControlPlane::checkStop(TimePoint now)
+{
+    std::size_t work = m_orders.isIdle() ? 0 : 1;
+    TimePoint latest = m_leavingSince;
+    for (const auto &[worker, activity] : m_activity) {
+        work += activity.sessions + activity.attempts;
+        latest = std::max(latest, activity.latestDeadline);
+    }
+    const bool settled = now - m_leavingSince >= settleTime;
+    if (settled && m_accepting) {
+        m_accepting = false;
+        publish();
+        m_pool.stopAccepting();
+    }
+    if (settled && (work == 0 || now > latest + settleTime)) {
+        m_log.info(work == 0 ? "All work has finished." : "The latest admitted deadline has passed.");
+        m_context.stop();
+    }
+}
+
+std::string ControlPlane::loadReport() const
+{
+    std::vector<LoadSummary> all;
+    for (const auto &[worker, loads] : m_loads) {
+        all.insert(all.end(), loads.begin(), loads.end());
+    }
+    return all.empty() ? std::string() : encodeLoadReport(all);
+}
+
+std::string ControlPlane::dataCentreLoadReport() const
+{
+    // A larger data centre's loads exceed the budget of the links; its upstreams' answers carry them instead.
+    if (m_dataCentreLoads.empty() || m_dataCentreLoads.size() > maxDigestLoads) {
+        return {};
+    }
+    std::vector<LoadSummary> all;
+    for (const auto &[upstream, load] : m_dataCentreLoads) {
+        all.push_back(load);
+    }
+    return encodeLoadReport(all);
+}
+
+bool ControlPlane::isOfDataCentre(const UpstreamId &upstream) const
+{
+    if (!m_routing) {
+        return false;
+    }
+    const auto &upstreams = m_routing->configuration().upstreams;
+    const auto spec = upstreams.find(upstream);
+    return spec != upstreams.end() && spec->second.dataCentre == m_host.settings.dataCentre;
+}
+
+bool ControlPlane::isOutOfService() const
+{
+    return m_routing && m_routing->configuration().outOfService.hosts.contains(m_host.settings.hostId);
+}
+
+}
--- /dev/null
+++ b/Source/Daemon/ControlPlane.h
@@ -0,0 +1,147 @@
+#pragma once
+
+#include "Base/RandomEngine.h"
+#include "Daemon/ConfigurationRuntime.h"
+#include "Daemon/ControlGateway.h"
+#include "Daemon/ControlLinks.h"
+#include "Daemon/HostContext.h"
+#include "Daemon/ScheduledStore.h"
+#include "Daemon/MembershipRuntime.h"
+#include "Daemon/OperatorHandler.h"
+#include "Daemon/OrderRuntime.h"
+#include "Daemon/TrafficPool.h"
+#include "Http/HttpListener.h"
+#include "Peer/PeerMessageHandler.h"
+#include "Peer/TcpListener.h"
+#include "Platform/HttpHostList.h"
+#include "Platform/HttpKeyValueStore.h"
+#include "Telemetry/Log.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/signal_set.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include <nlohmann/json_fwd.hpp>
+
+#include <map>
+#include <memory>
+#include <system_error>
+#include <vector>
+
+namespace Mangofall {
+
+/**
+ * \class ControlPlane
+ * \brief The control thread of a daemon: configuration, membership, ownership and ledgers, and what it tells the traffic threads.
+ */
+class ControlPlane : public ControlGateway, public MembershipObserver, public ConfigurationObserver, public OrderEnvironment, public PeerMessageHandler
+{
+public:
+    /// \p host must outlive the control plane.
+    ControlPlane(HostContext &host, std::string operatorKey);
+    ~ControlPlane() override;
+    ControlPlane(const ControlPlane &) = delete;
+    ControlPlane &operator=(const ControlPlane &) = delete;
+
+    /// Binds all listeners.
+    std::error_code listen();
+    /// Runs until a planned stop has finished.
+    void run();
+
+    boost::asio::io_context &context();
+    std::uint16_t operatorPort() const;
+    std::uint16_t callerPort() const;
+    std::uint16_t peerPort() const;
+
+    void submitChange(ConfigurationChange change, ConfigurationRuntime::ChangeHandler handler);
+    bool settleOrder(const OrderKey &key, bool ran);
+    nlohmann::json statusJson() const;
+    nlohmann::json configurationJson() const;
+    nlohmann::json historyJson() const;
+    nlohmann::json limitsJson() const;
+    nlohmann::json ordersJson() const;
+
+    void submitOrder(OrderSubmission &&order, std::function<void(OrderAnswer)> answered) override;
+    void sendHandOver(const HandOverMessage &message) override;
+    void reportLoads(std::size_t worker, std::vector<LoadSummary> loads) override;
+    void upstreamStateChanged(const UpstreamId &upstream, UpstreamState from, UpstreamState to) override;
+    void linkBroken(const HostId &host) override;
+    void reportActivity(std::size_t worker, std::size_t sessions, std::size_t attempts, TimePoint latestDeadline) override;
+
+    void viewChanged(const std::vector<Membership::OwnershipMoved> &moves) override;
+    void hostDied(const HostId &host) override;
+    void fetchConfiguration(const HostId &host, Revision revision) override;
+    void peerReported(const HostId &host, Revision revision) override;
+    void loadsReceived(const std::string &report) override;
+    void replaced() override;
+
+    void configurationAdopted(const std::shared_ptr<const FleetConfiguration> &configuration) override;
+    void admittingChanged(bool admitting) override;
+    void sendToPeer(const HostId &host, Wire::PeerMessageT &&message) override;
+    std::map<HostId, PeerAddress> peersOfDataCentre() const override;
+
+    const Membership::Owner *ownerOfShard(std::uint32_t shard) const override;
+    std::shared_ptr<const RoutingIndex> routing() const override;
+
+    void handleMessage(const std::shared_ptr<PeerConnection> &connection, Wire::PeerMessageT &&message) override;
+    void handleClosed(const std::shared_ptr<PeerConnection> &connection) override;
+
+private:
+    struct Activity {
+        std::size_t sessions = 0;
+        std::size_t attempts = 0;
+        TimePoint latestDeadline;
+    };
+
+    /// An upstream that this host dispatches and whose former dispatcher may still run work there.
+    struct Takeover {
+        std::optional<HostId> before;
+        TimePoint since;
+    };
+
+    boost::asio::awaitable<void> readHello(boost::asio::ip::tcp::socket socket);
+    void pollHostList();
+    void scheduleTick();
+    void tick();
+    void publish();
+    void noteMoves(const std::vector<Membership::OwnershipMoved> &moves);
+    void settleTakeovers(TimePoint now);
+    void chooseWatchers();
+    void startStop();
+    void checkStop(TimePoint now);
+    std::string loadReport() const;
+    std::string dataCentreLoadReport() const;
+    bool isOfDataCentre(const UpstreamId &upstream) const;
+    bool isOutOfService() const;
+
+    HostContext &m_host;
+    Log m_log;
+    boost::asio::io_context m_context;
+    boost::asio::steady_timer m_timer;
+    boost::asio::signal_set m_signals;
+    RandomEngine m_random;
+    TrafficPool m_pool;
+    HttpKeyValueStore m_keyValueStore;
+    HttpHostList m_hostList;
+    ScheduledStore m_store;
+    ControlLinks m_links;
+    MembershipRuntime m_membership;
+    ConfigurationRuntime m_configuration;
+    OrderRuntime m_orders;
+    OperatorHandler m_operatorHandler;
+    HttpListener m_operatorListener;
+    TcpListener m_peerListener;
+    std::map<std::shared_ptr<PeerConnection>, HostId> m_inbound;
+    std::map<std::size_t, std::vector<LoadSummary>> m_loads;
+    std::map<UpstreamId, LoadSummary> m_dataCentreLoads;
+    std::map<std::size_t, Activity> m_activity;
+    std::map<UpstreamId, Takeover> m_takeovers;
+    std::shared_ptr<const RoutingIndex> m_routing;
+    bool m_admitting = false;
+    bool m_leaving = false;
+    bool m_accepting = true;
+    TimePoint m_leavingSince;
+    std::uint32_t m_ticks = 0;
+};
+
+}
--- /dev/null
+++ b/Source/Daemon/DispatcherRuntime.cpp
@@ -0,0 +1,399 @@
+#include "Daemon/DispatcherRuntime.h"
+
+#include "Daemon/DispatcherEnvironment.h"
+#include "Daemon/WireAttempt.h"
+#include "Daemon/WireLoad.h"
+#include "Http/UpstreamCall.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+
+namespace Mangofall {
+
+namespace {
+
+namespace Asio = boost::asio;
+namespace BeastHttp = boost::beast::http;
+
+using Clock = std::chrono::steady_clock;
+
+// An entry host whose connection broke gets this long to resume its streams before they are cancelled at the upstream.
+constexpr std::chrono::seconds abandonGrace{10};
+
+// Two polls in a row: a single lost one is common under load, and each uses a new connection.
+constexpr std::uint32_t pollsBeforeUnresponsive = 2;
+
+constexpr std::chrono::seconds cancelTimeout{2};
+constexpr std::string_view attemptsPath = "/v1/attempts/";
+
+QueuedAttempt toQueued(const Wire::DispatchT &dispatch, TimePoint now)
+{
+    QueuedAttempt queued;
+    queued.attempt = fromWire(*dispatch.attempt);
+    queued.organisation = OrganisationId(dispatch.organisation);
+    queued.weight = std::max(1U, dispatch.weight);
+    queued.promptTokens = dispatch.prompt_tokens;
+    queued.uncachedTokens = dispatch.uncached_tokens;
+    queued.lengthClass = static_cast<LengthClass>(std::min<std::size_t>(dispatch.length_class, lengthClassCount - 1));
+    queued.deadline = now + std::chrono::microseconds(dispatch.remaining_us);
+    queued.arrival = now;
+    return queued;
+}
+
+DispatcherEvent::Failure failureOf(const RunResult &result)
+{
+    if (result.connectionRefused) {
+        return DispatcherEvent::Failure::ConnectionRefused;
+    }
+    return result.outcome == Wire::StreamOutcome::Refused ? DispatcherEvent::Failure::RefusedBeforeWork : DispatcherEvent::Failure::BrokeOff;
+}
+
+ErrorKind errorOf(const RunResult &result)
+{
+    switch (result.outcome) {
+    case Wire::StreamOutcome::Completed:
+        return ErrorKind::None;
+    case Wire::StreamOutcome::Refused:
+        return ErrorKind::UpstreamRefused;
+    case Wire::StreamOutcome::ResumeRejected:
+    case Wire::StreamOutcome::Broken:
+        break;
+    }
+    return ErrorKind::UpstreamFailed;
+}
+
+}
+
+DispatcherRuntime::DispatcherRuntime(Asio::io_context &context, const UpstreamSpec &spec, const Preset &preset, DispatcherEnvironment &environment)
+    : m_context(context)
+    , m_spec(spec)
+    , m_environment(environment)
+    , m_dispatcher(spec, preset)
+    , m_pool(std::make_shared<UpstreamConnectionPool>(context, spec.address, spec.port))
+    , m_monitor(std::make_shared<UpstreamMonitor>(context, spec.address, spec.port, [this](const std::optional<DispatcherEvent::LoadReported> &report) {
+        reportLoad(report);
+    }))
+{
+    m_monitor->start();
+}
+
+DispatcherRuntime::~DispatcherRuntime()
+{
+    *m_alive = false;
+    m_monitor->stop();
+    for (auto &[attempt, leg] : m_legs) {
+        if (leg.run) {
+            leg.run->cancel();
+        }
+    }
+}
+
+void DispatcherRuntime::handleDispatch(Wire::DispatchT &&message, std::shared_ptr<ReplyTarget> reply)
+{
+    const auto dispatch = std::make_shared<const Wire::DispatchT>(std::move(message));
+    const AttemptId attempt = fromWire(*dispatch->attempt);
+    const TimePoint now = Clock::now();
+    const auto known = m_legs.find(attempt);
+    if (known != m_legs.end()) {
+        resume(known->second, dispatch, std::move(reply));
+        return;
+    }
+    const QueuedAttempt queued = toQueued(*dispatch, now);
+    Leg &leg = m_legs[attempt];
+    leg.dispatch = dispatch;
+    leg.reply = std::move(reply);
+    leg.deadline = queued.deadline;
+    handle(DispatcherEvent::Enqueued{queued});
+}
+
+void DispatcherRuntime::resume(Leg &leg, std::shared_ptr<const Wire::DispatchT> dispatch, std::shared_ptr<ReplyTarget> reply)
+{
+    leg.dispatch = std::move(dispatch);
+    leg.reply = std::move(reply);
+    leg.abandonedAt.reset();
+    if (!leg.sent) {
+        return; // Still queued: the send will use the new connection.
+    }
+    if (leg.run) {
+        leg.run->cancel();
+    }
+    startRun(leg);
+}
+
+void DispatcherRuntime::handleCancel(const Wire::CancelT &cancel)
+{
+    const AttemptId attempt = fromWire(*cancel.attempt);
+    const auto position = m_legs.find(attempt);
+    if (position == m_legs.end() || position->second.dispatch->connection > cancel.connection) {
+        return; // Ended, or replaced by a later connection.
+    }
+    if (cancel.stop) {
+        handle(DispatcherEvent::CancelRequested{attempt});
+        return;
+    }
+    Leg &leg = position->second;
+    if (leg.run) {
+        leg.run->cancel();
+        leg.run.reset();
+    }
+    leg.abandonedAt = Clock::now();
+}
+
+void DispatcherRuntime::handleFlow(const Wire::FlowT &flow)
+{
+    const auto position = m_legs.find(fromWire(*flow.attempt));
+    if (position != m_legs.end() && position->second.run && position->second.run->connection() == flow.connection) {
+        position->second.run->setPaused(flow.paused);
+    }
+}
+
+void DispatcherRuntime::handleProbe(std::uint64_t call, const std::shared_ptr<ReplyTarget> &reply)
+{
+    m_monitor->probe([call, reply](bool responsive) {
+        Wire::ProbeAnswerT answer;
+        answer.call = call;
+        answer.responsive = responsive;
+        reply->reply(toMessage(std::move(answer)));
+    });
+}
+
+void DispatcherRuntime::handle(const DispatcherInput &event)
+{
+    const TimePoint now = Clock::now();
+    process(m_dispatcher.handle(now, event));
+    if (std::holds_alternative<DispatcherEvent::Tick>(event)) {
+        cancelAbandoned(now);
+    }
+}
+
+void DispatcherRuntime::setPreset(const Preset &preset)
+{
+    m_dispatcher.setPreset(preset);
+}
+
+void DispatcherRuntime::setOutOfService(bool out)
+{
+    if (out != m_outOfService) {
+        m_outOfService = out;
+        handle(out ? DispatcherInput(DispatcherEvent::TakenOut{}) : DispatcherInput(DispatcherEvent::BroughtBack{}));
+    }
+}
+
+void DispatcherRuntime::handleEntryLost(const ReplyTarget *reply)
+{
+    for (auto &[attempt, leg] : m_legs) {
+        if (leg.reply.get() == reply && !leg.abandonedAt) {
+            leg.abandonedAt = Clock::now();
+        }
+    }
+}
+
+LoadSummary DispatcherRuntime::summary() const
+{
+    return m_dispatcher.summary();
+}
+
+bool DispatcherRuntime::idle() const
+{
+    return m_legs.empty();
+}
+
+void DispatcherRuntime::runStarted(const AttemptId &attempt, std::uint64_t connection, unsigned status, const std::string &contentType)
+{
+    const auto position = m_legs.find(attempt);
+    if (position == m_legs.end()) {
+        return;
+    }
+    Wire::StreamStartT start;
+    start.attempt = toWire(attempt);
+    start.connection = connection;
+    start.status = static_cast<std::uint16_t>(status);
+    start.content_type = contentType;
+    start.load = toWire(summary());
+    position->second.reply->reply(toMessage(std::move(start)));
+    handle(DispatcherEvent::Started{attempt});
+}
+
+void DispatcherRuntime::runFirstToken(const AttemptId &attempt)
+{
+    handle(DispatcherEvent::FirstToken{attempt});
+}
+
+void DispatcherRuntime::runData(const AttemptId &attempt, std::uint64_t connection, std::uint32_t index, std::string_view data)
+{
+    const auto position = m_legs.find(attempt);
+    if (position == m_legs.end()) {
+        return;
+    }
+    Wire::StreamDataT message;
+    message.attempt = toWire(attempt);
+    message.connection = connection;
+    message.index = index;
+    message.data.assign(data.begin(), data.end());
+    position->second.reply->reply(toMessage(std::move(message)));
+}
+
+void DispatcherRuntime::runEnded(const RunResult &result)
+{
+    const auto position = m_legs.find(result.attempt);
+    if (position == m_legs.end()) {
+        return;
+    }
+    endLeg(result.attempt, result, errorOf(result));
+    if (result.outcome == Wire::StreamOutcome::Completed) {
+        handle(DispatcherEvent::Finished{result.attempt});
+    } else {
+        handle(DispatcherEvent::Failed{result.attempt, failureOf(result)});
+    }
+}
+
+void DispatcherRuntime::process(std::vector<DispatcherOutput> outputs)
+{
+    for (const DispatcherOutput &output : outputs) {
+        std::visit(
+            [this](const auto &action) {
+                on(action);
+            },
+            output);
+    }
+}
+
+void DispatcherRuntime::on(const DispatcherAction::Send &action)
+{
+    const auto position = m_legs.find(action.attempt);
+    if (position == m_legs.end()) {
+        return;
+    }
+    Leg &leg = position->second;
+    leg.sent = true;
+    leg.enginePriority = action.enginePriority;
+    startRun(leg);
+}
+
+void DispatcherRuntime::on(const DispatcherAction::Refuse &action)
+{
+    RunResult result;
+    result.attempt = action.attempt;
+    result.outcome = Wire::StreamOutcome::Refused;
+    const auto position = m_legs.find(action.attempt);
+    if (position != m_legs.end()) {
+        result.connection = position->second.dispatch->connection;
+        endLeg(action.attempt, result, action.kind);
+    }
+}
+
+void DispatcherRuntime::on(const DispatcherAction::CancelUpstream &action)
+{
+    const auto position = m_legs.find(action.attempt);
+    if (position != m_legs.end()) {
+        if (position->second.run) {
+            position->second.run->cancel();
+        }
+        m_legs.erase(position);
+    }
+    stopAtUpstream(action.attempt);
+}
+
+void DispatcherRuntime::on(const DispatcherAction::StateChanged &action)
+{
+    if (action.to == UpstreamState::Cold) {
+        m_pool->clear();
+    }
+    m_environment.upstreamStateChanged(m_spec.id, action.from, action.to);
+}
+
+void DispatcherRuntime::on(const DispatcherAction::ReturnToEntry &action)
+{
+    on(DispatcherAction::Refuse{action.attempt, ErrorKind::NoUpstream});
+}
+
+void DispatcherRuntime::on(const DispatcherAction::HandOver &action)
+{
+    m_environment.sendHandOver(action.message);
+}
+
+void DispatcherRuntime::startRun(Leg &leg)
+{
+    const Duration timeLeft = std::max<Duration>(leg.deadline - Clock::now(), std::chrono::milliseconds(1));
+    leg.run = std::make_shared<UpstreamRun>(m_context, m_pool, leg.dispatch, leg.enginePriority, timeLeft, *this);
+    leg.run->start();
+}
+
+void DispatcherRuntime::endLeg(const AttemptId &attempt, const RunResult &result, ErrorKind error)
+{
+    const auto position = m_legs.find(attempt);
+    const Leg leg = std::move(position->second);
+    m_legs.erase(position);
+    sendEnd(leg, result, error);
+}
+
+void DispatcherRuntime::sendEnd(const Leg &leg, const RunResult &result, ErrorKind error)
+{
+    Wire::StreamEndT end;
+    end.attempt = toWire(result.attempt);
+    end.connection = result.connection;
+    end.outcome = result.outcome;
+    end.error = static_cast<std::uint16_t>(error);
+    end.tokens = result.tokens;
+    end.prompt_tokens = result.promptTokens;
+    end.cached_tokens = result.cachedTokens;
+    end.prefill_us = std::chrono::duration_cast<std::chrono::microseconds>(result.prefill).count();
+    end.load = toWire(summary());
+    leg.reply->reply(toMessage(std::move(end)));
+}
+
+void DispatcherRuntime::reportLoad(const std::optional<DispatcherEvent::LoadReported> &report)
+{
+    if (!report) {
+        ++m_failedPolls;
+        if (m_responsive && m_failedPolls >= pollsBeforeUnresponsive) {
+            m_responsive = false;
+            handle(DispatcherEvent::Unresponsive{});
+        }
+        return;
+    }
+    m_failedPolls = 0;
+    if (!m_responsive) {
+        m_responsive = true;
+        handle(DispatcherEvent::ProbeSucceeded{});
+    }
+    handle(*report);
+    if (m_dispatcher.unexplainedRequests() > 0) {
+        m_environment.capExceeded(m_dispatcher.unexplainedRequests());
+    }
+}
+
+void DispatcherRuntime::cancelAbandoned(TimePoint now)
+{
+    std::vector<AttemptId> expired;
+    for (const auto &[attempt, leg] : m_legs) {
+        if (leg.abandonedAt && now - *leg.abandonedAt > abandonGrace) {
+            expired.push_back(attempt);
+        }
+    }
+    for (const AttemptId &attempt : expired) {
+        handle(DispatcherEvent::CancelRequested{attempt});
+    }
+}
+
+void DispatcherRuntime::stopAtUpstream(const AttemptId &attempt)
+{
+    if (m_spec.kind == UpstreamKind::Service) {
+        // Plain services have no cancel call; closing the connection is all that can be done.
+        handle(DispatcherEvent::Finished{attempt});
+        return;
+    }
+    const auto stop = [this, attempt, pool = m_pool, alive = m_alive]() -> Asio::awaitable<void> {
+        constexpr unsigned httpVersion = 11;
+        UpstreamCall call(pool, cancelTimeout);
+        UpstreamCall::Request request(BeastHttp::verb::delete_, std::string(attemptsPath) + toString(attempt), httpVersion);
+        std::string body;
+        const bool confirmed = !co_await call.start(std::move(request)) && !co_await call.readAll(body, 64UL * 1024);
+        if (*alive && confirmed) {
+            handle(DispatcherEvent::Finished{attempt});
+        }
+    };
+    Asio::co_spawn(m_context, stop, Asio::detached);
+}
+
+}
--- /dev/null
+++ b/Source/Daemon/DispatcherRuntime.h
@@ -0,0 +1,95 @@
+#pragma once
+
+#include "Admission/UpstreamDispatcher.h"
+#include "Daemon/ReplyTarget.h"
+#include "Daemon/UpstreamMonitor.h"
+#include "Daemon/UpstreamRun.h"
+#include "Http/UpstreamConnectionPool.h"
+
+#include <boost/asio/io_context.hpp>
+
+#include <memory>
+#include <unordered_map>
+
+namespace Mangofall {
+
+class DispatcherEnvironment;
+
+/**
+ * \class DispatcherRuntime
+ * \brief Drives the dispatcher of one upstream: turns messages and answers into its events and carries out its actions.
+ *
+ * Lives on the traffic thread to which the upstream is pinned.
+ */
+class DispatcherRuntime : public UpstreamRunObserver
+{
+public:
+    /// \p environment must outlive the runtime.
+    DispatcherRuntime(boost::asio::io_context &context, const UpstreamSpec &spec, const Preset &preset, DispatcherEnvironment &environment);
+    ~DispatcherRuntime() override;
+    DispatcherRuntime(const DispatcherRuntime &) = delete;
+    DispatcherRuntime &operator=(const DispatcherRuntime &) = delete;
+
+    void handleDispatch(Wire::DispatchT &&dispatch, std::shared_ptr<ReplyTarget> reply);
+    void handleCancel(const Wire::CancelT &cancel);
+    void handleFlow(const Wire::FlowT &flow);
+    void handleProbe(std::uint64_t call, const std::shared_ptr<ReplyTarget> &reply);
+
+    /// Feeds an event from outside: takeover, service changes, ticks.
+    void handle(const DispatcherInput &event);
+    void setPreset(const Preset &preset);
+    void setOutOfService(bool out);
+
+    /// The entry host's connection is gone; its attempts are cancelled unless they are resumed within a grace period.
+    void handleEntryLost(const ReplyTarget *reply);
+
+    LoadSummary summary() const;
+    bool idle() const;
+
+    void runStarted(const AttemptId &attempt, std::uint64_t connection, unsigned status, const std::string &contentType) override;
+    void runFirstToken(const AttemptId &attempt) override;
+    void runData(const AttemptId &attempt, std::uint64_t connection, std::uint32_t index, std::string_view data) override;
+    void runEnded(const RunResult &result) override;
+
+private:
+    struct Leg {
+        std::shared_ptr<const Wire::DispatchT> dispatch;
+        std::shared_ptr<ReplyTarget> reply;
+        std::shared_ptr<UpstreamRun> run; ///< Null while queued, and after the run ended but the upstream still counts it.
+        TimePoint deadline;
+        int enginePriority = 0;
+        bool sent = false;
+        std::optional<TimePoint> abandonedAt; ///< When the entry host's connection was lost.
+    };
+
+    void process(std::vector<DispatcherOutput> outputs);
+    void on(const DispatcherAction::Send &action);
+    void on(const DispatcherAction::Refuse &action);
+    void on(const DispatcherAction::CancelUpstream &action);
+    void on(const DispatcherAction::StateChanged &action);
+    void on(const DispatcherAction::ReturnToEntry &action);
+    void on(const DispatcherAction::HandOver &action);
+
+    void startRun(Leg &leg);
+    void resume(Leg &leg, std::shared_ptr<const Wire::DispatchT> dispatch, std::shared_ptr<ReplyTarget> reply);
+    void endLeg(const AttemptId &attempt, const RunResult &result, ErrorKind error);
+    void sendEnd(const Leg &leg, const RunResult &result, ErrorKind error);
+    void reportLoad(const std::optional<DispatcherEvent::LoadReported> &report);
+    void cancelAbandoned(TimePoint now);
+    /// Tells the upstream to stop an attempt; its end counts once the upstream confirmed it.
+    void stopAtUpstream(const AttemptId &attempt);
+
+    boost::asio::io_context &m_context;
+    UpstreamSpec m_spec;
+    DispatcherEnvironment &m_environment;
+    UpstreamDispatcher m_dispatcher;
+    std::shared_ptr<UpstreamConnectionPool> m_pool;
+    std::shared_ptr<UpstreamMonitor> m_monitor;
+    std::unordered_map<AttemptId, Leg> m_legs;
+    std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
+    bool m_outOfService = false;
+    bool m_responsive = true;
+    std::uint32_t m_failedPolls = 0;
+};
+
+}
--- /dev/null
+++ b/Source/Daemon/ScheduledStore.h
@@ -0,0 +1,46 @@
+#pragma once
+
+#include "Base/RandomEngine.h"
+#include "Daemon/StoreAccess.h"
+#include "Platform/KeyValueStore.h"
+#include "Telemetry/Metrics.h"
+
+#include <map>
+
+namespace Mangofall {
+
+/**
+ * \class ScheduledStore
+ * \brief Calls the platform's store within this host's budget of calls; drives StoreCallScheduler on the control thread.
+ */
+class ScheduledStore : public StoreAccess
+{
+public:
+    /// All arguments must outlive the store.
+    ScheduledStore(KeyValueStore &store, Metrics &metrics, RandomEngine &random);
+
+    void read(const std::string &key, StorePriority priority, ReadHandler handler) override;
+    void compareAndSwap(const std::string &key, std::string value, std::uint64_t expectedVersion, StorePriority priority, WriteHandler handler) override;
+    void watch(const std::string &key, std::uint64_t afterVersion, ReadHandler handler) override;
+
+    /// Periodic, every 100 ms.
+    void tick(TimePoint now);
+
+private:
+    struct Call {
+        std::function<void()> start;
+        std::function<void()> refuse;
+    };
+
+    void submit(StorePriority priority, Call call);
+    void process(const StoreSchedulerActions &actions);
+    void finished(ScheduledCallId id, bool answered);
+
+    KeyValueStore &m_store;
+    Metrics &m_metrics;
+    StoreCallScheduler m_scheduler;
+    std::map<ScheduledCallId, Call> m_calls;
+    ScheduledCallId m_lastCall = 0;
+};
+
+}
--- /dev/null
+++ b/Source/Daemon/TrafficPool.h
@@ -0,0 +1,50 @@
+#pragma once
+
+#include "Daemon/ControlGateway.h"
+#include "Daemon/ControlSnapshot.h"
+#include "Daemon/HostContext.h"
+
+#include <boost/asio/ip/tcp.hpp>
+
+#include <cstddef>
+#include <memory>
+#include <system_error>
+#include <vector>
+
+namespace Mangofall {
+
+class TrafficWorker;
+
+/**
+ * \class TrafficPool
+ * \brief The traffic threads of one daemon. Its functions may be called on any thread.
+ */
+class TrafficPool
+{
+public:
+    TrafficPool(HostContext &host, ControlGateway &control);
+    ~TrafficPool();
+
+    std::error_code start();
+    void stop();
+    std::uint16_t callerPort() const;
+
+    std::size_t size() const;
+    TrafficWorker &worker(std::size_t index);
+    /// The thread to which the dispatcher of \p upstream is pinned.
+    TrafficWorker &pinnedWorker(const UpstreamId &upstream);
+
+    /// Hands \p snapshot to every thread.
+    void publish(const std::shared_ptr<const ControlSnapshot> &snapshot);
+    /// Hands the loads of other hosts' dispatchers to every thread.
+    void updateLoads(const std::vector<LoadSummary> &loads);
+    /// Hands an accepted traffic connection to the next thread in turn.
+    void adopt(boost::asio::ip::tcp::socket socket, const HostId &peer);
+    void stopAccepting();
+
+private:
+    std::vector<std::unique_ptr<TrafficWorker>> m_workers;
+    std::size_t m_next = 0;
+};
+
+}
--- /dev/null
+++ b/Source/Daemon/UpstreamRun.cpp
@@ -0,0 +1,209 @@
+#include "Daemon/UpstreamRun.h"
+
+#include "Daemon/WireAttempt.h"
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include <nlohmann/json.hpp>
+
+namespace Mangofall {
+
+namespace {
+
+namespace Asio = boost::asio;
+namespace BeastHttp = boost::beast::http;
+
+constexpr unsigned statusOk = 200;
+constexpr unsigned statusConflict = 409;
+constexpr unsigned firstServerError = 500;
+constexpr std::size_t maxWholeAnswerBytes = 32UL * 1024 * 1024;
+constexpr std::size_t maxPendingEventBytes = 1024UL * 1024;
+constexpr std::string_view doneMarker = "[DONE]";
+
+}
+
+UpstreamRun::UpstreamRun(Asio::io_context &context,
+                         std::shared_ptr<UpstreamConnectionPool> pool,
+                         std::shared_ptr<const Wire::DispatchT> dispatch,
+                         int enginePriority,
+                         Duration timeLeft,
+                         UpstreamRunObserver &observer)
+    : m_dispatch(std::move(dispatch))
+    , m_enginePriority(enginePriority)
+    , m_observer(&observer)
+    , m_call(std::move(pool), timeLeft)
+    , m_pauseTimer(context)
+    , m_executor(context.get_executor())
+{
+    m_result.attempt = fromWire(*m_dispatch->attempt);
+    m_result.connection = m_dispatch->connection;
+}
+
+void UpstreamRun::start()
+{
+    Asio::co_spawn(
+        m_executor,
+        [self = shared_from_this()]() {
+            return self->run();
+        },
+        Asio::detached);
+}
+
+void UpstreamRun::cancel()
+{
+    m_cancelled = true;
+    m_call.cancel();
+    m_pauseTimer.cancel();
+}
+
+void UpstreamRun::setPaused(bool paused)
+{
+    m_paused = paused;
+    if (!paused) {
+        m_pauseTimer.cancel();
+    }
+}
+
+std::uint64_t UpstreamRun::connection() const
+{
+    return m_result.connection;
+}
+
+Asio::awaitable<void> UpstreamRun::run()
+{
+    const auto self = shared_from_this();
+    m_sentAt = std::chrono::steady_clock::now();
+    const boost::system::error_code error = co_await m_call.start(makeRequest());
+    if (error) {
+        m_result.connectionRefused = m_call.connectionRefused();
+        m_result.outcome = m_call.bytesSent() ? Wire::StreamOutcome::Broken : Wire::StreamOutcome::Refused;
+    } else if (!m_cancelled) {
+        m_result.outcome = outcomeOfStatus(m_call.status());
+    }
+    if (!error && !m_cancelled && m_result.outcome == Wire::StreamOutcome::Completed) {
+        m_observer->runStarted(m_result.attempt, m_result.connection, m_call.status(), m_call.header("content-type"));
+        const bool tokens = m_dispatch->token_stream && m_call.status() == statusOk;
+        m_result.outcome = tokens ? co_await readTokens() : co_await readWhole();
+    }
+    if (!m_cancelled) {
+        m_observer->runEnded(m_result);
+    }
+}
+
+Asio::awaitable<Wire::StreamOutcome> UpstreamRun::readTokens()
+{
+    std::string piece;
+    while (!m_done && !m_cancelled) {
+        co_await waitWhilePaused();
+        const boost::system::error_code error = co_await m_call.read(piece);
+        if (error || piece.empty() || m_cancelled) {
+            co_return Wire::StreamOutcome::Broken;
+        }
+        m_events.append(piece);
+        while (const std::optional<std::string> event = m_events.next()) {
+            if (!handleEvent(*event)) {
+                co_return Wire::StreamOutcome::Broken;
+            }
+        }
+        if (m_events.pendingBytes() > maxPendingEventBytes) {
+            co_return Wire::StreamOutcome::Broken;
+        }
+    }
+    // Reads the end of the body, so that the connection can be used again.
+    co_await m_call.read(piece);
+    co_return Wire::StreamOutcome::Completed;
+}
+
+Asio::awaitable<Wire::StreamOutcome> UpstreamRun::readWhole()
+{
+    std::string body;
+    const boost::system::error_code error = co_await m_call.readAll(body, maxWholeAnswerBytes);
+    if (error || m_cancelled) {
+        co_return Wire::StreamOutcome::Broken;
+    }
+    reportData(0, body);
+    m_result.tokens = 1;
+    co_return Wire::StreamOutcome::Completed;
+}
+
+Asio::awaitable<void> UpstreamRun::waitWhilePaused()
+{
+    while (m_paused && !m_cancelled) {
+        m_pauseTimer.expires_at(TimePoint::max());
+        co_await m_pauseTimer.async_wait(Asio::as_tuple(Asio::use_awaitable));
+    }
+}
+
+UpstreamCall::Request UpstreamRun::makeRequest() const
+{
+    constexpr unsigned httpVersion = 11;
+    UpstreamCall::Request request(BeastHttp::string_to_verb(m_dispatch->method), m_dispatch->target, httpVersion);
+    for (const auto &header : m_dispatch->headers) {
+        request.set(header->name, header->value);
+    }
+    request.set("x-attempt-id", toString(m_result.attempt));
+    request.set("x-priority", std::to_string(m_enginePriority));
+    request.set("traceparent", m_dispatch->trace_parent);
+    if (m_dispatch->resumes || m_dispatch->first_token > 0) {
+        request.set("x-resume-from", std::to_string(m_dispatch->first_token));
+    }
+    request.body().assign(m_dispatch->body.begin(), m_dispatch->body.end());
+    return request;
+}
+
+Wire::StreamOutcome UpstreamRun::outcomeOfStatus(unsigned status) const
+{
+    if (m_call.header("x-not-run") == "1") {
+        return Wire::StreamOutcome::Refused;
+    }
+    if (!m_dispatch->token_stream || status == statusOk) {
+        return Wire::StreamOutcome::Completed;
+    }
+    if (status == statusConflict && (m_dispatch->resumes || m_dispatch->first_token > 0)) {
+        return Wire::StreamOutcome::ResumeRejected;
+    }
+    // Other client errors are the upstream's answer to the caller; server errors are failures of the upstream.
+    return status >= firstServerError ? Wire::StreamOutcome::Broken : Wire::StreamOutcome::Completed;
+}
+
+bool UpstreamRun::handleEvent(const std::string &data)
+{
+    if (data == doneMarker) {
+        m_done = true;
+        return true;
+    }
+    const nlohmann::json event = nlohmann::json::parse(data, nullptr, false);
+    if (!event.is_object()) {
+        return false;
+    }
+    if (event.contains("usage") && event["usage"].is_object()) {
+        m_result.promptTokens = event["usage"].value("prompt_tokens", std::uint64_t{0});
+        m_result.cachedTokens = event["usage"].value("cached_tokens", std::uint64_t{0});
+    }
+    if (!event.contains("choices") || event["choices"].empty()) {
+        m_result.tokens = event.value("index", m_result.tokens);
+        return true;
+    }
+    const nlohmann::json &choice = event["choices"][0];
+    const std::uint32_t index = event.value("index", m_result.tokens);
+    m_result.tokens = index + 1;
+    reportData(index, choice.value("text", std::string()));
+    return true;
+}
+
+void UpstreamRun::reportData(std::uint32_t index, std::string_view data)
+{
+    if (m_cancelled) {
+        return;
+    }
+    if (m_result.prefill == Duration::zero()) {
+        m_result.prefill = std::chrono::steady_clock::now() - m_sentAt;
+        m_observer->runFirstToken(m_result.attempt);
+    }
+    m_observer->runData(m_result.attempt, m_result.connection, index, data);
+}
+
+}
--- a/Source/Http/UpstreamCall.cpp
+++ b/Source/Http/UpstreamCall.cpp
@@ -22,8 +22,8 @@
 
 }
 
-UpstreamCall::UpstreamCall(UpstreamConnectionPool &pool, Duration timeout)
-    : m_pool(pool)
+UpstreamCall::UpstreamCall(std::shared_ptr<UpstreamConnectionPool> pool, Duration timeout)
+    : m_pool(std::move(pool))
     , m_timeout(timeout)
 {
 }
@@ -31,19 +31,19 @@
 UpstreamCall::~UpstreamCall()
 {
     if (m_stream && m_parser && m_parser->is_done() && m_parser->keep_alive() && !m_cancelled) {
-        m_pool.release(std::move(m_stream));
+        m_pool->release(std::move(m_stream));
     }
 }
 
 Asio::awaitable<boost::system::error_code> UpstreamCall::start(Request request)
 {
     boost::system::error_code error;
-    m_stream = co_await m_pool.acquire(error);
+    m_stream = co_await m_pool->acquire(error);
     if (error || m_cancelled) {
         m_connectionRefused = !m_cancelled;
         co_return error ? error : Asio::error::operation_aborted;
     }
-    request.set(BeastHttp::field::host, m_pool.hostHeader());
+    request.set(BeastHttp::field::host, m_pool->hostHeader());
     request.prepare_payload();
     m_stream->expires_after(m_timeout);
     // A failed write may still have delivered some bytes.
--- a/Source/Http/UpstreamCall.h
+++ b/Source/Http/UpstreamCall.h
@@ -29,7 +29,7 @@
 public:
     using Request = boost::beast::http::request<boost::beast::http::string_body>;
 
-    UpstreamCall(UpstreamConnectionPool &pool, Duration timeout);
+    UpstreamCall(std::shared_ptr<UpstreamConnectionPool> pool, Duration timeout);
     ~UpstreamCall();
 
     /// Connects (or reuses an idle connection), writes \p request and reads the answer's header.
@@ -57,7 +57,7 @@
 private:
     using Parser = boost::beast::http::response_parser<boost::beast::http::buffer_body>;
 
-    UpstreamConnectionPool &m_pool;
+    std::shared_ptr<UpstreamConnectionPool> m_pool;
     Duration m_timeout;
     std::shared_ptr<boost::beast::tcp_stream> m_stream;
     boost::beast::flat_buffer m_buffer;
--- a/Source/Membership/GracefulStop.cpp
+++ b/Source/Membership/GracefulStop.cpp
@@ -2,7 +2,7 @@
 
 #include <algorithm>
 
-namespace Mangofall {
+namespace Mangofall::Membership {
 
 GracefulStop::GracefulStop(GracefulStopSettings settings)
     : m_settings(settings)
--- a/Source/Membership/GracefulStop.h
+++ b/Source/Membership/GracefulStop.h
@@ -8,7 +8,7 @@
 #include <variant>
 #include <vector>
 
-namespace Mangofall {
+namespace Mangofall::Membership {
 
 /// SIGTERM arrived.
 struct StopRequested {
--- a/Source/Membership/StoreLease.cpp
+++ b/Source/Membership/StoreLease.cpp
@@ -2,7 +2,7 @@
 
 #include <algorithm>
 
-namespace Mangofall {
+namespace Mangofall::Membership {
 
 StoreLease::StoreLease(HostId self, std::uint64_t incarnation, std::string key, LeaseSettings settings)
     : m_self(std::move(self))
--- a/Source/Membership/StoreLease.h
+++ b/Source/Membership/StoreLease.h
@@ -9,7 +9,7 @@
 #include <variant>
 #include <vector>
 
-namespace Mangofall {
+namespace Mangofall::Membership {
 
 /**
  * \class LeaseSettings
--- a/Source/Peer/PeerConnection.cpp
+++ b/Source/Peer/PeerConnection.cpp
@@ -79,6 +79,12 @@
     }
 }
 
+void PeerConnection::abandon()
+{
+    m_handler = nullptr;
+    close();
+}
+
 bool PeerConnection::isOpen() const
 {
     return !m_closed;
@@ -97,7 +103,7 @@
         payload.resize(frameLength(header));
         const auto [payloadError, payloadBytes] = co_await Asio::async_read(m_socket, Asio::buffer(payload), awaitTuple);
         Wire::PeerMessageT message;
-        if (payloadError || decodeFrame(payload, message)) {
+        if (payloadError || m_handler == nullptr || decodeFrame(payload, message)) {
             break;
         }
         m_handler->handleMessage(self, std::move(message));
--- a/Source/Peer/PeerConnection.h
+++ b/Source/Peer/PeerConnection.h
@@ -39,6 +39,9 @@
     /// Closes the socket; the handler is told once.
     void close();
 
+    /// Closes the socket without telling the handler, which may be destroyed afterwards.
+    void abandon();
+
     bool isOpen() const;
 
 private:
--- a/Source/Peer/PeerLink.cpp
+++ b/Source/Peer/PeerLink.cpp
@@ -59,6 +59,14 @@
     }
 }
 
+void PeerLink::abandon()
+{
+    m_abandoned = true;
+    if (m_connection) {
+        m_connection->abandon();
+    }
+}
+
 const std::shared_ptr<PeerConnection> &PeerLink::connection() const
 {
     return m_connection;
@@ -82,6 +90,9 @@
         error = connectError;
     }
     m_connecting = false;
+    if (m_abandoned) {
+        co_return;
+    }
     std::vector<Wire::PeerMessageT> waiting;
     waiting.swap(m_waiting);
     m_connection = std::make_shared<PeerConnection>(std::move(*socket), m_byteCounter);
--- a/Source/Peer/PeerLink.h
+++ b/Source/Peer/PeerLink.h
@@ -37,6 +37,9 @@
     /// Closes the current connection; the next send() makes a new one.
     void close();
 
+    /// Closes the connection and calls the handler no more.
+    void abandon();
+
     /// The current connection; null before the first send() and after a failure.
     const std::shared_ptr<PeerConnection> &connection() const;
 
@@ -52,6 +55,7 @@
     std::shared_ptr<PeerConnection> m_connection;
     std::vector<Wire::PeerMessageT> m_waiting;
     bool m_connecting = false;
+    bool m_abandoned = false;
 };
 
 }
--- a/Source/Peer/PeerMessages_generated.h
+++ b/Source/Peer/PeerMessages_generated.h
@@ -22,26 +22,54 @@
 struct HelloBuilder;
 struct HelloT;
 
-struct HostDigest;
-struct HostDigestBuilder;
-struct HostDigestT;
+struct HostClaim;
+struct HostClaimBuilder;
+struct HostClaimT;
+
+struct Digest;
+struct DigestBuilder;
+struct DigestT;
 
 struct Heartbeat;
 struct HeartbeatBuilder;
 struct HeartbeatT;
 
-struct ConfigurationPush;
-struct ConfigurationPushBuilder;
-struct ConfigurationPushT;
+struct DigestMessage;
+struct DigestMessageBuilder;
+struct DigestMessageT;
+
+struct MembershipProbe;
+struct MembershipProbeBuilder;
+struct MembershipProbeT;
+
+struct MembershipProbeAnswer;
+struct MembershipProbeAnswerBuilder;
+struct MembershipProbeAnswerT;
+
+struct ConfigurationRoot;
+struct ConfigurationRootBuilder;
+struct ConfigurationRootT;
 
 struct ConfigurationFetch;
 struct ConfigurationFetchBuilder;
 struct ConfigurationFetchT;
 
+struct ConfigurationBlob;
+struct ConfigurationBlobBuilder;
+struct ConfigurationBlobT;
+
 struct Header;
 struct HeaderBuilder;
 struct HeaderT;
 
+struct Load;
+struct LoadBuilder;
+struct LoadT;
+
+struct LoadReport;
+struct LoadReportBuilder;
+struct LoadReportT;
+
 struct Dispatch;
 struct DispatchBuilder;
 struct DispatchT;
@@ -62,6 +90,18 @@
 struct CancelBuilder;
 struct CancelT;
 
+struct Flow;
+struct FlowBuilder;
+struct FlowT;
+
+struct ProbeCall;
+struct ProbeCallBuilder;
+struct ProbeCallT;
+
+struct ProbeAnswer;
+struct ProbeAnswerBuilder;
+struct ProbeAnswerT;
+
 struct InFlightEntry;
 struct InFlightEntryBuilder;
 struct InFlightEntryT;
@@ -70,6 +110,10 @@
 struct HandOverBuilder;
 struct HandOverT;
 
+struct CrashLoss;
+struct CrashLossBuilder;
+struct CrashLossT;
+
 struct CrashNotice;
 struct CrashNoticeBuilder;
 struct CrashNoticeT;
@@ -78,14 +122,18 @@
 struct CrashNoticeAckBuilder;
 struct CrashNoticeAckT;
 
-struct LedgerCall;
-struct LedgerCallBuilder;
-struct LedgerCallT;
+struct LedgerOrder;
+struct LedgerOrderBuilder;
+struct LedgerOrderT;
 
 struct LedgerAnswer;
 struct LedgerAnswerBuilder;
 struct LedgerAnswerT;
 
+struct LedgerOutcome;
+struct LedgerOutcomeBuilder;
+struct LedgerOutcomeT;
+
 struct LimitMessage;
 struct LimitMessageBuilder;
 struct LimitMessageT;
@@ -132,46 +180,43 @@
   return EnumNamesPurpose()[index];
 }
 
-enum class LedgerOperation : int8_t {
-  Begin = 0,
-  Outcome = 1,
-  NotRun = 2,
-  Lookup = 3,
-  List = 4,
-  Settle = 5,
-  MIN = Begin,
-  MAX = Settle
-};
-
-inline const LedgerOperation (&EnumValuesLedgerOperation())[6] {
-  static const LedgerOperation values[] = {
-    LedgerOperation::Begin,
-    LedgerOperation::Outcome,
-    LedgerOperation::NotRun,
-    LedgerOperation::Lookup,
-    LedgerOperation::List,
-    LedgerOperation::Settle
+enum class StreamOutcome : int8_t {
+  Completed = 0,
+  /// No byte was written, or the upstream answered that it refused before work.
+  Refused = 1,
+  /// The upstream cannot continue at the requested token.
+  ResumeRejected = 2,
+  /// The answer broke off.
+  Broken = 3,
+  MIN = Completed,
+  MAX = Broken
+};
+
+inline const StreamOutcome (&EnumValuesStreamOutcome())[4] {
+  static const StreamOutcome values[] = {
+    StreamOutcome::Completed,
+    StreamOutcome::Refused,
+    StreamOutcome::ResumeRejected,
+    StreamOutcome::Broken
   };
   return values;
 }
 
-inline const char * const *EnumNamesLedgerOperation() {
-  static const char * const names[7] = {
-    "Begin",
-    "Outcome",
-    "NotRun",
-    "Lookup",
-    "List",
-    "Settle",
+inline const char * const *EnumNamesStreamOutcome() {
+  static const char * const names[5] = {
+    "Completed",
+    "Refused",
+    "ResumeRejected",
+    "Broken",
     nullptr
   };
   return names;
 }
 
-inline const char *EnumNameLedgerOperation(LedgerOperation e) {
-  if (flatbuffers::IsOutRange(e, LedgerOperation::Begin, LedgerOperation::Settle)) return "";
+inline const char *EnumNameStreamOutcome(StreamOutcome e) {
+  if (flatbuffers::IsOutRange(e, StreamOutcome::Completed, StreamOutcome::Broken)) return "";
   const size_t index = static_cast<size_t>(e);
-  return EnumNamesLedgerOperation()[index];
+  return EnumNamesStreamOutcome()[index];
 }
 
 enum class ReservationOperation : int8_t {
@@ -211,42 +256,58 @@
   NONE = 0,
   Hello = 1,
   Heartbeat = 2,
-  ConfigurationPush = 3,
-  ConfigurationFetch = 4,
-  Dispatch = 5,
-  StreamStart = 6,
-  StreamData = 7,
-  StreamEnd = 8,
-  Cancel = 9,
-  HandOver = 10,
-  CrashNotice = 11,
-  CrashNoticeAck = 12,
-  LedgerCall = 13,
-  LedgerAnswer = 14,
-  LimitMessage = 15,
-  ReservationCall = 16,
-  ReservationAnswer = 17,
+  DigestMessage = 3,
+  MembershipProbe = 4,
+  MembershipProbeAnswer = 5,
+  ConfigurationRoot = 6,
+  ConfigurationFetch = 7,
+  ConfigurationBlob = 8,
+  Dispatch = 9,
+  StreamStart = 10,
+  StreamData = 11,
+  StreamEnd = 12,
+  Cancel = 13,
+  Flow = 14,
+  ProbeCall = 15,
+  ProbeAnswer = 16,
+  HandOver = 17,
+  CrashNotice = 18,
+  CrashNoticeAck = 19,
+  LedgerOrder = 20,
+  LedgerAnswer = 21,
+  LedgerOutcome = 22,
+  LimitMessage = 23,
+  ReservationCall = 24,
+  ReservationAnswer = 25,
   MIN = NONE,
   MAX = ReservationAnswer
 };
 
-inline const Body (&EnumValuesBody())[18] {
+inline const Body (&EnumValuesBody())[26] {
   static const Body values[] = {
     Body::NONE,
     Body::Hello,
     Body::Heartbeat,
-    Body::ConfigurationPush,
+    Body::DigestMessage,
+    Body::MembershipProbe,
+    Body::MembershipProbeAnswer,
+    Body::ConfigurationRoot,
     Body::ConfigurationFetch,
+    Body::ConfigurationBlob,
     Body::Dispatch,
     Body::StreamStart,
     Body::StreamData,
     Body::StreamEnd,
     Body::Cancel,
+    Body::Flow,
+    Body::ProbeCall,
+    Body::ProbeAnswer,
     Body::HandOver,
     Body::CrashNotice,
     Body::CrashNoticeAck,
-    Body::LedgerCall,
+    Body::LedgerOrder,
     Body::LedgerAnswer,
+    Body::LedgerOutcome,
     Body::LimitMessage,
     Body::ReservationCall,
     Body::ReservationAnswer
@@ -255,22 +316,30 @@
 }
 
 inline const char * const *EnumNamesBody() {
-  static const char * const names[19] = {
+  static const char * const names[27] = {
     "NONE",
     "Hello",
     "Heartbeat",
-    "ConfigurationPush",
+    "DigestMessage",
+    "MembershipProbe",
+    "MembershipProbeAnswer",
+    "ConfigurationRoot",
     "ConfigurationFetch",
+    "ConfigurationBlob",
     "Dispatch",
     "StreamStart",
     "StreamData",
     "StreamEnd",
     "Cancel",
+    "Flow",
+    "ProbeCall",
+    "ProbeAnswer",
     "HandOver",
     "CrashNotice",
     "CrashNoticeAck",
-    "LedgerCall",
+    "LedgerOrder",
     "LedgerAnswer",
+    "LedgerOutcome",
     "LimitMessage",
     "ReservationCall",
     "ReservationAnswer",
@@ -297,14 +366,30 @@
   static const Body enum_value = Body::Heartbeat;
 };
 
-template<> struct BodyTraits<Mangofall::Wire::ConfigurationPush> {
-  static const Body enum_value = Body::ConfigurationPush;
+template<> struct BodyTraits<Mangofall::Wire::DigestMessage> {
+  static const Body enum_value = Body::DigestMessage;
+};
+
+template<> struct BodyTraits<Mangofall::Wire::MembershipProbe> {
+  static const Body enum_value = Body::MembershipProbe;
+};
+
+template<> struct BodyTraits<Mangofall::Wire::MembershipProbeAnswer> {
+  static const Body enum_value = Body::MembershipProbeAnswer;
+};
+
+template<> struct BodyTraits<Mangofall::Wire::ConfigurationRoot> {
+  static const Body enum_value = Body::ConfigurationRoot;
 };
 
 template<> struct BodyTraits<Mangofall::Wire::ConfigurationFetch> {
   static const Body enum_value = Body::ConfigurationFetch;
 };
 
+template<> struct BodyTraits<Mangofall::Wire::ConfigurationBlob> {
+  static const Body enum_value = Body::ConfigurationBlob;
+};
+
 template<> struct BodyTraits<Mangofall::Wire::Dispatch> {
   static const Body enum_value = Body::Dispatch;
 };
@@ -325,6 +410,18 @@
   static const Body enum_value = Body::Cancel;
 };
 
+template<> struct BodyTraits<Mangofall::Wire::Flow> {
+  static const Body enum_value = Body::Flow;
+};
+
+template<> struct BodyTraits<Mangofall::Wire::ProbeCall> {
+  static const Body enum_value = Body::ProbeCall;
+};
+
+template<> struct BodyTraits<Mangofall::Wire::ProbeAnswer> {
+  static const Body enum_value = Body::ProbeAnswer;
+};
+
 template<> struct BodyTraits<Mangofall::Wire::HandOver> {
   static const Body enum_value = Body::HandOver;
 };
@@ -337,14 +434,18 @@
   static const Body enum_value = Body::CrashNoticeAck;
 };
 
-template<> struct BodyTraits<Mangofall::Wire::LedgerCall> {
-  static const Body enum_value = Body::LedgerCall;
+template<> struct BodyTraits<Mangofall::Wire::LedgerOrder> {
+  static const Body enum_value = Body::LedgerOrder;
 };
 
 template<> struct BodyTraits<Mangofall::Wire::LedgerAnswer> {
   static const Body enum_value = Body::LedgerAnswer;
 };
 
+template<> struct BodyTraits<Mangofall::Wire::LedgerOutcome> {
+  static const Body enum_value = Body::LedgerOutcome;
+};
+
 template<> struct BodyTraits<Mangofall::Wire::LimitMessage> {
   static const Body enum_value = Body::LimitMessage;
 };
@@ -369,14 +470,30 @@
   static const Body enum_value = Body::Heartbeat;
 };
 
-template<> struct BodyUnionTraits<Mangofall::Wire::ConfigurationPushT> {
-  static const Body enum_value = Body::ConfigurationPush;
+template<> struct BodyUnionTraits<Mangofall::Wire::DigestMessageT> {
+  static const Body enum_value = Body::DigestMessage;
+};
+
+template<> struct BodyUnionTraits<Mangofall::Wire::MembershipProbeT> {
+  static const Body enum_value = Body::MembershipProbe;
+};
+
+template<> struct BodyUnionTraits<Mangofall::Wire::MembershipProbeAnswerT> {
+  static const Body enum_value = Body::MembershipProbeAnswer;
+};
+
+template<> struct BodyUnionTraits<Mangofall::Wire::ConfigurationRootT> {
+  static const Body enum_value = Body::ConfigurationRoot;
 };
 
 template<> struct BodyUnionTraits<Mangofall::Wire::ConfigurationFetchT> {
   static const Body enum_value = Body::ConfigurationFetch;
 };
 
+template<> struct BodyUnionTraits<Mangofall::Wire::ConfigurationBlobT> {
+  static const Body enum_value = Body::ConfigurationBlob;
+};
+
 template<> struct BodyUnionTraits<Mangofall::Wire::DispatchT> {
   static const Body enum_value = Body::Dispatch;
 };
@@ -397,6 +514,18 @@
   static const Body enum_value = Body::Cancel;
 };
 
+template<> struct BodyUnionTraits<Mangofall::Wire::FlowT> {
+  static const Body enum_value = Body::Flow;
+};
+
+template<> struct BodyUnionTraits<Mangofall::Wire::ProbeCallT> {
+  static const Body enum_value = Body::ProbeCall;
+};
+
+template<> struct BodyUnionTraits<Mangofall::Wire::ProbeAnswerT> {
+  static const Body enum_value = Body::ProbeAnswer;
+};
+
 template<> struct BodyUnionTraits<Mangofall::Wire::HandOverT> {
   static const Body enum_value = Body::HandOver;
 };
@@ -409,14 +538,18 @@
   static const Body enum_value = Body::CrashNoticeAck;
 };
 
-template<> struct BodyUnionTraits<Mangofall::Wire::LedgerCallT> {
-  static const Body enum_value = Body::LedgerCall;
+template<> struct BodyUnionTraits<Mangofall::Wire::LedgerOrderT> {
+  static const Body enum_value = Body::LedgerOrder;
 };
 
 template<> struct BodyUnionTraits<Mangofall::Wire::LedgerAnswerT> {
   static const Body enum_value = Body::LedgerAnswer;
 };
 
+template<> struct BodyUnionTraits<Mangofall::Wire::LedgerOutcomeT> {
+  static const Body enum_value = Body::LedgerOutcome;
+};
+
 template<> struct BodyUnionTraits<Mangofall::Wire::LimitMessageT> {
   static const Body enum_value = Body::LimitMessage;
 };
@@ -475,13 +608,37 @@
     return type == Body::Heartbeat ?
       reinterpret_cast<const Mangofall::Wire::HeartbeatT *>(value) : nullptr;
   }
-  Mangofall::Wire::ConfigurationPushT *AsConfigurationPush() {
-    return type == Body::ConfigurationPush ?
-      reinterpret_cast<Mangofall::Wire::ConfigurationPushT *>(value) : nullptr;
+  Mangofall::Wire::DigestMessageT *AsDigestMessage() {
+    return type == Body::DigestMessage ?
+      reinterpret_cast<Mangofall::Wire::DigestMessageT *>(value) : nullptr;
+  }
+  const Mangofall::Wire::DigestMessageT *AsDigestMessage() const {
+    return type == Body::DigestMessage ?
+      reinterpret_cast<const Mangofall::Wire::DigestMessageT *>(value) : nullptr;
+  }
+  Mangofall::Wire::MembershipProbeT *AsMembershipProbe() {
+    return type == Body::MembershipProbe ?
+      reinterpret_cast<Mangofall::Wire::MembershipProbeT *>(value) : nullptr;
   }
-  const Mangofall::Wire::ConfigurationPushT *AsConfigurationPush() const {
-    return type == Body::ConfigurationPush ?
-      reinterpret_cast<const Mangofall::Wire::ConfigurationPushT *>(value) : nullptr;
+  const Mangofall::Wire::MembershipProbeT *AsMembershipProbe() const {
+    return type == Body::MembershipProbe ?
+      reinterpret_cast<const Mangofall::Wire::MembershipProbeT *>(value) : nullptr;
+  }
+  Mangofall::Wire::MembershipProbeAnswerT *AsMembershipProbeAnswer() {
+    return type == Body::MembershipProbeAnswer ?
+      reinterpret_cast<Mangofall::Wire::MembershipProbeAnswerT *>(value) : nullptr;
+  }
+  const Mangofall::Wire::MembershipProbeAnswerT *AsMembershipProbeAnswer() const {
+    return type == Body::MembershipProbeAnswer ?
+      reinterpret_cast<const Mangofall::Wire::MembershipProbeAnswerT *>(value) : nullptr;
+  }
+  Mangofall::Wire::ConfigurationRootT *AsConfigurationRoot() {
+    return type == Body::ConfigurationRoot ?
+      reinterpret_cast<Mangofall::Wire::ConfigurationRootT *>(value) : nullptr;
+  }
+  const Mangofall::Wire::ConfigurationRootT *AsConfigurationRoot() const {
+    return type == Body::ConfigurationRoot ?
+      reinterpret_cast<const Mangofall::Wire::ConfigurationRootT *>(value) : nullptr;
   }
   Mangofall::Wire::ConfigurationFetchT *AsConfigurationFetch() {
     return type == Body::ConfigurationFetch ?
@@ -491,6 +648,14 @@
     return type == Body::ConfigurationFetch ?
       reinterpret_cast<const Mangofall::Wire::ConfigurationFetchT *>(value) : nullptr;
   }
+  Mangofall::Wire::ConfigurationBlobT *AsConfigurationBlob() {
+    return type == Body::ConfigurationBlob ?
+      reinterpret_cast<Mangofall::Wire::ConfigurationBlobT *>(value) : nullptr;
+  }
+  const Mangofall::Wire::ConfigurationBlobT *AsConfigurationBlob() const {
+    return type == Body::ConfigurationBlob ?
+      reinterpret_cast<const Mangofall::Wire::ConfigurationBlobT *>(value) : nullptr;
+  }
   Mangofall::Wire::DispatchT *AsDispatch() {
     return type == Body::Dispatch ?
       reinterpret_cast<Mangofall::Wire::DispatchT *>(value) : nullptr;
@@ -531,6 +696,30 @@
     return type == Body::Cancel ?
       reinterpret_cast<const Mangofall::Wire::CancelT *>(value) : nullptr;
   }
+  Mangofall::Wire::FlowT *AsFlow() {
+    return type == Body::Flow ?
+      reinterpret_cast<Mangofall::Wire::FlowT *>(value) : nullptr;
+  }
+  const Mangofall::Wire::FlowT *AsFlow() const {
+    return type == Body::Flow ?
+      reinterpret_cast<const Mangofall::Wire::FlowT *>(value) : nullptr;
+  }
+  Mangofall::Wire::ProbeCallT *AsProbeCall() {
+    return type == Body::ProbeCall ?
+      reinterpret_cast<Mangofall::Wire::ProbeCallT *>(value) : nullptr;
+  }
+  const Mangofall::Wire::ProbeCallT *AsProbeCall() const {
+    return type == Body::ProbeCall ?
+      reinterpret_cast<const Mangofall::Wire::ProbeCallT *>(value) : nullptr;
+  }
+  Mangofall::Wire::ProbeAnswerT *AsProbeAnswer() {
+    return type == Body::ProbeAnswer ?
+      reinterpret_cast<Mangofall::Wire::ProbeAnswerT *>(value) : nullptr;
+  }
+  const Mangofall::Wire::ProbeAnswerT *AsProbeAnswer() const {
+    return type == Body::ProbeAnswer ?
+      reinterpret_cast<const Mangofall::Wire::ProbeAnswerT *>(value) : nullptr;
+  }
   Mangofall::Wire::HandOverT *AsHandOver() {
     return type == Body::HandOver ?
       reinterpret_cast<Mangofall::Wire::HandOverT *>(value) : nullptr;
@@ -555,13 +744,13 @@
     return type == Body::CrashNoticeAck ?
       reinterpret_cast<const Mangofall::Wire::CrashNoticeAckT *>(value) : nullptr;
   }
-  Mangofall::Wire::LedgerCallT *AsLedgerCall() {
-    return type == Body::LedgerCall ?
-      reinterpret_cast<Mangofall::Wire::LedgerCallT *>(value) : nullptr;
+  Mangofall::Wire::LedgerOrderT *AsLedgerOrder() {
+    return type == Body::LedgerOrder ?
+      reinterpret_cast<Mangofall::Wire::LedgerOrderT *>(value) : nullptr;
   }
-  const Mangofall::Wire::LedgerCallT *AsLedgerCall() const {
-    return type == Body::LedgerCall ?
-      reinterpret_cast<const Mangofall::Wire::LedgerCallT *>(value) : nullptr;
+  const Mangofall::Wire::LedgerOrderT *AsLedgerOrder() const {
+    return type == Body::LedgerOrder ?
+      reinterpret_cast<const Mangofall::Wire::LedgerOrderT *>(value) : nullptr;
   }
   Mangofall::Wire::LedgerAnswerT *AsLedgerAnswer() {
     return type == Body::LedgerAnswer ?
@@ -571,6 +760,14 @@
     return type == Body::LedgerAnswer ?
       reinterpret_cast<const Mangofall::Wire::LedgerAnswerT *>(value) : nullptr;
   }
+  Mangofall::Wire::LedgerOutcomeT *AsLedgerOutcome() {
+    return type == Body::LedgerOutcome ?
+      reinterpret_cast<Mangofall::Wire::LedgerOutcomeT *>(value) : nullptr;
+  }
+  const Mangofall::Wire::LedgerOutcomeT *AsLedgerOutcome() const {
+    return type == Body::LedgerOutcome ?
+      reinterpret_cast<const Mangofall::Wire::LedgerOutcomeT *>(value) : nullptr;
+  }
   Mangofall::Wire::LimitMessageT *AsLimitMessage() {
     return type == Body::LimitMessage ?
       reinterpret_cast<Mangofall::Wire::LimitMessageT *>(value) : nullptr;
@@ -635,11 +832,6 @@
   uint64_t incarnation = 0;
   std::string data_centre{};
   Mangofall::Wire::Purpose purpose = Mangofall::Wire::Purpose::Control;
-  std::vector<std::unique_ptr<Mangofall::Wire::CrashNoticeT>> notices{};
-  HelloT() = default;
-  HelloT(const HelloT &o);
-  HelloT(HelloT&&) FLATBUFFERS_NOEXCEPT = default;
-  HelloT &operator=(HelloT o) FLATBUFFERS_NOEXCEPT;
 };
 
 /// First message on every connection, in both directions.
@@ -650,8 +842,7 @@
     VT_HOST = 4,
     VT_INCARNATION = 6,
     VT_DATA_CENTRE = 8,
-    VT_PURPOSE = 10,
-    VT_NOTICES = 12
+    VT_PURPOSE = 10
   };
   const flatbuffers::String *host() const {
     return GetPointer<const flatbuffers::String *>(VT_HOST);
@@ -665,10 +856,6 @@
   Mangofall::Wire::Purpose purpose() const {
     return static_cast<Mangofall::Wire::Purpose>(GetField<int8_t>(VT_PURPOSE, 0));
   }
-  /// Quarantined fingerprints that the sender knows (on control connections).
-  const flatbuffers::Vector<flatbuffers::Offset<Mangofall::Wire::CrashNotice>> *notices() const {
-    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<Mangofall::Wire::CrashNotice>> *>(VT_NOTICES);
-  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_HOST) &&
@@ -677,9 +864,6 @@
            VerifyOffset(verifier, VT_DATA_CENTRE) &&
            verifier.VerifyString(data_centre()) &&
            VerifyField<int8_t>(verifier, VT_PURPOSE, 1) &&
-           VerifyOffset(verifier, VT_NOTICES) &&
-           verifier.VerifyVector(notices()) &&
-           verifier.VerifyVectorOfTables(notices()) &&
            verifier.EndTable();
   }
   HelloT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -703,9 +887,6 @@
   void add_purpose(Mangofall::Wire::Purpose purpose) {
     fbb_.AddElement<int8_t>(Hello::VT_PURPOSE, static_cast<int8_t>(purpose), 0);
   }
-  void add_notices(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<Mangofall::Wire::CrashNotice>>> notices) {
-    fbb_.AddOffset(Hello::VT_NOTICES, notices);
-  }
   explicit HelloBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -722,11 +903,9 @@
     flatbuffers::Offset<flatbuffers::String> host = 0,
     uint64_t incarnation = 0,
     flatbuffers::Offset<flatbuffers::String> data_centre = 0,
-    Mangofall::Wire::Purpose purpose = Mangofall::Wire::Purpose::Control,
-    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<Mangofall::Wire::CrashNotice>>> notices = 0) {
+    Mangofall::Wire::Purpose purpose = Mangofall::Wire::Purpose::Control) {
   HelloBuilder builder_(_fbb);
   builder_.add_incarnation(incarnation);
-  builder_.add_notices(notices);
   builder_.add_data_centre(data_centre);
   builder_.add_host(host);
   builder_.add_purpose(purpose);
@@ -738,50 +917,46 @@
     const char *host = nullptr,
     uint64_t incarnation = 0,
     const char *data_centre = nullptr,
-    Mangofall::Wire::Purpose purpose = Mangofall::Wire::Purpose::Control,
-    const std::vector<flatbuffers::Offset<Mangofall::Wire::CrashNotice>> *notices = nullptr) {
+    Mangofall::Wire::Purpose purpose = Mangofall::Wire::Purpose::Control) {
   auto host__ = host ? _fbb.CreateString(host) : 0;
   auto data_centre__ = data_centre ? _fbb.CreateString(data_centre) : 0;
-  auto notices__ = notices ? _fbb.CreateVector<flatbuffers::Offset<Mangofall::Wire::CrashNotice>>(*notices) : 0;
   return Mangofall::Wire::CreateHello(
       _fbb,
       host__,
       incarnation,
       data_centre__,
-      purpose,
-      notices__);
+      purpose);
 }
 
 flatbuffers::Offset<Hello> CreateHello(flatbuffers::FlatBufferBuilder &_fbb, const HelloT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
 
-struct HostDigestT : public flatbuffers::NativeTable {
-  typedef HostDigest TableType;
+struct HostClaimT : public flatbuffers::NativeTable {
+  typedef HostClaim TableType;
   std::string host{};
   uint64_t incarnation = 0;
+  uint64_t sequence = 0;
+  uint8_t state = 0;
   std::string data_centre{};
   std::string region{};
   std::string address{};
   uint16_t port = 0;
   uint64_t revision = 0;
-  bool leaving = false;
-  uint32_t age_ms = 0;
-  std::vector<uint8_t> load{};
 };
 
-struct HostDigest FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
-  typedef HostDigestT NativeTableType;
-  typedef HostDigestBuilder Builder;
+/// One observer's claim about a host.
+struct HostClaim FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef HostClaimT NativeTableType;
+  typedef HostClaimBuilder Builder;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
     VT_HOST = 4,
     VT_INCARNATION = 6,
-    VT_DATA_CENTRE = 8,
-    VT_REGION = 10,
-    VT_ADDRESS = 12,
-    VT_PORT = 14,
-    VT_REVISION = 16,
-    VT_LEAVING = 18,
-    VT_AGE_MS = 20,
-    VT_LOAD = 22
+    VT_SEQUENCE = 8,
+    VT_STATE = 10,
+    VT_DATA_CENTRE = 12,
+    VT_REGION = 14,
+    VT_ADDRESS = 16,
+    VT_PORT = 18,
+    VT_REVISION = 20
   };
   const flatbuffers::String *host() const {
     return GetPointer<const flatbuffers::String *>(VT_HOST);
@@ -789,6 +964,12 @@
   uint64_t incarnation() const {
     return GetField<uint64_t>(VT_INCARNATION, 0);
   }
+  uint64_t sequence() const {
+    return GetField<uint64_t>(VT_SEQUENCE, 0);
+  }
+  uint8_t state() const {
+    return GetField<uint8_t>(VT_STATE, 0);
+  }
   const flatbuffers::String *data_centre() const {
     return GetPointer<const flatbuffers::String *>(VT_DATA_CENTRE);
   }
@@ -804,20 +985,13 @@
   uint64_t revision() const {
     return GetField<uint64_t>(VT_REVISION, 0);
   }
-  bool leaving() const {
-    return GetField<uint8_t>(VT_LEAVING, 0) != 0;
-  }
-  uint32_t age_ms() const {
-    return GetField<uint32_t>(VT_AGE_MS, 0);
-  }
-  const flatbuffers::Vector<uint8_t> *load() const {
-    return GetPointer<const flatbuffers::Vector<uint8_t> *>(VT_LOAD);
-  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_HOST) &&
            verifier.VerifyString(host()) &&
            VerifyField<uint64_t>(verifier, VT_INCARNATION, 8) &&
+           VerifyField<uint64_t>(verifier, VT_SEQUENCE, 8) &&
+           VerifyField<uint8_t>(verifier, VT_STATE, 1) &&
            VerifyOffset(verifier, VT_DATA_CENTRE) &&
            verifier.VerifyString(data_centre()) &&
            VerifyOffset(verifier, VT_REGION) &&
@@ -826,335 +1000,731 @@
            verifier.VerifyString(address()) &&
            VerifyField<uint16_t>(verifier, VT_PORT, 2) &&
            VerifyField<uint64_t>(verifier, VT_REVISION, 8) &&
-           VerifyField<uint8_t>(verifier, VT_LEAVING, 1) &&
-           VerifyField<uint32_t>(verifier, VT_AGE_MS, 4) &&
-           VerifyOffset(verifier, VT_LOAD) &&
-           verifier.VerifyVector(load()) &&
            verifier.EndTable();
   }
-  HostDigestT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
-  void UnPackTo(HostDigestT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
-  static flatbuffers::Offset<HostDigest> Pack(flatbuffers::FlatBufferBuilder &_fbb, const HostDigestT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+  HostClaimT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(HostClaimT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<HostClaim> Pack(flatbuffers::FlatBufferBuilder &_fbb, const HostClaimT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
 };
 
-struct HostDigestBuilder {
-  typedef HostDigest Table;
+struct HostClaimBuilder {
+  typedef HostClaim Table;
   flatbuffers::FlatBufferBuilder &fbb_;
   flatbuffers::uoffset_t start_;
   void add_host(flatbuffers::Offset<flatbuffers::String> host) {
-    fbb_.AddOffset(HostDigest::VT_HOST, host);
+    fbb_.AddOffset(HostClaim::VT_HOST, host);
   }
   void add_incarnation(uint64_t incarnation) {
-    fbb_.AddElement<uint64_t>(HostDigest::VT_INCARNATION, incarnation, 0);
+    fbb_.AddElement<uint64_t>(HostClaim::VT_INCARNATION, incarnation, 0);
+  }
+  void add_sequence(uint64_t sequence) {
+    fbb_.AddElement<uint64_t>(HostClaim::VT_SEQUENCE, sequence, 0);
+  }
+  void add_state(uint8_t state) {
+    fbb_.AddElement<uint8_t>(HostClaim::VT_STATE, state, 0);
   }
   void add_data_centre(flatbuffers::Offset<flatbuffers::String> data_centre) {
-    fbb_.AddOffset(HostDigest::VT_DATA_CENTRE, data_centre);
+    fbb_.AddOffset(HostClaim::VT_DATA_CENTRE, data_centre);
   }
   void add_region(flatbuffers::Offset<flatbuffers::String> region) {
-    fbb_.AddOffset(HostDigest::VT_REGION, region);
+    fbb_.AddOffset(HostClaim::VT_REGION, region);
   }
   void add_address(flatbuffers::Offset<flatbuffers::String> address) {
-    fbb_.AddOffset(HostDigest::VT_ADDRESS, address);
+    fbb_.AddOffset(HostClaim::VT_ADDRESS, address);
   }
   void add_port(uint16_t port) {
-    fbb_.AddElement<uint16_t>(HostDigest::VT_PORT, port, 0);
+    fbb_.AddElement<uint16_t>(HostClaim::VT_PORT, port, 0);
   }
   void add_revision(uint64_t revision) {
-    fbb_.AddElement<uint64_t>(HostDigest::VT_REVISION, revision, 0);
-  }
-  void add_leaving(bool leaving) {
-    fbb_.AddElement<uint8_t>(HostDigest::VT_LEAVING, static_cast<uint8_t>(leaving), 0);
-  }
-  void add_age_ms(uint32_t age_ms) {
-    fbb_.AddElement<uint32_t>(HostDigest::VT_AGE_MS, age_ms, 0);
-  }
-  void add_load(flatbuffers::Offset<flatbuffers::Vector<uint8_t>> load) {
-    fbb_.AddOffset(HostDigest::VT_LOAD, load);
+    fbb_.AddElement<uint64_t>(HostClaim::VT_REVISION, revision, 0);
   }
-  explicit HostDigestBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+  explicit HostClaimBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
   }
-  flatbuffers::Offset<HostDigest> Finish() {
+  flatbuffers::Offset<HostClaim> Finish() {
     const auto end = fbb_.EndTable(start_);
-    auto o = flatbuffers::Offset<HostDigest>(end);
+    auto o = flatbuffers::Offset<HostClaim>(end);
     return o;
   }
 };
 
-inline flatbuffers::Offset<HostDigest> CreateHostDigest(
+inline flatbuffers::Offset<HostClaim> CreateHostClaim(
     flatbuffers::FlatBufferBuilder &_fbb,
     flatbuffers::Offset<flatbuffers::String> host = 0,
     uint64_t incarnation = 0,
+    uint64_t sequence = 0,
+    uint8_t state = 0,
     flatbuffers::Offset<flatbuffers::String> data_centre = 0,
     flatbuffers::Offset<flatbuffers::String> region = 0,
     flatbuffers::Offset<flatbuffers::String> address = 0,
     uint16_t port = 0,
-    uint64_t revision = 0,
-    bool leaving = false,
-    uint32_t age_ms = 0,
-    flatbuffers::Offset<flatbuffers::Vector<uint8_t>> load = 0) {
-  HostDigestBuilder builder_(_fbb);
+    uint64_t revision = 0) {
+  HostClaimBuilder builder_(_fbb);
   builder_.add_revision(revision);
+  builder_.add_sequence(sequence);
   builder_.add_incarnation(incarnation);
-  builder_.add_load(load);
-  builder_.add_age_ms(age_ms);
   builder_.add_address(address);
   builder_.add_region(region);
   builder_.add_data_centre(data_centre);
   builder_.add_host(host);
   builder_.add_port(port);
-  builder_.add_leaving(leaving);
+  builder_.add_state(state);
   return builder_.Finish();
 }
 
-inline flatbuffers::Offset<HostDigest> CreateHostDigestDirect(
+inline flatbuffers::Offset<HostClaim> CreateHostClaimDirect(
     flatbuffers::FlatBufferBuilder &_fbb,
     const char *host = nullptr,
     uint64_t incarnation = 0,
+    uint64_t sequence = 0,
+    uint8_t state = 0,
     const char *data_centre = nullptr,
     const char *region = nullptr,
     const char *address = nullptr,
     uint16_t port = 0,
-    uint64_t revision = 0,
-    bool leaving = false,
-    uint32_t age_ms = 0,
-    const std::vector<uint8_t> *load = nullptr) {
+    uint64_t revision = 0) {
   auto host__ = host ? _fbb.CreateString(host) : 0;
   auto data_centre__ = data_centre ? _fbb.CreateString(data_centre) : 0;
   auto region__ = region ? _fbb.CreateString(region) : 0;
   auto address__ = address ? _fbb.CreateString(address) : 0;
-  auto load__ = load ? _fbb.CreateVector<uint8_t>(*load) : 0;
-  return Mangofall::Wire::CreateHostDigest(
+  return Mangofall::Wire::CreateHostClaim(
       _fbb,
       host__,
       incarnation,
+      sequence,
+      state,
       data_centre__,
       region__,
       address__,
       port,
-      revision,
-      leaving,
-      age_ms,
-      load__);
+      revision);
 }
 
-flatbuffers::Offset<HostDigest> CreateHostDigest(flatbuffers::FlatBufferBuilder &_fbb, const HostDigestT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+flatbuffers::Offset<HostClaim> CreateHostClaim(flatbuffers::FlatBufferBuilder &_fbb, const HostClaimT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
 
-struct HeartbeatT : public flatbuffers::NativeTable {
-  typedef Heartbeat TableType;
+struct DigestT : public flatbuffers::NativeTable {
+  typedef Digest TableType;
+  std::string data_centre{};
+  std::string region{};
+  std::string sender{};
+  uint64_t sender_incarnation = 0;
   uint64_t sequence = 0;
-  std::unique_ptr<Mangofall::Wire::HostDigestT> sender{};
-  std::vector<std::unique_ptr<Mangofall::Wire::HostDigestT>> digests{};
-  bool probe = false;
-  bool answer = false;
-  HeartbeatT() = default;
-  HeartbeatT(const HeartbeatT &o);
-  HeartbeatT(HeartbeatT&&) FLATBUFFERS_NOEXCEPT = default;
-  HeartbeatT &operator=(HeartbeatT o) FLATBUFFERS_NOEXCEPT;
+  std::vector<std::unique_ptr<Mangofall::Wire::HostClaimT>> hosts{};
+  std::vector<uint8_t> load{};
+  DigestT() = default;
+  DigestT(const DigestT &o);
+  DigestT(DigestT&&) FLATBUFFERS_NOEXCEPT = default;
+  DigestT &operator=(DigestT o) FLATBUFFERS_NOEXCEPT;
 };
 
-struct Heartbeat FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
-  typedef HeartbeatT NativeTableType;
-  typedef HeartbeatBuilder Builder;
+/// Summary of one data centre.
+struct Digest FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef DigestT NativeTableType;
+  typedef DigestBuilder Builder;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
-    VT_SEQUENCE = 4,
-    VT_SENDER = 6,
-    VT_DIGESTS = 8,
-    VT_PROBE = 10,
-    VT_ANSWER = 12
+    VT_DATA_CENTRE = 4,
+    VT_REGION = 6,
+    VT_SENDER = 8,
+    VT_SENDER_INCARNATION = 10,
+    VT_SEQUENCE = 12,
+    VT_HOSTS = 14,
+    VT_LOAD = 16
   };
-  uint64_t sequence() const {
-    return GetField<uint64_t>(VT_SEQUENCE, 0);
+  const flatbuffers::String *data_centre() const {
+    return GetPointer<const flatbuffers::String *>(VT_DATA_CENTRE);
+  }
+  const flatbuffers::String *region() const {
+    return GetPointer<const flatbuffers::String *>(VT_REGION);
+  }
+  const flatbuffers::String *sender() const {
+    return GetPointer<const flatbuffers::String *>(VT_SENDER);
   }
-  const Mangofall::Wire::HostDigest *sender() const {
-    return GetPointer<const Mangofall::Wire::HostDigest *>(VT_SENDER);
+  uint64_t sender_incarnation() const {
+    return GetField<uint64_t>(VT_SENDER_INCARNATION, 0);
   }
-  /// Hosts of other data centres and regions, on the links that carry them.
-  const flatbuffers::Vector<flatbuffers::Offset<Mangofall::Wire::HostDigest>> *digests() const {
-    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<Mangofall::Wire::HostDigest>> *>(VT_DIGESTS);
+  uint64_t sequence() const {
+    return GetField<uint64_t>(VT_SEQUENCE, 0);
   }
-  /// A probe asks for an answer on the same connection.
-  bool probe() const {
-    return GetField<uint8_t>(VT_PROBE, 0) != 0;
+  const flatbuffers::Vector<flatbuffers::Offset<Mangofall::Wire::HostClaim>> *hosts() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<Mangofall::Wire::HostClaim>> *>(VT_HOSTS);
   }
-  bool answer() const {
-    return GetField<uint8_t>(VT_ANSWER, 0) != 0;
+  const flatbuffers::Vector<uint8_t> *load() const {
+    return GetPointer<const flatbuffers::Vector<uint8_t> *>(VT_LOAD);
   }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
-           VerifyField<uint64_t>(verifier, VT_SEQUENCE, 8) &&
+           VerifyOffset(verifier, VT_DATA_CENTRE) &&
+           verifier.VerifyString(data_centre()) &&
+           VerifyOffset(verifier, VT_REGION) &&
+           verifier.VerifyString(region()) &&
            VerifyOffset(verifier, VT_SENDER) &&
-           verifier.VerifyTable(sender()) &&
-           VerifyOffset(verifier, VT_DIGESTS) &&
-           verifier.VerifyVector(digests()) &&
-           verifier.VerifyVectorOfTables(digests()) &&
-           VerifyField<uint8_t>(verifier, VT_PROBE, 1) &&
-           VerifyField<uint8_t>(verifier, VT_ANSWER, 1) &&
+           verifier.VerifyString(sender()) &&
+           VerifyField<uint64_t>(verifier, VT_SENDER_INCARNATION, 8) &&
+           VerifyField<uint64_t>(verifier, VT_SEQUENCE, 8) &&
+           VerifyOffset(verifier, VT_HOSTS) &&
+           verifier.VerifyVector(hosts()) &&
+           verifier.VerifyVectorOfTables(hosts()) &&
+           VerifyOffset(verifier, VT_LOAD) &&
+           verifier.VerifyVector(load()) &&
            verifier.EndTable();
   }
-  HeartbeatT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
-  void UnPackTo(HeartbeatT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
-  static flatbuffers::Offset<Heartbeat> Pack(flatbuffers::FlatBufferBuilder &_fbb, const HeartbeatT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+  DigestT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(DigestT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<Digest> Pack(flatbuffers::FlatBufferBuilder &_fbb, const DigestT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
 };
 
-struct HeartbeatBuilder {
-  typedef Heartbeat Table;
+struct DigestBuilder {
+  typedef Digest Table;
   flatbuffers::FlatBufferBuilder &fbb_;
   flatbuffers::uoffset_t start_;
-  void add_sequence(uint64_t sequence) {
-    fbb_.AddElement<uint64_t>(Heartbeat::VT_SEQUENCE, sequence, 0);
+  void add_data_centre(flatbuffers::Offset<flatbuffers::String> data_centre) {
+    fbb_.AddOffset(Digest::VT_DATA_CENTRE, data_centre);
+  }
+  void add_region(flatbuffers::Offset<flatbuffers::String> region) {
+    fbb_.AddOffset(Digest::VT_REGION, region);
   }
-  void add_sender(flatbuffers::Offset<Mangofall::Wire::HostDigest> sender) {
-    fbb_.AddOffset(Heartbeat::VT_SENDER, sender);
+  void add_sender(flatbuffers::Offset<flatbuffers::String> sender) {
+    fbb_.AddOffset(Digest::VT_SENDER, sender);
   }
-  void add_digests(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<Mangofall::Wire::HostDigest>>> digests) {
-    fbb_.AddOffset(Heartbeat::VT_DIGESTS, digests);
+  void add_sender_incarnation(uint64_t sender_incarnation) {
+    fbb_.AddElement<uint64_t>(Digest::VT_SENDER_INCARNATION, sender_incarnation, 0);
   }
-  void add_probe(bool probe) {
-    fbb_.AddElement<uint8_t>(Heartbeat::VT_PROBE, static_cast<uint8_t>(probe), 0);
+  void add_sequence(uint64_t sequence) {
+    fbb_.AddElement<uint64_t>(Digest::VT_SEQUENCE, sequence, 0);
   }
-  void add_answer(bool answer) {
-    fbb_.AddElement<uint8_t>(Heartbeat::VT_ANSWER, static_cast<uint8_t>(answer), 0);
+  void add_hosts(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<Mangofall::Wire::HostClaim>>> hosts) {
+    fbb_.AddOffset(Digest::VT_HOSTS, hosts);
   }
-  explicit HeartbeatBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+  void add_load(flatbuffers::Offset<flatbuffers::Vector<uint8_t>> load) {
+    fbb_.AddOffset(Digest::VT_LOAD, load);
+  }
+  explicit DigestBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
   }
-  flatbuffers::Offset<Heartbeat> Finish() {
+  flatbuffers::Offset<Digest> Finish() {
     const auto end = fbb_.EndTable(start_);
-    auto o = flatbuffers::Offset<Heartbeat>(end);
+    auto o = flatbuffers::Offset<Digest>(end);
     return o;
   }
 };
 
-inline flatbuffers::Offset<Heartbeat> CreateHeartbeat(
+inline flatbuffers::Offset<Digest> CreateDigest(
     flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::String> data_centre = 0,
+    flatbuffers::Offset<flatbuffers::String> region = 0,
+    flatbuffers::Offset<flatbuffers::String> sender = 0,
+    uint64_t sender_incarnation = 0,
     uint64_t sequence = 0,
-    flatbuffers::Offset<Mangofall::Wire::HostDigest> sender = 0,
-    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<Mangofall::Wire::HostDigest>>> digests = 0,
-    bool probe = false,
-    bool answer = false) {
-  HeartbeatBuilder builder_(_fbb);
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<Mangofall::Wire::HostClaim>>> hosts = 0,
+    flatbuffers::Offset<flatbuffers::Vector<uint8_t>> load = 0) {
+  DigestBuilder builder_(_fbb);
   builder_.add_sequence(sequence);
-  builder_.add_digests(digests);
+  builder_.add_sender_incarnation(sender_incarnation);
+  builder_.add_load(load);
+  builder_.add_hosts(hosts);
   builder_.add_sender(sender);
-  builder_.add_answer(answer);
-  builder_.add_probe(probe);
+  builder_.add_region(region);
+  builder_.add_data_centre(data_centre);
   return builder_.Finish();
 }
 
-inline flatbuffers::Offset<Heartbeat> CreateHeartbeatDirect(
+inline flatbuffers::Offset<Digest> CreateDigestDirect(
     flatbuffers::FlatBufferBuilder &_fbb,
+    const char *data_centre = nullptr,
+    const char *region = nullptr,
+    const char *sender = nullptr,
+    uint64_t sender_incarnation = 0,
     uint64_t sequence = 0,
-    flatbuffers::Offset<Mangofall::Wire::HostDigest> sender = 0,
-    const std::vector<flatbuffers::Offset<Mangofall::Wire::HostDigest>> *digests = nullptr,
-    bool probe = false,
-    bool answer = false) {
-  auto digests__ = digests ? _fbb.CreateVector<flatbuffers::Offset<Mangofall::Wire::HostDigest>>(*digests) : 0;
-  return Mangofall::Wire::CreateHeartbeat(
+    const std::vector<flatbuffers::Offset<Mangofall::Wire::HostClaim>> *hosts = nullptr,
+    const std::vector<uint8_t> *load = nullptr) {
+  auto data_centre__ = data_centre ? _fbb.CreateString(data_centre) : 0;
+  auto region__ = region ? _fbb.CreateString(region) : 0;
+  auto sender__ = sender ? _fbb.CreateString(sender) : 0;
+  auto hosts__ = hosts ? _fbb.CreateVector<flatbuffers::Offset<Mangofall::Wire::HostClaim>>(*hosts) : 0;
+  auto load__ = load ? _fbb.CreateVector<uint8_t>(*load) : 0;
+  return Mangofall::Wire::CreateDigest(
       _fbb,
+      data_centre__,
+      region__,
+      sender__,
+      sender_incarnation,
       sequence,
-      sender,
-      digests__,
-      probe,
-      answer);
+      hosts__,
+      load__);
 }
 
-flatbuffers::Offset<Heartbeat> CreateHeartbeat(flatbuffers::FlatBufferBuilder &_fbb, const HeartbeatT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+flatbuffers::Offset<Digest> CreateDigest(flatbuffers::FlatBufferBuilder &_fbb, const DigestT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
 
-struct ConfigurationPushT : public flatbuffers::NativeTable {
-  typedef ConfigurationPush TableType;
+struct HeartbeatT : public flatbuffers::NativeTable {
+  typedef Heartbeat TableType;
+  std::string host{};
+  uint64_t incarnation = 0;
+  uint64_t sequence = 0;
+  std::string data_centre{};
+  std::string region{};
+  std::string address{};
+  uint16_t port = 0;
   uint64_t revision = 0;
-  std::vector<uint8_t> document{};
+  bool leaving = false;
+  std::vector<uint8_t> load{};
+  std::vector<std::unique_ptr<Mangofall::Wire::DigestT>> digests{};
+  HeartbeatT() = default;
+  HeartbeatT(const HeartbeatT &o);
+  HeartbeatT(HeartbeatT&&) FLATBUFFERS_NOEXCEPT = default;
+  HeartbeatT &operator=(HeartbeatT o) FLATBUFFERS_NOEXCEPT;
 };
 
-struct ConfigurationPush FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
-  typedef ConfigurationPushT NativeTableType;
-  typedef ConfigurationPushBuilder Builder;
+struct Heartbeat FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef HeartbeatT NativeTableType;
+  typedef HeartbeatBuilder Builder;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
-    VT_REVISION = 4,
-    VT_DOCUMENT = 6
+    VT_HOST = 4,
+    VT_INCARNATION = 6,
+    VT_SEQUENCE = 8,
+    VT_DATA_CENTRE = 10,
+    VT_REGION = 12,
+    VT_ADDRESS = 14,
+    VT_PORT = 16,
+    VT_REVISION = 18,
+    VT_LEAVING = 20,
+    VT_LOAD = 22,
+    VT_DIGESTS = 24
   };
+  const flatbuffers::String *host() const {
+    return GetPointer<const flatbuffers::String *>(VT_HOST);
+  }
+  uint64_t incarnation() const {
+    return GetField<uint64_t>(VT_INCARNATION, 0);
+  }
+  uint64_t sequence() const {
+    return GetField<uint64_t>(VT_SEQUENCE, 0);
+  }
+  const flatbuffers::String *data_centre() const {
+    return GetPointer<const flatbuffers::String *>(VT_DATA_CENTRE);
+  }
+  const flatbuffers::String *region() const {
+    return GetPointer<const flatbuffers::String *>(VT_REGION);
+  }
+  const flatbuffers::String *address() const {
+    return GetPointer<const flatbuffers::String *>(VT_ADDRESS);
+  }
+  uint16_t port() const {
+    return GetField<uint16_t>(VT_PORT, 0);
+  }
   uint64_t revision() const {
     return GetField<uint64_t>(VT_REVISION, 0);
   }
-  const flatbuffers::Vector<uint8_t> *document() const {
-    return GetPointer<const flatbuffers::Vector<uint8_t> *>(VT_DOCUMENT);
+  bool leaving() const {
+    return GetField<uint8_t>(VT_LEAVING, 0) != 0;
+  }
+  const flatbuffers::Vector<uint8_t> *load() const {
+    return GetPointer<const flatbuffers::Vector<uint8_t> *>(VT_LOAD);
+  }
+  const flatbuffers::Vector<flatbuffers::Offset<Mangofall::Wire::Digest>> *digests() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<Mangofall::Wire::Digest>> *>(VT_DIGESTS);
   }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
+           VerifyOffset(verifier, VT_HOST) &&
+           verifier.VerifyString(host()) &&
+           VerifyField<uint64_t>(verifier, VT_INCARNATION, 8) &&
+           VerifyField<uint64_t>(verifier, VT_SEQUENCE, 8) &&
+           VerifyOffset(verifier, VT_DATA_CENTRE) &&
+           verifier.VerifyString(data_centre()) &&
+           VerifyOffset(verifier, VT_REGION) &&
+           verifier.VerifyString(region()) &&
+           VerifyOffset(verifier, VT_ADDRESS) &&
+           verifier.VerifyString(address()) &&
+           VerifyField<uint16_t>(verifier, VT_PORT, 2) &&
            VerifyField<uint64_t>(verifier, VT_REVISION, 8) &&
-           VerifyOffset(verifier, VT_DOCUMENT) &&
-           verifier.VerifyVector(document()) &&
+           VerifyField<uint8_t>(verifier, VT_LEAVING, 1) &&
+           VerifyOffset(verifier, VT_LOAD) &&
+           verifier.VerifyVector(load()) &&
+           VerifyOffset(verifier, VT_DIGESTS) &&
+           verifier.VerifyVector(digests()) &&
+           verifier.VerifyVectorOfTables(digests()) &&
            verifier.EndTable();
   }
-  ConfigurationPushT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
-  void UnPackTo(ConfigurationPushT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
-  static flatbuffers::Offset<ConfigurationPush> Pack(flatbuffers::FlatBufferBuilder &_fbb, const ConfigurationPushT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
-};
-
-struct ConfigurationPushBuilder {
-  typedef ConfigurationPush Table;
+  HeartbeatT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(HeartbeatT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<Heartbeat> Pack(flatbuffers::FlatBufferBuilder &_fbb, const HeartbeatT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct HeartbeatBuilder {
+  typedef Heartbeat Table;
   flatbuffers::FlatBufferBuilder &fbb_;
   flatbuffers::uoffset_t start_;
+  void add_host(flatbuffers::Offset<flatbuffers::String> host) {
+    fbb_.AddOffset(Heartbeat::VT_HOST, host);
+  }
+  void add_incarnation(uint64_t incarnation) {
+    fbb_.AddElement<uint64_t>(Heartbeat::VT_INCARNATION, incarnation, 0);
+  }
+  void add_sequence(uint64_t sequence) {
+    fbb_.AddElement<uint64_t>(Heartbeat::VT_SEQUENCE, sequence, 0);
+  }
+  void add_data_centre(flatbuffers::Offset<flatbuffers::String> data_centre) {
+    fbb_.AddOffset(Heartbeat::VT_DATA_CENTRE, data_centre);
+  }
+  void add_region(flatbuffers::Offset<flatbuffers::String> region) {
+    fbb_.AddOffset(Heartbeat::VT_REGION, region);
+  }
+  void add_address(flatbuffers::Offset<flatbuffers::String> address) {
+    fbb_.AddOffset(Heartbeat::VT_ADDRESS, address);
+  }
+  void add_port(uint16_t port) {
+    fbb_.AddElement<uint16_t>(Heartbeat::VT_PORT, port, 0);
+  }
   void add_revision(uint64_t revision) {
-    fbb_.AddElement<uint64_t>(ConfigurationPush::VT_REVISION, revision, 0);
+    fbb_.AddElement<uint64_t>(Heartbeat::VT_REVISION, revision, 0);
   }
-  void add_document(flatbuffers::Offset<flatbuffers::Vector<uint8_t>> document) {
-    fbb_.AddOffset(ConfigurationPush::VT_DOCUMENT, document);
+  void add_leaving(bool leaving) {
+    fbb_.AddElement<uint8_t>(Heartbeat::VT_LEAVING, static_cast<uint8_t>(leaving), 0);
+  }
+  void add_load(flatbuffers::Offset<flatbuffers::Vector<uint8_t>> load) {
+    fbb_.AddOffset(Heartbeat::VT_LOAD, load);
   }
-  explicit ConfigurationPushBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+  void add_digests(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<Mangofall::Wire::Digest>>> digests) {
+    fbb_.AddOffset(Heartbeat::VT_DIGESTS, digests);
+  }
+  explicit HeartbeatBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
   }
-  flatbuffers::Offset<ConfigurationPush> Finish() {
+  flatbuffers::Offset<Heartbeat> Finish() {
     const auto end = fbb_.EndTable(start_);
-    auto o = flatbuffers::Offset<ConfigurationPush>(end);
+    auto o = flatbuffers::Offset<Heartbeat>(end);
     return o;
   }
 };
 
-inline flatbuffers::Offset<ConfigurationPush> CreateConfigurationPush(
+inline flatbuffers::Offset<Heartbeat> CreateHeartbeat(
     flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::String> host = 0,
+    uint64_t incarnation = 0,
+    uint64_t sequence = 0,
+    flatbuffers::Offset<flatbuffers::String> data_centre = 0,
+    flatbuffers::Offset<flatbuffers::String> region = 0,
+    flatbuffers::Offset<flatbuffers::String> address = 0,
+    uint16_t port = 0,
     uint64_t revision = 0,
-    flatbuffers::Offset<flatbuffers::Vector<uint8_t>> document = 0) {
-  ConfigurationPushBuilder builder_(_fbb);
+    bool leaving = false,
+    flatbuffers::Offset<flatbuffers::Vector<uint8_t>> load = 0,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<Mangofall::Wire::Digest>>> digests = 0) {
+  HeartbeatBuilder builder_(_fbb);
   builder_.add_revision(revision);
-  builder_.add_document(document);
+  builder_.add_sequence(sequence);
+  builder_.add_incarnation(incarnation);
+  builder_.add_digests(digests);
+  builder_.add_load(load);
+  builder_.add_address(address);
+  builder_.add_region(region);
+  builder_.add_data_centre(data_centre);
+  builder_.add_host(host);
+  builder_.add_port(port);
+  builder_.add_leaving(leaving);
   return builder_.Finish();
 }
 
-inline flatbuffers::Offset<ConfigurationPush> CreateConfigurationPushDirect(
+inline flatbuffers::Offset<Heartbeat> CreateHeartbeatDirect(
     flatbuffers::FlatBufferBuilder &_fbb,
+    const char *host = nullptr,
+    uint64_t incarnation = 0,
+    uint64_t sequence = 0,
+    const char *data_centre = nullptr,
+    const char *region = nullptr,
+    const char *address = nullptr,
+    uint16_t port = 0,
     uint64_t revision = 0,
-    const std::vector<uint8_t> *document = nullptr) {
-  auto document__ = document ? _fbb.CreateVector<uint8_t>(*document) : 0;
-  return Mangofall::Wire::CreateConfigurationPush(
+    bool leaving = false,
+    const std::vector<uint8_t> *load = nullptr,
+    const std::vector<flatbuffers::Offset<Mangofall::Wire::Digest>> *digests = nullptr) {
+  auto host__ = host ? _fbb.CreateString(host) : 0;
+  auto data_centre__ = data_centre ? _fbb.CreateString(data_centre) : 0;
+  auto region__ = region ? _fbb.CreateString(region) : 0;
+  auto address__ = address ? _fbb.CreateString(address) : 0;
+  auto load__ = load ? _fbb.CreateVector<uint8_t>(*load) : 0;
+  auto digests__ = digests ? _fbb.CreateVector<flatbuffers::Offset<Mangofall::Wire::Digest>>(*digests) : 0;
+  return Mangofall::Wire::CreateHeartbeat(
       _fbb,
+      host__,
+      incarnation,
+      sequence,
+      data_centre__,
+      region__,
+      address__,
+      port,
       revision,
-      document__);
+      leaving,
+      load__,
+      digests__);
+}
+
+flatbuffers::Offset<Heartbeat> CreateHeartbeat(flatbuffers::FlatBufferBuilder &_fbb, const HeartbeatT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
+struct DigestMessageT : public flatbuffers::NativeTable {
+  typedef DigestMessage TableType;
+  std::unique_ptr<Mangofall::Wire::DigestT> digest{};
+  DigestMessageT() = default;
+  DigestMessageT(const DigestMessageT &o);
+  DigestMessageT(DigestMessageT&&) FLATBUFFERS_NOEXCEPT = default;
+  DigestMessageT &operator=(DigestMessageT o) FLATBUFFERS_NOEXCEPT;
+};
+
+/// A digest of another data centre, or a claim about one host of the own one.
+struct DigestMessage FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef DigestMessageT NativeTableType;
+  typedef DigestMessageBuilder Builder;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_DIGEST = 4
+  };
+  const Mangofall::Wire::Digest *digest() const {
+    return GetPointer<const Mangofall::Wire::Digest *>(VT_DIGEST);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffset(verifier, VT_DIGEST) &&
+           verifier.VerifyTable(digest()) &&
+           verifier.EndTable();
+  }
+  DigestMessageT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(DigestMessageT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<DigestMessage> Pack(flatbuffers::FlatBufferBuilder &_fbb, const DigestMessageT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct DigestMessageBuilder {
+  typedef DigestMessage Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_digest(flatbuffers::Offset<Mangofall::Wire::Digest> digest) {
+    fbb_.AddOffset(DigestMessage::VT_DIGEST, digest);
+  }
+  explicit DigestMessageBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<DigestMessage> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<DigestMessage>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<DigestMessage> CreateDigestMessage(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<Mangofall::Wire::Digest> digest = 0) {
+  DigestMessageBuilder builder_(_fbb);
+  builder_.add_digest(digest);
+  return builder_.Finish();
 }
 
-flatbuffers::Offset<ConfigurationPush> CreateConfigurationPush(flatbuffers::FlatBufferBuilder &_fbb, const ConfigurationPushT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+flatbuffers::Offset<DigestMessage> CreateDigestMessage(flatbuffers::FlatBufferBuilder &_fbb, const DigestMessageT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
+struct MembershipProbeT : public flatbuffers::NativeTable {
+  typedef MembershipProbe TableType;
+  uint64_t probe = 0;
+};
+
+/// Asks for a heartbeat on the same connection; 0 greets a host whose id is not known yet.
+struct MembershipProbe FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef MembershipProbeT NativeTableType;
+  typedef MembershipProbeBuilder Builder;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_PROBE = 4
+  };
+  uint64_t probe() const {
+    return GetField<uint64_t>(VT_PROBE, 0);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyField<uint64_t>(verifier, VT_PROBE, 8) &&
+           verifier.EndTable();
+  }
+  MembershipProbeT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(MembershipProbeT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<MembershipProbe> Pack(flatbuffers::FlatBufferBuilder &_fbb, const MembershipProbeT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct MembershipProbeBuilder {
+  typedef MembershipProbe Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_probe(uint64_t probe) {
+    fbb_.AddElement<uint64_t>(MembershipProbe::VT_PROBE, probe, 0);
+  }
+  explicit MembershipProbeBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<MembershipProbe> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<MembershipProbe>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<MembershipProbe> CreateMembershipProbe(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t probe = 0) {
+  MembershipProbeBuilder builder_(_fbb);
+  builder_.add_probe(probe);
+  return builder_.Finish();
+}
+
+flatbuffers::Offset<MembershipProbe> CreateMembershipProbe(flatbuffers::FlatBufferBuilder &_fbb, const MembershipProbeT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
+struct MembershipProbeAnswerT : public flatbuffers::NativeTable {
+  typedef MembershipProbeAnswer TableType;
+  uint64_t probe = 0;
+  std::unique_ptr<Mangofall::Wire::HeartbeatT> heartbeat{};
+  MembershipProbeAnswerT() = default;
+  MembershipProbeAnswerT(const MembershipProbeAnswerT &o);
+  MembershipProbeAnswerT(MembershipProbeAnswerT&&) FLATBUFFERS_NOEXCEPT = default;
+  MembershipProbeAnswerT &operator=(MembershipProbeAnswerT o) FLATBUFFERS_NOEXCEPT;
+};
+
+struct MembershipProbeAnswer FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef MembershipProbeAnswerT NativeTableType;
+  typedef MembershipProbeAnswerBuilder Builder;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_PROBE = 4,
+    VT_HEARTBEAT = 6
+  };
+  uint64_t probe() const {
+    return GetField<uint64_t>(VT_PROBE, 0);
+  }
+  const Mangofall::Wire::Heartbeat *heartbeat() const {
+    return GetPointer<const Mangofall::Wire::Heartbeat *>(VT_HEARTBEAT);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyField<uint64_t>(verifier, VT_PROBE, 8) &&
+           VerifyOffset(verifier, VT_HEARTBEAT) &&
+           verifier.VerifyTable(heartbeat()) &&
+           verifier.EndTable();
+  }
+  MembershipProbeAnswerT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(MembershipProbeAnswerT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<MembershipProbeAnswer> Pack(flatbuffers::FlatBufferBuilder &_fbb, const MembershipProbeAnswerT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct MembershipProbeAnswerBuilder {
+  typedef MembershipProbeAnswer Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_probe(uint64_t probe) {
+    fbb_.AddElement<uint64_t>(MembershipProbeAnswer::VT_PROBE, probe, 0);
+  }
+  void add_heartbeat(flatbuffers::Offset<Mangofall::Wire::Heartbeat> heartbeat) {
+    fbb_.AddOffset(MembershipProbeAnswer::VT_HEARTBEAT, heartbeat);
+  }
+  explicit MembershipProbeAnswerBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<MembershipProbeAnswer> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<MembershipProbeAnswer>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<MembershipProbeAnswer> CreateMembershipProbeAnswer(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t probe = 0,
+    flatbuffers::Offset<Mangofall::Wire::Heartbeat> heartbeat = 0) {
+  MembershipProbeAnswerBuilder builder_(_fbb);
+  builder_.add_probe(probe);
+  builder_.add_heartbeat(heartbeat);
+  return builder_.Finish();
+}
+
+flatbuffers::Offset<MembershipProbeAnswer> CreateMembershipProbeAnswer(flatbuffers::FlatBufferBuilder &_fbb, const MembershipProbeAnswerT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
+struct ConfigurationRootT : public flatbuffers::NativeTable {
+  typedef ConfigurationRoot TableType;
+  std::string root{};
+};
+
+/// A root of the configuration: pushed, or the answer to a fetch.
+struct ConfigurationRoot FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef ConfigurationRootT NativeTableType;
+  typedef ConfigurationRootBuilder Builder;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_ROOT = 4
+  };
+  const flatbuffers::String *root() const {
+    return GetPointer<const flatbuffers::String *>(VT_ROOT);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffset(verifier, VT_ROOT) &&
+           verifier.VerifyString(root()) &&
+           verifier.EndTable();
+  }
+  ConfigurationRootT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(ConfigurationRootT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<ConfigurationRoot> Pack(flatbuffers::FlatBufferBuilder &_fbb, const ConfigurationRootT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct ConfigurationRootBuilder {
+  typedef ConfigurationRoot Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_root(flatbuffers::Offset<flatbuffers::String> root) {
+    fbb_.AddOffset(ConfigurationRoot::VT_ROOT, root);
+  }
+  explicit ConfigurationRootBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<ConfigurationRoot> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<ConfigurationRoot>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<ConfigurationRoot> CreateConfigurationRoot(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::String> root = 0) {
+  ConfigurationRootBuilder builder_(_fbb);
+  builder_.add_root(root);
+  return builder_.Finish();
+}
+
+inline flatbuffers::Offset<ConfigurationRoot> CreateConfigurationRootDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const char *root = nullptr) {
+  auto root__ = root ? _fbb.CreateString(root) : 0;
+  return Mangofall::Wire::CreateConfigurationRoot(
+      _fbb,
+      root__);
+}
+
+flatbuffers::Offset<ConfigurationRoot> CreateConfigurationRoot(flatbuffers::FlatBufferBuilder &_fbb, const ConfigurationRootT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
 
 struct ConfigurationFetchT : public flatbuffers::NativeTable {
   typedef ConfigurationFetch TableType;
-  uint64_t known_revision = 0;
+  std::string hash{};
 };
 
+/// Asks for the root (empty hash) or for a blob.
 struct ConfigurationFetch FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
   typedef ConfigurationFetchT NativeTableType;
   typedef ConfigurationFetchBuilder Builder;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
-    VT_KNOWN_REVISION = 4
+    VT_HASH = 4
   };
-  uint64_t known_revision() const {
-    return GetField<uint64_t>(VT_KNOWN_REVISION, 0);
+  const flatbuffers::String *hash() const {
+    return GetPointer<const flatbuffers::String *>(VT_HASH);
   }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
-           VerifyField<uint64_t>(verifier, VT_KNOWN_REVISION, 8) &&
+           VerifyOffset(verifier, VT_HASH) &&
+           verifier.VerifyString(hash()) &&
            verifier.EndTable();
   }
   ConfigurationFetchT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -1166,8 +1736,8 @@
   typedef ConfigurationFetch Table;
   flatbuffers::FlatBufferBuilder &fbb_;
   flatbuffers::uoffset_t start_;
-  void add_known_revision(uint64_t known_revision) {
-    fbb_.AddElement<uint64_t>(ConfigurationFetch::VT_KNOWN_REVISION, known_revision, 0);
+  void add_hash(flatbuffers::Offset<flatbuffers::String> hash) {
+    fbb_.AddOffset(ConfigurationFetch::VT_HASH, hash);
   }
   explicit ConfigurationFetchBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
@@ -1182,111 +1752,464 @@
 
 inline flatbuffers::Offset<ConfigurationFetch> CreateConfigurationFetch(
     flatbuffers::FlatBufferBuilder &_fbb,
-    uint64_t known_revision = 0) {
+    flatbuffers::Offset<flatbuffers::String> hash = 0) {
   ConfigurationFetchBuilder builder_(_fbb);
-  builder_.add_known_revision(known_revision);
+  builder_.add_hash(hash);
   return builder_.Finish();
 }
 
+inline flatbuffers::Offset<ConfigurationFetch> CreateConfigurationFetchDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const char *hash = nullptr) {
+  auto hash__ = hash ? _fbb.CreateString(hash) : 0;
+  return Mangofall::Wire::CreateConfigurationFetch(
+      _fbb,
+      hash__);
+}
+
 flatbuffers::Offset<ConfigurationFetch> CreateConfigurationFetch(flatbuffers::FlatBufferBuilder &_fbb, const ConfigurationFetchT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
 
+struct ConfigurationBlobT : public flatbuffers::NativeTable {
+  typedef ConfigurationBlob TableType;
+  std::string hash{};
+  std::string text{};
+  bool missing = false;
+};
+
+struct ConfigurationBlob FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef ConfigurationBlobT NativeTableType;
+  typedef ConfigurationBlobBuilder Builder;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_HASH = 4,
+    VT_TEXT = 6,
+    VT_MISSING = 8
+  };
+  const flatbuffers::String *hash() const {
+    return GetPointer<const flatbuffers::String *>(VT_HASH);
+  }
+  const flatbuffers::String *text() const {
+    return GetPointer<const flatbuffers::String *>(VT_TEXT);
+  }
+  /// The sender does not have it.
+  bool missing() const {
+    return GetField<uint8_t>(VT_MISSING, 0) != 0;
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffset(verifier, VT_HASH) &&
+           verifier.VerifyString(hash()) &&
+           VerifyOffset(verifier, VT_TEXT) &&
+           verifier.VerifyString(text()) &&
+           VerifyField<uint8_t>(verifier, VT_MISSING, 1) &&
+           verifier.EndTable();
+  }
+  ConfigurationBlobT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(ConfigurationBlobT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<ConfigurationBlob> Pack(flatbuffers::FlatBufferBuilder &_fbb, const ConfigurationBlobT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct ConfigurationBlobBuilder {
+  typedef ConfigurationBlob Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_hash(flatbuffers::Offset<flatbuffers::String> hash) {
+    fbb_.AddOffset(ConfigurationBlob::VT_HASH, hash);
+  }
+  void add_text(flatbuffers::Offset<flatbuffers::String> text) {
+    fbb_.AddOffset(ConfigurationBlob::VT_TEXT, text);
+  }
+  void add_missing(bool missing) {
+    fbb_.AddElement<uint8_t>(ConfigurationBlob::VT_MISSING, static_cast<uint8_t>(missing), 0);
+  }
+  explicit ConfigurationBlobBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<ConfigurationBlob> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<ConfigurationBlob>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<ConfigurationBlob> CreateConfigurationBlob(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::String> hash = 0,
+    flatbuffers::Offset<flatbuffers::String> text = 0,
+    bool missing = false) {
+  ConfigurationBlobBuilder builder_(_fbb);
+  builder_.add_text(text);
+  builder_.add_hash(hash);
+  builder_.add_missing(missing);
+  return builder_.Finish();
+}
+
+inline flatbuffers::Offset<ConfigurationBlob> CreateConfigurationBlobDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const char *hash = nullptr,
+    const char *text = nullptr,
+    bool missing = false) {
+  auto hash__ = hash ? _fbb.CreateString(hash) : 0;
+  auto text__ = text ? _fbb.CreateString(text) : 0;
+  return Mangofall::Wire::CreateConfigurationBlob(
+      _fbb,
+      hash__,
+      text__,
+      missing);
+}
+
+flatbuffers::Offset<ConfigurationBlob> CreateConfigurationBlob(flatbuffers::FlatBufferBuilder &_fbb, const ConfigurationBlobT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
 struct HeaderT : public flatbuffers::NativeTable {
   typedef Header TableType;
   std::string name{};
   std::string value{};
 };
 
-struct Header FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
-  typedef HeaderT NativeTableType;
-  typedef HeaderBuilder Builder;
+struct Header FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef HeaderT NativeTableType;
+  typedef HeaderBuilder Builder;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_NAME = 4,
+    VT_VALUE = 6
+  };
+  const flatbuffers::String *name() const {
+    return GetPointer<const flatbuffers::String *>(VT_NAME);
+  }
+  const flatbuffers::String *value() const {
+    return GetPointer<const flatbuffers::String *>(VT_VALUE);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffset(verifier, VT_NAME) &&
+           verifier.VerifyString(name()) &&
+           VerifyOffset(verifier, VT_VALUE) &&
+           verifier.VerifyString(value()) &&
+           verifier.EndTable();
+  }
+  HeaderT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(HeaderT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<Header> Pack(flatbuffers::FlatBufferBuilder &_fbb, const HeaderT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct HeaderBuilder {
+  typedef Header Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_name(flatbuffers::Offset<flatbuffers::String> name) {
+    fbb_.AddOffset(Header::VT_NAME, name);
+  }
+  void add_value(flatbuffers::Offset<flatbuffers::String> value) {
+    fbb_.AddOffset(Header::VT_VALUE, value);
+  }
+  explicit HeaderBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<Header> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<Header>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<Header> CreateHeader(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::String> name = 0,
+    flatbuffers::Offset<flatbuffers::String> value = 0) {
+  HeaderBuilder builder_(_fbb);
+  builder_.add_value(value);
+  builder_.add_name(name);
+  return builder_.Finish();
+}
+
+inline flatbuffers::Offset<Header> CreateHeaderDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const char *name = nullptr,
+    const char *value = nullptr) {
+  auto name__ = name ? _fbb.CreateString(name) : 0;
+  auto value__ = value ? _fbb.CreateString(value) : 0;
+  return Mangofall::Wire::CreateHeader(
+      _fbb,
+      name__,
+      value__);
+}
+
+flatbuffers::Offset<Header> CreateHeader(flatbuffers::FlatBufferBuilder &_fbb, const HeaderT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
+struct LoadT : public flatbuffers::NativeTable {
+  typedef Load TableType;
+  std::string upstream{};
+  uint8_t state = 0;
+  uint32_t request_cap = 0;
+  uint64_t prefill_cap = 0;
+  uint32_t in_flight_requests = 0;
+  uint32_t queued_requests = 0;
+  std::vector<uint64_t> in_flight_prefill_tokens{};
+  std::vector<uint64_t> queued_prefill_tokens{};
+  double prefill_rate = 0.0;
+  int64_t residence_us = 0;
+};
+
+/// Load of one upstream as its dispatcher sees it.
+struct Load FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef LoadT NativeTableType;
+  typedef LoadBuilder Builder;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_UPSTREAM = 4,
+    VT_STATE = 6,
+    VT_REQUEST_CAP = 8,
+    VT_PREFILL_CAP = 10,
+    VT_IN_FLIGHT_REQUESTS = 12,
+    VT_QUEUED_REQUESTS = 14,
+    VT_IN_FLIGHT_PREFILL_TOKENS = 16,
+    VT_QUEUED_PREFILL_TOKENS = 18,
+    VT_PREFILL_RATE = 20,
+    VT_RESIDENCE_US = 22
+  };
+  const flatbuffers::String *upstream() const {
+    return GetPointer<const flatbuffers::String *>(VT_UPSTREAM);
+  }
+  uint8_t state() const {
+    return GetField<uint8_t>(VT_STATE, 0);
+  }
+  uint32_t request_cap() const {
+    return GetField<uint32_t>(VT_REQUEST_CAP, 0);
+  }
+  uint64_t prefill_cap() const {
+    return GetField<uint64_t>(VT_PREFILL_CAP, 0);
+  }
+  uint32_t in_flight_requests() const {
+    return GetField<uint32_t>(VT_IN_FLIGHT_REQUESTS, 0);
+  }
+  uint32_t queued_requests() const {
+    return GetField<uint32_t>(VT_QUEUED_REQUESTS, 0);
+  }
+  /// Per length class: short, medium, long.
+  const flatbuffers::Vector<uint64_t> *in_flight_prefill_tokens() const {
+    return GetPointer<const flatbuffers::Vector<uint64_t> *>(VT_IN_FLIGHT_PREFILL_TOKENS);
+  }
+  const flatbuffers::Vector<uint64_t> *queued_prefill_tokens() const {
+    return GetPointer<const flatbuffers::Vector<uint64_t> *>(VT_QUEUED_PREFILL_TOKENS);
+  }
+  /// Tokens per second.
+  double prefill_rate() const {
+    return GetField<double>(VT_PREFILL_RATE, 0.0);
+  }
+  int64_t residence_us() const {
+    return GetField<int64_t>(VT_RESIDENCE_US, 0);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffset(verifier, VT_UPSTREAM) &&
+           verifier.VerifyString(upstream()) &&
+           VerifyField<uint8_t>(verifier, VT_STATE, 1) &&
+           VerifyField<uint32_t>(verifier, VT_REQUEST_CAP, 4) &&
+           VerifyField<uint64_t>(verifier, VT_PREFILL_CAP, 8) &&
+           VerifyField<uint32_t>(verifier, VT_IN_FLIGHT_REQUESTS, 4) &&
+           VerifyField<uint32_t>(verifier, VT_QUEUED_REQUESTS, 4) &&
+           VerifyOffset(verifier, VT_IN_FLIGHT_PREFILL_TOKENS) &&
+           verifier.VerifyVector(in_flight_prefill_tokens()) &&
+           VerifyOffset(verifier, VT_QUEUED_PREFILL_TOKENS) &&
+           verifier.VerifyVector(queued_prefill_tokens()) &&
+           VerifyField<double>(verifier, VT_PREFILL_RATE, 8) &&
+           VerifyField<int64_t>(verifier, VT_RESIDENCE_US, 8) &&
+           verifier.EndTable();
+  }
+  LoadT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(LoadT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<Load> Pack(flatbuffers::FlatBufferBuilder &_fbb, const LoadT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct LoadBuilder {
+  typedef Load Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_upstream(flatbuffers::Offset<flatbuffers::String> upstream) {
+    fbb_.AddOffset(Load::VT_UPSTREAM, upstream);
+  }
+  void add_state(uint8_t state) {
+    fbb_.AddElement<uint8_t>(Load::VT_STATE, state, 0);
+  }
+  void add_request_cap(uint32_t request_cap) {
+    fbb_.AddElement<uint32_t>(Load::VT_REQUEST_CAP, request_cap, 0);
+  }
+  void add_prefill_cap(uint64_t prefill_cap) {
+    fbb_.AddElement<uint64_t>(Load::VT_PREFILL_CAP, prefill_cap, 0);
+  }
+  void add_in_flight_requests(uint32_t in_flight_requests) {
+    fbb_.AddElement<uint32_t>(Load::VT_IN_FLIGHT_REQUESTS, in_flight_requests, 0);
+  }
+  void add_queued_requests(uint32_t queued_requests) {
+    fbb_.AddElement<uint32_t>(Load::VT_QUEUED_REQUESTS, queued_requests, 0);
+  }
+  void add_in_flight_prefill_tokens(flatbuffers::Offset<flatbuffers::Vector<uint64_t>> in_flight_prefill_tokens) {
+    fbb_.AddOffset(Load::VT_IN_FLIGHT_PREFILL_TOKENS, in_flight_prefill_tokens);
+  }
+  void add_queued_prefill_tokens(flatbuffers::Offset<flatbuffers::Vector<uint64_t>> queued_prefill_tokens) {
+    fbb_.AddOffset(Load::VT_QUEUED_PREFILL_TOKENS, queued_prefill_tokens);
+  }
+  void add_prefill_rate(double prefill_rate) {
+    fbb_.AddElement<double>(Load::VT_PREFILL_RATE, prefill_rate, 0.0);
+  }
+  void add_residence_us(int64_t residence_us) {
+    fbb_.AddElement<int64_t>(Load::VT_RESIDENCE_US, residence_us, 0);
+  }
+  explicit LoadBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<Load> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<Load>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<Load> CreateLoad(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::String> upstream = 0,
+    uint8_t state = 0,
+    uint32_t request_cap = 0,
+    uint64_t prefill_cap = 0,
+    uint32_t in_flight_requests = 0,
+    uint32_t queued_requests = 0,
+    flatbuffers::Offset<flatbuffers::Vector<uint64_t>> in_flight_prefill_tokens = 0,
+    flatbuffers::Offset<flatbuffers::Vector<uint64_t>> queued_prefill_tokens = 0,
+    double prefill_rate = 0.0,
+    int64_t residence_us = 0) {
+  LoadBuilder builder_(_fbb);
+  builder_.add_residence_us(residence_us);
+  builder_.add_prefill_rate(prefill_rate);
+  builder_.add_prefill_cap(prefill_cap);
+  builder_.add_queued_prefill_tokens(queued_prefill_tokens);
+  builder_.add_in_flight_prefill_tokens(in_flight_prefill_tokens);
+  builder_.add_queued_requests(queued_requests);
+  builder_.add_in_flight_requests(in_flight_requests);
+  builder_.add_request_cap(request_cap);
+  builder_.add_upstream(upstream);
+  builder_.add_state(state);
+  return builder_.Finish();
+}
+
+inline flatbuffers::Offset<Load> CreateLoadDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const char *upstream = nullptr,
+    uint8_t state = 0,
+    uint32_t request_cap = 0,
+    uint64_t prefill_cap = 0,
+    uint32_t in_flight_requests = 0,
+    uint32_t queued_requests = 0,
+    const std::vector<uint64_t> *in_flight_prefill_tokens = nullptr,
+    const std::vector<uint64_t> *queued_prefill_tokens = nullptr,
+    double prefill_rate = 0.0,
+    int64_t residence_us = 0) {
+  auto upstream__ = upstream ? _fbb.CreateString(upstream) : 0;
+  auto in_flight_prefill_tokens__ = in_flight_prefill_tokens ? _fbb.CreateVector<uint64_t>(*in_flight_prefill_tokens) : 0;
+  auto queued_prefill_tokens__ = queued_prefill_tokens ? _fbb.CreateVector<uint64_t>(*queued_prefill_tokens) : 0;
+  return Mangofall::Wire::CreateLoad(
+      _fbb,
+      upstream__,
+      state,
+      request_cap,
+      prefill_cap,
+      in_flight_requests,
+      queued_requests,
+      in_flight_prefill_tokens__,
+      queued_prefill_tokens__,
+      prefill_rate,
+      residence_us);
+}
+
+flatbuffers::Offset<Load> CreateLoad(flatbuffers::FlatBufferBuilder &_fbb, const LoadT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
+struct LoadReportT : public flatbuffers::NativeTable {
+  typedef LoadReport TableType;
+  std::vector<std::unique_ptr<Mangofall::Wire::LoadT>> loads{};
+  LoadReportT() = default;
+  LoadReportT(const LoadReportT &o);
+  LoadReportT(LoadReportT&&) FLATBUFFERS_NOEXCEPT = default;
+  LoadReportT &operator=(LoadReportT o) FLATBUFFERS_NOEXCEPT;
+};
+
+struct LoadReport FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef LoadReportT NativeTableType;
+  typedef LoadReportBuilder Builder;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
-    VT_NAME = 4,
-    VT_VALUE = 6
+    VT_LOADS = 4
   };
-  const flatbuffers::String *name() const {
-    return GetPointer<const flatbuffers::String *>(VT_NAME);
-  }
-  const flatbuffers::String *value() const {
-    return GetPointer<const flatbuffers::String *>(VT_VALUE);
+  const flatbuffers::Vector<flatbuffers::Offset<Mangofall::Wire::Load>> *loads() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<Mangofall::Wire::Load>> *>(VT_LOADS);
   }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
-           VerifyOffset(verifier, VT_NAME) &&
-           verifier.VerifyString(name()) &&
-           VerifyOffset(verifier, VT_VALUE) &&
-           verifier.VerifyString(value()) &&
+           VerifyOffset(verifier, VT_LOADS) &&
+           verifier.VerifyVector(loads()) &&
+           verifier.VerifyVectorOfTables(loads()) &&
            verifier.EndTable();
   }
-  HeaderT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
-  void UnPackTo(HeaderT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
-  static flatbuffers::Offset<Header> Pack(flatbuffers::FlatBufferBuilder &_fbb, const HeaderT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+  LoadReportT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(LoadReportT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<LoadReport> Pack(flatbuffers::FlatBufferBuilder &_fbb, const LoadReportT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
 };
 
-struct HeaderBuilder {
-  typedef Header Table;
+struct LoadReportBuilder {
+  typedef LoadReport Table;
   flatbuffers::FlatBufferBuilder &fbb_;
   flatbuffers::uoffset_t start_;
-  void add_name(flatbuffers::Offset<flatbuffers::String> name) {
-    fbb_.AddOffset(Header::VT_NAME, name);
-  }
-  void add_value(flatbuffers::Offset<flatbuffers::String> value) {
-    fbb_.AddOffset(Header::VT_VALUE, value);
+  void add_loads(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<Mangofall::Wire::Load>>> loads) {
+    fbb_.AddOffset(LoadReport::VT_LOADS, loads);
   }
-  explicit HeaderBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+  explicit LoadReportBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
   }
-  flatbuffers::Offset<Header> Finish() {
+  flatbuffers::Offset<LoadReport> Finish() {
     const auto end = fbb_.EndTable(start_);
-    auto o = flatbuffers::Offset<Header>(end);
+    auto o = flatbuffers::Offset<LoadReport>(end);
     return o;
   }
 };
 
-inline flatbuffers::Offset<Header> CreateHeader(
+inline flatbuffers::Offset<LoadReport> CreateLoadReport(
     flatbuffers::FlatBufferBuilder &_fbb,
-    flatbuffers::Offset<flatbuffers::String> name = 0,
-    flatbuffers::Offset<flatbuffers::String> value = 0) {
-  HeaderBuilder builder_(_fbb);
-  builder_.add_value(value);
-  builder_.add_name(name);
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<Mangofall::Wire::Load>>> loads = 0) {
+  LoadReportBuilder builder_(_fbb);
+  builder_.add_loads(loads);
   return builder_.Finish();
 }
 
-inline flatbuffers::Offset<Header> CreateHeaderDirect(
+inline flatbuffers::Offset<LoadReport> CreateLoadReportDirect(
     flatbuffers::FlatBufferBuilder &_fbb,
-    const char *name = nullptr,
-    const char *value = nullptr) {
-  auto name__ = name ? _fbb.CreateString(name) : 0;
-  auto value__ = value ? _fbb.CreateString(value) : 0;
-  return Mangofall::Wire::CreateHeader(
+    const std::vector<flatbuffers::Offset<Mangofall::Wire::Load>> *loads = nullptr) {
+  auto loads__ = loads ? _fbb.CreateVector<flatbuffers::Offset<Mangofall::Wire::Load>>(*loads) : 0;
+  return Mangofall::Wire::CreateLoadReport(
       _fbb,
-      name__,
-      value__);
+      loads__);
 }
 
-flatbuffers::Offset<Header> CreateHeader(flatbuffers::FlatBufferBuilder &_fbb, const HeaderT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+flatbuffers::Offset<LoadReport> CreateLoadReport(flatbuffers::FlatBufferBuilder &_fbb, const LoadReportT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
 
 struct DispatchT : public flatbuffers::NativeTable {
   typedef Dispatch TableType;
   std::unique_ptr<Mangofall::Wire::AttemptKey> attempt{};
+  uint64_t connection = 0;
   std::string request{};
   std::string organisation{};
   uint32_t weight = 0;
   std::string upstream{};
   uint64_t prompt_tokens = 0;
   uint64_t uncached_tokens = 0;
-  uint64_t decode_tokens = 0;
   uint8_t length_class = 0;
   int64_t remaining_us = 0;
   bool idempotent = false;
-  bool exclusive = false;
+  bool token_stream = false;
   std::string method{};
   std::string target{};
   std::vector<std::unique_ptr<Mangofall::Wire::HeaderT>> headers{};
   std::vector<uint8_t> body{};
-  uint64_t resume_from = 0;
-  std::unique_ptr<Mangofall::Wire::AttemptKey> resumes{};
+  uint32_t first_token = 0;
+  bool resumes = false;
   std::string trace_parent{};
   DispatchT() = default;
   DispatchT(const DispatchT &o);
@@ -1300,28 +2223,32 @@
   typedef DispatchBuilder Builder;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
     VT_ATTEMPT = 4,
-    VT_REQUEST = 6,
-    VT_ORGANISATION = 8,
-    VT_WEIGHT = 10,
-    VT_UPSTREAM = 12,
-    VT_PROMPT_TOKENS = 14,
-    VT_UNCACHED_TOKENS = 16,
-    VT_DECODE_TOKENS = 18,
+    VT_CONNECTION = 6,
+    VT_REQUEST = 8,
+    VT_ORGANISATION = 10,
+    VT_WEIGHT = 12,
+    VT_UPSTREAM = 14,
+    VT_PROMPT_TOKENS = 16,
+    VT_UNCACHED_TOKENS = 18,
     VT_LENGTH_CLASS = 20,
     VT_REMAINING_US = 22,
     VT_IDEMPOTENT = 24,
-    VT_EXCLUSIVE = 26,
+    VT_TOKEN_STREAM = 26,
     VT_METHOD = 28,
     VT_TARGET = 30,
     VT_HEADERS = 32,
     VT_BODY = 34,
-    VT_RESUME_FROM = 36,
+    VT_FIRST_TOKEN = 36,
     VT_RESUMES = 38,
     VT_TRACE_PARENT = 40
   };
   const Mangofall::Wire::AttemptKey *attempt() const {
     return GetStruct<const Mangofall::Wire::AttemptKey *>(VT_ATTEMPT);
   }
+  /// Number of the connection within the attempt's session; answers carry it.
+  uint64_t connection() const {
+    return GetField<uint64_t>(VT_CONNECTION, 0);
+  }
   const flatbuffers::String *request() const {
     return GetPointer<const flatbuffers::String *>(VT_REQUEST);
   }
@@ -1340,9 +2267,6 @@
   uint64_t uncached_tokens() const {
     return GetField<uint64_t>(VT_UNCACHED_TOKENS, 0);
   }
-  uint64_t decode_tokens() const {
-    return GetField<uint64_t>(VT_DECODE_TOKENS, 0);
-  }
   uint8_t length_class() const {
     return GetField<uint8_t>(VT_LENGTH_CLASS, 0);
   }
@@ -1353,8 +2277,9 @@
   bool idempotent() const {
     return GetField<uint8_t>(VT_IDEMPOTENT, 0) != 0;
   }
-  bool exclusive() const {
-    return GetField<uint8_t>(VT_EXCLUSIVE, 0) != 0;
+  /// Whether the answer is a token stream; otherwise it is forwarded whole.
+  bool token_stream() const {
+    return GetField<uint8_t>(VT_TOKEN_STREAM, 0) != 0;
   }
   const flatbuffers::String *method() const {
     return GetPointer<const flatbuffers::String *>(VT_METHOD);
@@ -1368,13 +2293,13 @@
   const flatbuffers::Vector<uint8_t> *body() const {
     return GetPointer<const flatbuffers::Vector<uint8_t> *>(VT_BODY);
   }
-  /// Index of the first token wanted; above 0 for a resumed stream.
-  uint64_t resume_from() const {
-    return GetField<uint64_t>(VT_RESUME_FROM, 0);
+  /// Index of the first token wanted.
+  uint32_t first_token() const {
+    return GetField<uint32_t>(VT_FIRST_TOKEN, 0);
   }
-  /// Attempt whose stream is resumed on the same upstream.
-  const Mangofall::Wire::AttemptKey *resumes() const {
-    return GetStruct<const Mangofall::Wire::AttemptKey *>(VT_RESUMES);
+  /// The upstream ran this attempt before and is asked to continue it.
+  bool resumes() const {
+    return GetField<uint8_t>(VT_RESUMES, 0) != 0;
   }
   const flatbuffers::String *trace_parent() const {
     return GetPointer<const flatbuffers::String *>(VT_TRACE_PARENT);
@@ -1382,6 +2307,7 @@
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<Mangofall::Wire::AttemptKey>(verifier, VT_ATTEMPT, 8) &&
+           VerifyField<uint64_t>(verifier, VT_CONNECTION, 8) &&
            VerifyOffset(verifier, VT_REQUEST) &&
            verifier.VerifyString(request()) &&
            VerifyOffset(verifier, VT_ORGANISATION) &&
@@ -1391,11 +2317,10 @@
            verifier.VerifyString(upstream()) &&
            VerifyField<uint64_t>(verifier, VT_PROMPT_TOKENS, 8) &&
            VerifyField<uint64_t>(verifier, VT_UNCACHED_TOKENS, 8) &&
-           VerifyField<uint64_t>(verifier, VT_DECODE_TOKENS, 8) &&
            VerifyField<uint8_t>(verifier, VT_LENGTH_CLASS, 1) &&
            VerifyField<int64_t>(verifier, VT_REMAINING_US, 8) &&
            VerifyField<uint8_t>(verifier, VT_IDEMPOTENT, 1) &&
-           VerifyField<uint8_t>(verifier, VT_EXCLUSIVE, 1) &&
+           VerifyField<uint8_t>(verifier, VT_TOKEN_STREAM, 1) &&
            VerifyOffset(verifier, VT_METHOD) &&
            verifier.VerifyString(method()) &&
            VerifyOffset(verifier, VT_TARGET) &&
@@ -1405,8 +2330,8 @@
            verifier.VerifyVectorOfTables(headers()) &&
            VerifyOffset(verifier, VT_BODY) &&
            verifier.VerifyVector(body()) &&
-           VerifyField<uint64_t>(verifier, VT_RESUME_FROM, 8) &&
-           VerifyField<Mangofall::Wire::AttemptKey>(verifier, VT_RESUMES, 8) &&
+           VerifyField<uint32_t>(verifier, VT_FIRST_TOKEN, 4) &&
+           VerifyField<uint8_t>(verifier, VT_RESUMES, 1) &&
            VerifyOffset(verifier, VT_TRACE_PARENT) &&
            verifier.VerifyString(trace_parent()) &&
            verifier.EndTable();
@@ -1423,6 +2348,9 @@
   void add_attempt(const Mangofall::Wire::AttemptKey *attempt) {
     fbb_.AddStruct(Dispatch::VT_ATTEMPT, attempt);
   }
+  void add_connection(uint64_t connection) {
+    fbb_.AddElement<uint64_t>(Dispatch::VT_CONNECTION, connection, 0);
+  }
   void add_request(flatbuffers::Offset<flatbuffers::String> request) {
     fbb_.AddOffset(Dispatch::VT_REQUEST, request);
   }
@@ -1441,9 +2369,6 @@
   void add_uncached_tokens(uint64_t uncached_tokens) {
     fbb_.AddElement<uint64_t>(Dispatch::VT_UNCACHED_TOKENS, uncached_tokens, 0);
   }
-  void add_decode_tokens(uint64_t decode_tokens) {
-    fbb_.AddElement<uint64_t>(Dispatch::VT_DECODE_TOKENS, decode_tokens, 0);
-  }
   void add_length_class(uint8_t length_class) {
     fbb_.AddElement<uint8_t>(Dispatch::VT_LENGTH_CLASS, length_class, 0);
   }
@@ -1453,8 +2378,8 @@
   void add_idempotent(bool idempotent) {
     fbb_.AddElement<uint8_t>(Dispatch::VT_IDEMPOTENT, static_cast<uint8_t>(idempotent), 0);
   }
-  void add_exclusive(bool exclusive) {
-    fbb_.AddElement<uint8_t>(Dispatch::VT_EXCLUSIVE, static_cast<uint8_t>(exclusive), 0);
+  void add_token_stream(bool token_stream) {
+    fbb_.AddElement<uint8_t>(Dispatch::VT_TOKEN_STREAM, static_cast<uint8_t>(token_stream), 0);
   }
   void add_method(flatbuffers::Offset<flatbuffers::String> method) {
     fbb_.AddOffset(Dispatch::VT_METHOD, method);
@@ -1468,11 +2393,11 @@
   void add_body(flatbuffers::Offset<flatbuffers::Vector<uint8_t>> body) {
     fbb_.AddOffset(Dispatch::VT_BODY, body);
   }
-  void add_resume_from(uint64_t resume_from) {
-    fbb_.AddElement<uint64_t>(Dispatch::VT_RESUME_FROM, resume_from, 0);
+  void add_first_token(uint32_t first_token) {
+    fbb_.AddElement<uint32_t>(Dispatch::VT_FIRST_TOKEN, first_token, 0);
   }
-  void add_resumes(const Mangofall::Wire::AttemptKey *resumes) {
-    fbb_.AddStruct(Dispatch::VT_RESUMES, resumes);
+  void add_resumes(bool resumes) {
+    fbb_.AddElement<uint8_t>(Dispatch::VT_RESUMES, static_cast<uint8_t>(resumes), 0);
   }
   void add_trace_parent(flatbuffers::Offset<flatbuffers::String> trace_parent) {
     fbb_.AddOffset(Dispatch::VT_TRACE_PARENT, trace_parent);
@@ -1491,32 +2416,31 @@
 inline flatbuffers::Offset<Dispatch> CreateDispatch(
     flatbuffers::FlatBufferBuilder &_fbb,
     const Mangofall::Wire::AttemptKey *attempt = nullptr,
+    uint64_t connection = 0,
     flatbuffers::Offset<flatbuffers::String> request = 0,
     flatbuffers::Offset<flatbuffers::String> organisation = 0,
     uint32_t weight = 0,
     flatbuffers::Offset<flatbuffers::String> upstream = 0,
     uint64_t prompt_tokens = 0,
     uint64_t uncached_tokens = 0,
-    uint64_t decode_tokens = 0,
     uint8_t length_class = 0,
     int64_t remaining_us = 0,
     bool idempotent = false,
-    bool exclusive = false,
+    bool token_stream = false,
     flatbuffers::Offset<flatbuffers::String> method = 0,
     flatbuffers::Offset<flatbuffers::String> target = 0,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<Mangofall::Wire::Header>>> headers = 0,
     flatbuffers::Offset<flatbuffers::Vector<uint8_t>> body = 0,
-    uint64_t resume_from = 0,
-    const Mangofall::Wire::AttemptKey *resumes = nullptr,
+    uint32_t first_token = 0,
+    bool resumes = false,
     flatbuffers::Offset<flatbuffers::String> trace_parent = 0) {
   DispatchBuilder builder_(_fbb);
-  builder_.add_resume_from(resume_from);
   builder_.add_remaining_us(remaining_us);
-  builder_.add_decode_tokens(decode_tokens);
   builder_.add_uncached_tokens(uncached_tokens);
   builder_.add_prompt_tokens(prompt_tokens);
+  builder_.add_connection(connection);
   builder_.add_trace_parent(trace_parent);
-  builder_.add_resumes(resumes);
+  builder_.add_first_token(first_token);
   builder_.add_body(body);
   builder_.add_headers(headers);
   builder_.add_target(target);
@@ -1526,7 +2450,8 @@
   builder_.add_organisation(organisation);
   builder_.add_request(request);
   builder_.add_attempt(attempt);
-  builder_.add_exclusive(exclusive);
+  builder_.add_resumes(resumes);
+  builder_.add_token_stream(token_stream);
   builder_.add_idempotent(idempotent);
   builder_.add_length_class(length_class);
   return builder_.Finish();
@@ -1535,23 +2460,23 @@
 inline flatbuffers::Offset<Dispatch> CreateDispatchDirect(
     flatbuffers::FlatBufferBuilder &_fbb,
     const Mangofall::Wire::AttemptKey *attempt = nullptr,
+    uint64_t connection = 0,
     const char *request = nullptr,
     const char *organisation = nullptr,
     uint32_t weight = 0,
     const char *upstream = nullptr,
     uint64_t prompt_tokens = 0,
     uint64_t uncached_tokens = 0,
-    uint64_t decode_tokens = 0,
     uint8_t length_class = 0,
     int64_t remaining_us = 0,
     bool idempotent = false,
-    bool exclusive = false,
+    bool token_stream = false,
     const char *method = nullptr,
     const char *target = nullptr,
     const std::vector<flatbuffers::Offset<Mangofall::Wire::Header>> *headers = nullptr,
     const std::vector<uint8_t> *body = nullptr,
-    uint64_t resume_from = 0,
-    const Mangofall::Wire::AttemptKey *resumes = nullptr,
+    uint32_t first_token = 0,
+    bool resumes = false,
     const char *trace_parent = nullptr) {
   auto request__ = request ? _fbb.CreateString(request) : 0;
   auto organisation__ = organisation ? _fbb.CreateString(organisation) : 0;
@@ -1564,22 +2489,22 @@
   return Mangofall::Wire::CreateDispatch(
       _fbb,
       attempt,
+      connection,
       request__,
       organisation__,
       weight,
       upstream__,
       prompt_tokens,
       uncached_tokens,
-      decode_tokens,
       length_class,
       remaining_us,
       idempotent,
-      exclusive,
+      token_stream,
       method__,
       target__,
       headers__,
       body__,
-      resume_from,
+      first_token,
       resumes,
       trace_parent__);
 }
@@ -1589,38 +2514,51 @@
 struct StreamStartT : public flatbuffers::NativeTable {
   typedef StreamStart TableType;
   std::unique_ptr<Mangofall::Wire::AttemptKey> attempt{};
+  uint64_t connection = 0;
   uint16_t status = 0;
   std::string content_type{};
+  std::unique_ptr<Mangofall::Wire::LoadT> load{};
   StreamStartT() = default;
   StreamStartT(const StreamStartT &o);
   StreamStartT(StreamStartT&&) FLATBUFFERS_NOEXCEPT = default;
   StreamStartT &operator=(StreamStartT o) FLATBUFFERS_NOEXCEPT;
 };
 
-/// The upstream's answer began, or a byte of the attempt was written (status 0).
+/// The upstream's answer began.
 struct StreamStart FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
   typedef StreamStartT NativeTableType;
   typedef StreamStartBuilder Builder;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
     VT_ATTEMPT = 4,
-    VT_STATUS = 6,
-    VT_CONTENT_TYPE = 8
+    VT_CONNECTION = 6,
+    VT_STATUS = 8,
+    VT_CONTENT_TYPE = 10,
+    VT_LOAD = 12
   };
   const Mangofall::Wire::AttemptKey *attempt() const {
     return GetStruct<const Mangofall::Wire::AttemptKey *>(VT_ATTEMPT);
   }
+  uint64_t connection() const {
+    return GetField<uint64_t>(VT_CONNECTION, 0);
+  }
   uint16_t status() const {
     return GetField<uint16_t>(VT_STATUS, 0);
   }
   const flatbuffers::String *content_type() const {
     return GetPointer<const flatbuffers::String *>(VT_CONTENT_TYPE);
   }
+  const Mangofall::Wire::Load *load() const {
+    return GetPointer<const Mangofall::Wire::Load *>(VT_LOAD);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<Mangofall::Wire::AttemptKey>(verifier, VT_ATTEMPT, 8) &&
+           VerifyField<uint64_t>(verifier, VT_CONNECTION, 8) &&
            VerifyField<uint16_t>(verifier, VT_STATUS, 2) &&
            VerifyOffset(verifier, VT_CONTENT_TYPE) &&
            verifier.VerifyString(content_type()) &&
+           VerifyOffset(verifier, VT_LOAD) &&
+           verifier.VerifyTable(load()) &&
            verifier.EndTable();
   }
   StreamStartT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -1635,12 +2573,18 @@
   void add_attempt(const Mangofall::Wire::AttemptKey *attempt) {
     fbb_.AddStruct(StreamStart::VT_ATTEMPT, attempt);
   }
+  void add_connection(uint64_t connection) {
+    fbb_.AddElement<uint64_t>(StreamStart::VT_CONNECTION, connection, 0);
+  }
   void add_status(uint16_t status) {
     fbb_.AddElement<uint16_t>(StreamStart::VT_STATUS, status, 0);
   }
   void add_content_type(flatbuffers::Offset<flatbuffers::String> content_type) {
     fbb_.AddOffset(StreamStart::VT_CONTENT_TYPE, content_type);
   }
+  void add_load(flatbuffers::Offset<Mangofall::Wire::Load> load) {
+    fbb_.AddOffset(StreamStart::VT_LOAD, load);
+  }
   explicit StreamStartBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -1655,9 +2599,13 @@
 inline flatbuffers::Offset<StreamStart> CreateStreamStart(
     flatbuffers::FlatBufferBuilder &_fbb,
     const Mangofall::Wire::AttemptKey *attempt = nullptr,
+    uint64_t connection = 0,
     uint16_t status = 0,
-    flatbuffers::Offset<flatbuffers::String> content_type = 0) {
+    flatbuffers::Offset<flatbuffers::String> content_type = 0,
+    flatbuffers::Offset<Mangofall::Wire::Load> load = 0) {
   StreamStartBuilder builder_(_fbb);
+  builder_.add_connection(connection);
+  builder_.add_load(load);
   builder_.add_content_type(content_type);
   builder_.add_attempt(attempt);
   builder_.add_status(status);
@@ -1667,14 +2615,18 @@
 inline flatbuffers::Offset<StreamStart> CreateStreamStartDirect(
     flatbuffers::FlatBufferBuilder &_fbb,
     const Mangofall::Wire::AttemptKey *attempt = nullptr,
+    uint64_t connection = 0,
     uint16_t status = 0,
-    const char *content_type = nullptr) {
+    const char *content_type = nullptr,
+    flatbuffers::Offset<Mangofall::Wire::Load> load = 0) {
   auto content_type__ = content_type ? _fbb.CreateString(content_type) : 0;
   return Mangofall::Wire::CreateStreamStart(
       _fbb,
       attempt,
+      connection,
       status,
-      content_type__);
+      content_type__,
+      load);
 }
 
 flatbuffers::Offset<StreamStart> CreateStreamStart(flatbuffers::FlatBufferBuilder &_fbb, const StreamStartT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -1682,7 +2634,8 @@
 struct StreamDataT : public flatbuffers::NativeTable {
   typedef StreamData TableType;
   std::unique_ptr<Mangofall::Wire::AttemptKey> attempt{};
-  uint64_t index = 0;
+  uint64_t connection = 0;
+  uint32_t index = 0;
   std::vector<uint8_t> data{};
   StreamDataT() = default;
   StreamDataT(const StreamDataT &o);
@@ -1695,15 +2648,19 @@
   typedef StreamDataBuilder Builder;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
     VT_ATTEMPT = 4,
-    VT_INDEX = 6,
-    VT_DATA = 8
+    VT_CONNECTION = 6,
+    VT_INDEX = 8,
+    VT_DATA = 10
   };
   const Mangofall::Wire::AttemptKey *attempt() const {
     return GetStruct<const Mangofall::Wire::AttemptKey *>(VT_ATTEMPT);
   }
-  /// Index of the token, or of the chunk for plain services.
-  uint64_t index() const {
-    return GetField<uint64_t>(VT_INDEX, 0);
+  uint64_t connection() const {
+    return GetField<uint64_t>(VT_CONNECTION, 0);
+  }
+  /// Index of the token; 0 for an answer that is forwarded whole.
+  uint32_t index() const {
+    return GetField<uint32_t>(VT_INDEX, 0);
   }
   const flatbuffers::Vector<uint8_t> *data() const {
     return GetPointer<const flatbuffers::Vector<uint8_t> *>(VT_DATA);
@@ -1711,7 +2668,8 @@
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<Mangofall::Wire::AttemptKey>(verifier, VT_ATTEMPT, 8) &&
-           VerifyField<uint64_t>(verifier, VT_INDEX, 8) &&
+           VerifyField<uint64_t>(verifier, VT_CONNECTION, 8) &&
+           VerifyField<uint32_t>(verifier, VT_INDEX, 4) &&
            VerifyOffset(verifier, VT_DATA) &&
            verifier.VerifyVector(data()) &&
            verifier.EndTable();
@@ -1728,8 +2686,11 @@
   void add_attempt(const Mangofall::Wire::AttemptKey *attempt) {
     fbb_.AddStruct(StreamData::VT_ATTEMPT, attempt);
   }
-  void add_index(uint64_t index) {
-    fbb_.AddElement<uint64_t>(StreamData::VT_INDEX, index, 0);
+  void add_connection(uint64_t connection) {
+    fbb_.AddElement<uint64_t>(StreamData::VT_CONNECTION, connection, 0);
+  }
+  void add_index(uint32_t index) {
+    fbb_.AddElement<uint32_t>(StreamData::VT_INDEX, index, 0);
   }
   void add_data(flatbuffers::Offset<flatbuffers::Vector<uint8_t>> data) {
     fbb_.AddOffset(StreamData::VT_DATA, data);
@@ -1748,11 +2709,13 @@
 inline flatbuffers::Offset<StreamData> CreateStreamData(
     flatbuffers::FlatBufferBuilder &_fbb,
     const Mangofall::Wire::AttemptKey *attempt = nullptr,
-    uint64_t index = 0,
+    uint64_t connection = 0,
+    uint32_t index = 0,
     flatbuffers::Offset<flatbuffers::Vector<uint8_t>> data = 0) {
   StreamDataBuilder builder_(_fbb);
-  builder_.add_index(index);
+  builder_.add_connection(connection);
   builder_.add_data(data);
+  builder_.add_index(index);
   builder_.add_attempt(attempt);
   return builder_.Finish();
 }
@@ -1760,12 +2723,14 @@
 inline flatbuffers::Offset<StreamData> CreateStreamDataDirect(
     flatbuffers::FlatBufferBuilder &_fbb,
     const Mangofall::Wire::AttemptKey *attempt = nullptr,
-    uint64_t index = 0,
+    uint64_t connection = 0,
+    uint32_t index = 0,
     const std::vector<uint8_t> *data = nullptr) {
   auto data__ = data ? _fbb.CreateVector<uint8_t>(*data) : 0;
   return Mangofall::Wire::CreateStreamData(
       _fbb,
       attempt,
+      connection,
       index,
       data__);
 }
@@ -1775,13 +2740,14 @@
 struct StreamEndT : public flatbuffers::NativeTable {
   typedef StreamEnd TableType;
   std::unique_ptr<Mangofall::Wire::AttemptKey> attempt{};
+  uint64_t connection = 0;
+  Mangofall::Wire::StreamOutcome outcome = Mangofall::Wire::StreamOutcome::Completed;
   uint16_t error = 0;
-  bool bytes_sent = false;
-  bool refused = false;
-  bool crashed = false;
+  uint32_t tokens = 0;
   uint64_t prompt_tokens = 0;
   uint64_t cached_tokens = 0;
-  uint64_t completion_tokens = 0;
+  int64_t prefill_us = 0;
+  std::unique_ptr<Mangofall::Wire::LoadT> load{};
   StreamEndT() = default;
   StreamEndT(const StreamEndT &o);
   StreamEndT(StreamEndT&&) FLATBUFFERS_NOEXCEPT = default;
@@ -1793,32 +2759,30 @@
   typedef StreamEndBuilder Builder;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
     VT_ATTEMPT = 4,
-    VT_ERROR = 6,
-    VT_BYTES_SENT = 8,
-    VT_REFUSED = 10,
-    VT_CRASHED = 12,
+    VT_CONNECTION = 6,
+    VT_OUTCOME = 8,
+    VT_ERROR = 10,
+    VT_TOKENS = 12,
     VT_PROMPT_TOKENS = 14,
     VT_CACHED_TOKENS = 16,
-    VT_COMPLETION_TOKENS = 18
+    VT_PREFILL_US = 18,
+    VT_LOAD = 20
   };
   const Mangofall::Wire::AttemptKey *attempt() const {
     return GetStruct<const Mangofall::Wire::AttemptKey *>(VT_ATTEMPT);
   }
-  /// Value of ErrorKind; 0 for a complete answer.
-  uint16_t error() const {
-    return GetField<uint16_t>(VT_ERROR, 0);
+  uint64_t connection() const {
+    return GetField<uint64_t>(VT_CONNECTION, 0);
   }
-  /// Whether any byte of the attempt was written to the upstream.
-  bool bytes_sent() const {
-    return GetField<uint8_t>(VT_BYTES_SENT, 0) != 0;
+  Mangofall::Wire::StreamOutcome outcome() const {
+    return static_cast<Mangofall::Wire::StreamOutcome>(GetField<int8_t>(VT_OUTCOME, 0));
   }
-  /// Whether the upstream itself said that it refused before any work.
-  bool refused() const {
-    return GetField<uint8_t>(VT_REFUSED, 0) != 0;
+  /// Value of ErrorKind.
+  uint16_t error() const {
+    return GetField<uint16_t>(VT_ERROR, 0);
   }
-  /// Whether the upstream crashed while it ran the attempt.
-  bool crashed() const {
-    return GetField<uint8_t>(VT_CRASHED, 0) != 0;
+  uint32_t tokens() const {
+    return GetField<uint32_t>(VT_TOKENS, 0);
   }
   uint64_t prompt_tokens() const {
     return GetField<uint64_t>(VT_PROMPT_TOKENS, 0);
@@ -1826,19 +2790,25 @@
   uint64_t cached_tokens() const {
     return GetField<uint64_t>(VT_CACHED_TOKENS, 0);
   }
-  uint64_t completion_tokens() const {
-    return GetField<uint64_t>(VT_COMPLETION_TOKENS, 0);
+  /// Time from the send to the first token; 0 if there was none.
+  int64_t prefill_us() const {
+    return GetField<int64_t>(VT_PREFILL_US, 0);
+  }
+  const Mangofall::Wire::Load *load() const {
+    return GetPointer<const Mangofall::Wire::Load *>(VT_LOAD);
   }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<Mangofall::Wire::AttemptKey>(verifier, VT_ATTEMPT, 8) &&
+           VerifyField<uint64_t>(verifier, VT_CONNECTION, 8) &&
+           VerifyField<int8_t>(verifier, VT_OUTCOME, 1) &&
            VerifyField<uint16_t>(verifier, VT_ERROR, 2) &&
-           VerifyField<uint8_t>(verifier, VT_BYTES_SENT, 1) &&
-           VerifyField<uint8_t>(verifier, VT_REFUSED, 1) &&
-           VerifyField<uint8_t>(verifier, VT_CRASHED, 1) &&
+           VerifyField<uint32_t>(verifier, VT_TOKENS, 4) &&
            VerifyField<uint64_t>(verifier, VT_PROMPT_TOKENS, 8) &&
            VerifyField<uint64_t>(verifier, VT_CACHED_TOKENS, 8) &&
-           VerifyField<uint64_t>(verifier, VT_COMPLETION_TOKENS, 8) &&
+           VerifyField<int64_t>(verifier, VT_PREFILL_US, 8) &&
+           VerifyOffset(verifier, VT_LOAD) &&
+           verifier.VerifyTable(load()) &&
            verifier.EndTable();
   }
   StreamEndT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -1853,17 +2823,17 @@
   void add_attempt(const Mangofall::Wire::AttemptKey *attempt) {
     fbb_.AddStruct(StreamEnd::VT_ATTEMPT, attempt);
   }
-  void add_error(uint16_t error) {
-    fbb_.AddElement<uint16_t>(StreamEnd::VT_ERROR, error, 0);
+  void add_connection(uint64_t connection) {
+    fbb_.AddElement<uint64_t>(StreamEnd::VT_CONNECTION, connection, 0);
   }
-  void add_bytes_sent(bool bytes_sent) {
-    fbb_.AddElement<uint8_t>(StreamEnd::VT_BYTES_SENT, static_cast<uint8_t>(bytes_sent), 0);
+  void add_outcome(Mangofall::Wire::StreamOutcome outcome) {
+    fbb_.AddElement<int8_t>(StreamEnd::VT_OUTCOME, static_cast<int8_t>(outcome), 0);
   }
-  void add_refused(bool refused) {
-    fbb_.AddElement<uint8_t>(StreamEnd::VT_REFUSED, static_cast<uint8_t>(refused), 0);
+  void add_error(uint16_t error) {
+    fbb_.AddElement<uint16_t>(StreamEnd::VT_ERROR, error, 0);
   }
-  void add_crashed(bool crashed) {
-    fbb_.AddElement<uint8_t>(StreamEnd::VT_CRASHED, static_cast<uint8_t>(crashed), 0);
+  void add_tokens(uint32_t tokens) {
+    fbb_.AddElement<uint32_t>(StreamEnd::VT_TOKENS, tokens, 0);
   }
   void add_prompt_tokens(uint64_t prompt_tokens) {
     fbb_.AddElement<uint64_t>(StreamEnd::VT_PROMPT_TOKENS, prompt_tokens, 0);
@@ -1871,8 +2841,11 @@
   void add_cached_tokens(uint64_t cached_tokens) {
     fbb_.AddElement<uint64_t>(StreamEnd::VT_CACHED_TOKENS, cached_tokens, 0);
   }
-  void add_completion_tokens(uint64_t completion_tokens) {
-    fbb_.AddElement<uint64_t>(StreamEnd::VT_COMPLETION_TOKENS, completion_tokens, 0);
+  void add_prefill_us(int64_t prefill_us) {
+    fbb_.AddElement<int64_t>(StreamEnd::VT_PREFILL_US, prefill_us, 0);
+  }
+  void add_load(flatbuffers::Offset<Mangofall::Wire::Load> load) {
+    fbb_.AddOffset(StreamEnd::VT_LOAD, load);
   }
   explicit StreamEndBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
@@ -1888,22 +2861,24 @@
 inline flatbuffers::Offset<StreamEnd> CreateStreamEnd(
     flatbuffers::FlatBufferBuilder &_fbb,
     const Mangofall::Wire::AttemptKey *attempt = nullptr,
+    uint64_t connection = 0,
+    Mangofall::Wire::StreamOutcome outcome = Mangofall::Wire::StreamOutcome::Completed,
     uint16_t error = 0,
-    bool bytes_sent = false,
-    bool refused = false,
-    bool crashed = false,
+    uint32_t tokens = 0,
     uint64_t prompt_tokens = 0,
     uint64_t cached_tokens = 0,
-    uint64_t completion_tokens = 0) {
+    int64_t prefill_us = 0,
+    flatbuffers::Offset<Mangofall::Wire::Load> load = 0) {
   StreamEndBuilder builder_(_fbb);
-  builder_.add_completion_tokens(completion_tokens);
+  builder_.add_prefill_us(prefill_us);
   builder_.add_cached_tokens(cached_tokens);
   builder_.add_prompt_tokens(prompt_tokens);
+  builder_.add_connection(connection);
+  builder_.add_load(load);
+  builder_.add_tokens(tokens);
   builder_.add_attempt(attempt);
   builder_.add_error(error);
-  builder_.add_crashed(crashed);
-  builder_.add_refused(refused);
-  builder_.add_bytes_sent(bytes_sent);
+  builder_.add_outcome(outcome);
   return builder_.Finish();
 }
 
@@ -1912,65 +2887,358 @@
 struct CancelT : public flatbuffers::NativeTable {
   typedef Cancel TableType;
   std::unique_ptr<Mangofall::Wire::AttemptKey> attempt{};
+  uint64_t connection = 0;
+  std::string upstream{};
+  bool stop = false;
   CancelT() = default;
   CancelT(const CancelT &o);
   CancelT(CancelT&&) FLATBUFFERS_NOEXCEPT = default;
   CancelT &operator=(CancelT o) FLATBUFFERS_NOEXCEPT;
 };
 
+/// Ends a connection of an attempt; the upstream stops the attempt if \c stop is set.
 struct Cancel FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
   typedef CancelT NativeTableType;
   typedef CancelBuilder Builder;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
-    VT_ATTEMPT = 4
+    VT_ATTEMPT = 4,
+    VT_CONNECTION = 6,
+    VT_UPSTREAM = 8,
+    VT_STOP = 10
+  };
+  const Mangofall::Wire::AttemptKey *attempt() const {
+    return GetStruct<const Mangofall::Wire::AttemptKey *>(VT_ATTEMPT);
+  }
+  uint64_t connection() const {
+    return GetField<uint64_t>(VT_CONNECTION, 0);
+  }
+  const flatbuffers::String *upstream() const {
+    return GetPointer<const flatbuffers::String *>(VT_UPSTREAM);
+  }
+  bool stop() const {
+    return GetField<uint8_t>(VT_STOP, 0) != 0;
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyField<Mangofall::Wire::AttemptKey>(verifier, VT_ATTEMPT, 8) &&
+           VerifyField<uint64_t>(verifier, VT_CONNECTION, 8) &&
+           VerifyOffset(verifier, VT_UPSTREAM) &&
+           verifier.VerifyString(upstream()) &&
+           VerifyField<uint8_t>(verifier, VT_STOP, 1) &&
+           verifier.EndTable();
+  }
+  CancelT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(CancelT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<Cancel> Pack(flatbuffers::FlatBufferBuilder &_fbb, const CancelT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct CancelBuilder {
+  typedef Cancel Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_attempt(const Mangofall::Wire::AttemptKey *attempt) {
+    fbb_.AddStruct(Cancel::VT_ATTEMPT, attempt);
+  }
+  void add_connection(uint64_t connection) {
+    fbb_.AddElement<uint64_t>(Cancel::VT_CONNECTION, connection, 0);
+  }
+  void add_upstream(flatbuffers::Offset<flatbuffers::String> upstream) {
+    fbb_.AddOffset(Cancel::VT_UPSTREAM, upstream);
+  }
+  void add_stop(bool stop) {
+    fbb_.AddElement<uint8_t>(Cancel::VT_STOP, static_cast<uint8_t>(stop), 0);
+  }
+  explicit CancelBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<Cancel> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<Cancel>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<Cancel> CreateCancel(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const Mangofall::Wire::AttemptKey *attempt = nullptr,
+    uint64_t connection = 0,
+    flatbuffers::Offset<flatbuffers::String> upstream = 0,
+    bool stop = false) {
+  CancelBuilder builder_(_fbb);
+  builder_.add_connection(connection);
+  builder_.add_upstream(upstream);
+  builder_.add_attempt(attempt);
+  builder_.add_stop(stop);
+  return builder_.Finish();
+}
+
+inline flatbuffers::Offset<Cancel> CreateCancelDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const Mangofall::Wire::AttemptKey *attempt = nullptr,
+    uint64_t connection = 0,
+    const char *upstream = nullptr,
+    bool stop = false) {
+  auto upstream__ = upstream ? _fbb.CreateString(upstream) : 0;
+  return Mangofall::Wire::CreateCancel(
+      _fbb,
+      attempt,
+      connection,
+      upstream__,
+      stop);
+}
+
+flatbuffers::Offset<Cancel> CreateCancel(flatbuffers::FlatBufferBuilder &_fbb, const CancelT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
+struct FlowT : public flatbuffers::NativeTable {
+  typedef Flow TableType;
+  std::unique_ptr<Mangofall::Wire::AttemptKey> attempt{};
+  uint64_t connection = 0;
+  std::string upstream{};
+  bool paused = false;
+  FlowT() = default;
+  FlowT(const FlowT &o);
+  FlowT(FlowT&&) FLATBUFFERS_NOEXCEPT = default;
+  FlowT &operator=(FlowT o) FLATBUFFERS_NOEXCEPT;
+};
+
+/// Pauses or resumes reading from the upstream.
+struct Flow FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef FlowT NativeTableType;
+  typedef FlowBuilder Builder;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_ATTEMPT = 4,
+    VT_CONNECTION = 6,
+    VT_UPSTREAM = 8,
+    VT_PAUSED = 10
   };
   const Mangofall::Wire::AttemptKey *attempt() const {
     return GetStruct<const Mangofall::Wire::AttemptKey *>(VT_ATTEMPT);
   }
+  uint64_t connection() const {
+    return GetField<uint64_t>(VT_CONNECTION, 0);
+  }
+  const flatbuffers::String *upstream() const {
+    return GetPointer<const flatbuffers::String *>(VT_UPSTREAM);
+  }
+  bool paused() const {
+    return GetField<uint8_t>(VT_PAUSED, 0) != 0;
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyField<Mangofall::Wire::AttemptKey>(verifier, VT_ATTEMPT, 8) &&
+           VerifyField<uint64_t>(verifier, VT_CONNECTION, 8) &&
+           VerifyOffset(verifier, VT_UPSTREAM) &&
+           verifier.VerifyString(upstream()) &&
+           VerifyField<uint8_t>(verifier, VT_PAUSED, 1) &&
+           verifier.EndTable();
+  }
+  FlowT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(FlowT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<Flow> Pack(flatbuffers::FlatBufferBuilder &_fbb, const FlowT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct FlowBuilder {
+  typedef Flow Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_attempt(const Mangofall::Wire::AttemptKey *attempt) {
+    fbb_.AddStruct(Flow::VT_ATTEMPT, attempt);
+  }
+  void add_connection(uint64_t connection) {
+    fbb_.AddElement<uint64_t>(Flow::VT_CONNECTION, connection, 0);
+  }
+  void add_upstream(flatbuffers::Offset<flatbuffers::String> upstream) {
+    fbb_.AddOffset(Flow::VT_UPSTREAM, upstream);
+  }
+  void add_paused(bool paused) {
+    fbb_.AddElement<uint8_t>(Flow::VT_PAUSED, static_cast<uint8_t>(paused), 0);
+  }
+  explicit FlowBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<Flow> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<Flow>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<Flow> CreateFlow(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const Mangofall::Wire::AttemptKey *attempt = nullptr,
+    uint64_t connection = 0,
+    flatbuffers::Offset<flatbuffers::String> upstream = 0,
+    bool paused = false) {
+  FlowBuilder builder_(_fbb);
+  builder_.add_connection(connection);
+  builder_.add_upstream(upstream);
+  builder_.add_attempt(attempt);
+  builder_.add_paused(paused);
+  return builder_.Finish();
+}
+
+inline flatbuffers::Offset<Flow> CreateFlowDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const Mangofall::Wire::AttemptKey *attempt = nullptr,
+    uint64_t connection = 0,
+    const char *upstream = nullptr,
+    bool paused = false) {
+  auto upstream__ = upstream ? _fbb.CreateString(upstream) : 0;
+  return Mangofall::Wire::CreateFlow(
+      _fbb,
+      attempt,
+      connection,
+      upstream__,
+      paused);
+}
+
+flatbuffers::Offset<Flow> CreateFlow(flatbuffers::FlatBufferBuilder &_fbb, const FlowT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
+struct ProbeCallT : public flatbuffers::NativeTable {
+  typedef ProbeCall TableType;
+  uint64_t call = 0;
+  std::string upstream{};
+};
+
+/// Asks the upstream's dispatcher to call the upstream over a new connection.
+struct ProbeCall FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef ProbeCallT NativeTableType;
+  typedef ProbeCallBuilder Builder;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_CALL = 4,
+    VT_UPSTREAM = 6
+  };
+  uint64_t call() const {
+    return GetField<uint64_t>(VT_CALL, 0);
+  }
+  const flatbuffers::String *upstream() const {
+    return GetPointer<const flatbuffers::String *>(VT_UPSTREAM);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyField<uint64_t>(verifier, VT_CALL, 8) &&
+           VerifyOffset(verifier, VT_UPSTREAM) &&
+           verifier.VerifyString(upstream()) &&
+           verifier.EndTable();
+  }
+  ProbeCallT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(ProbeCallT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<ProbeCall> Pack(flatbuffers::FlatBufferBuilder &_fbb, const ProbeCallT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct ProbeCallBuilder {
+  typedef ProbeCall Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_call(uint64_t call) {
+    fbb_.AddElement<uint64_t>(ProbeCall::VT_CALL, call, 0);
+  }
+  void add_upstream(flatbuffers::Offset<flatbuffers::String> upstream) {
+    fbb_.AddOffset(ProbeCall::VT_UPSTREAM, upstream);
+  }
+  explicit ProbeCallBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<ProbeCall> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<ProbeCall>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<ProbeCall> CreateProbeCall(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t call = 0,
+    flatbuffers::Offset<flatbuffers::String> upstream = 0) {
+  ProbeCallBuilder builder_(_fbb);
+  builder_.add_call(call);
+  builder_.add_upstream(upstream);
+  return builder_.Finish();
+}
+
+inline flatbuffers::Offset<ProbeCall> CreateProbeCallDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t call = 0,
+    const char *upstream = nullptr) {
+  auto upstream__ = upstream ? _fbb.CreateString(upstream) : 0;
+  return Mangofall::Wire::CreateProbeCall(
+      _fbb,
+      call,
+      upstream__);
+}
+
+flatbuffers::Offset<ProbeCall> CreateProbeCall(flatbuffers::FlatBufferBuilder &_fbb, const ProbeCallT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
+struct ProbeAnswerT : public flatbuffers::NativeTable {
+  typedef ProbeAnswer TableType;
+  uint64_t call = 0;
+  bool responsive = false;
+};
+
+struct ProbeAnswer FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef ProbeAnswerT NativeTableType;
+  typedef ProbeAnswerBuilder Builder;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_CALL = 4,
+    VT_RESPONSIVE = 6
+  };
+  uint64_t call() const {
+    return GetField<uint64_t>(VT_CALL, 0);
+  }
+  bool responsive() const {
+    return GetField<uint8_t>(VT_RESPONSIVE, 0) != 0;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
-           VerifyField<Mangofall::Wire::AttemptKey>(verifier, VT_ATTEMPT, 8) &&
+           VerifyField<uint64_t>(verifier, VT_CALL, 8) &&
+           VerifyField<uint8_t>(verifier, VT_RESPONSIVE, 1) &&
            verifier.EndTable();
   }
-  CancelT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
-  void UnPackTo(CancelT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
-  static flatbuffers::Offset<Cancel> Pack(flatbuffers::FlatBufferBuilder &_fbb, const CancelT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+  ProbeAnswerT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(ProbeAnswerT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<ProbeAnswer> Pack(flatbuffers::FlatBufferBuilder &_fbb, const ProbeAnswerT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
 };
 
-struct CancelBuilder {
-  typedef Cancel Table;
+struct ProbeAnswerBuilder {
+  typedef ProbeAnswer Table;
   flatbuffers::FlatBufferBuilder &fbb_;
   flatbuffers::uoffset_t start_;
-  void add_attempt(const Mangofall::Wire::AttemptKey *attempt) {
-    fbb_.AddStruct(Cancel::VT_ATTEMPT, attempt);
+  void add_call(uint64_t call) {
+    fbb_.AddElement<uint64_t>(ProbeAnswer::VT_CALL, call, 0);
   }
-  explicit CancelBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+  void add_responsive(bool responsive) {
+    fbb_.AddElement<uint8_t>(ProbeAnswer::VT_RESPONSIVE, static_cast<uint8_t>(responsive), 0);
+  }
+  explicit ProbeAnswerBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
   }
-  flatbuffers::Offset<Cancel> Finish() {
+  flatbuffers::Offset<ProbeAnswer> Finish() {
     const auto end = fbb_.EndTable(start_);
-    auto o = flatbuffers::Offset<Cancel>(end);
+    auto o = flatbuffers::Offset<ProbeAnswer>(end);
     return o;
   }
 };
 
-inline flatbuffers::Offset<Cancel> CreateCancel(
+inline flatbuffers::Offset<ProbeAnswer> CreateProbeAnswer(
     flatbuffers::FlatBufferBuilder &_fbb,
-    const Mangofall::Wire::AttemptKey *attempt = nullptr) {
-  CancelBuilder builder_(_fbb);
-  builder_.add_attempt(attempt);
+    uint64_t call = 0,
+    bool responsive = false) {
+  ProbeAnswerBuilder builder_(_fbb);
+  builder_.add_call(call);
+  builder_.add_responsive(responsive);
   return builder_.Finish();
 }
 
-flatbuffers::Offset<Cancel> CreateCancel(flatbuffers::FlatBufferBuilder &_fbb, const CancelT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+flatbuffers::Offset<ProbeAnswer> CreateProbeAnswer(flatbuffers::FlatBufferBuilder &_fbb, const ProbeAnswerT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
 
 struct InFlightEntryT : public flatbuffers::NativeTable {
   typedef InFlightEntry TableType;
   std::unique_ptr<Mangofall::Wire::AttemptKey> attempt{};
-  std::string organisation{};
   uint64_t prefill_tokens = 0;
-  bool prefilling = false;
   InFlightEntryT() = default;
   InFlightEntryT(const InFlightEntryT &o);
   InFlightEntryT(InFlightEntryT&&) FLATBUFFERS_NOEXCEPT = default;
@@ -1982,29 +3250,18 @@
   typedef InFlightEntryBuilder Builder;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
     VT_ATTEMPT = 4,
-    VT_ORGANISATION = 6,
-    VT_PREFILL_TOKENS = 8,
-    VT_PREFILLING = 10
+    VT_PREFILL_TOKENS = 6
   };
   const Mangofall::Wire::AttemptKey *attempt() const {
     return GetStruct<const Mangofall::Wire::AttemptKey *>(VT_ATTEMPT);
   }
-  const flatbuffers::String *organisation() const {
-    return GetPointer<const flatbuffers::String *>(VT_ORGANISATION);
-  }
   uint64_t prefill_tokens() const {
     return GetField<uint64_t>(VT_PREFILL_TOKENS, 0);
   }
-  bool prefilling() const {
-    return GetField<uint8_t>(VT_PREFILLING, 0) != 0;
-  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<Mangofall::Wire::AttemptKey>(verifier, VT_ATTEMPT, 8) &&
-           VerifyOffset(verifier, VT_ORGANISATION) &&
-           verifier.VerifyString(organisation()) &&
            VerifyField<uint64_t>(verifier, VT_PREFILL_TOKENS, 8) &&
-           VerifyField<uint8_t>(verifier, VT_PREFILLING, 1) &&
            verifier.EndTable();
   }
   InFlightEntryT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -2019,15 +3276,9 @@
   void add_attempt(const Mangofall::Wire::AttemptKey *attempt) {
     fbb_.AddStruct(InFlightEntry::VT_ATTEMPT, attempt);
   }
-  void add_organisation(flatbuffers::Offset<flatbuffers::String> organisation) {
-    fbb_.AddOffset(InFlightEntry::VT_ORGANISATION, organisation);
-  }
   void add_prefill_tokens(uint64_t prefill_tokens) {
     fbb_.AddElement<uint64_t>(InFlightEntry::VT_PREFILL_TOKENS, prefill_tokens, 0);
   }
-  void add_prefilling(bool prefilling) {
-    fbb_.AddElement<uint8_t>(InFlightEntry::VT_PREFILLING, static_cast<uint8_t>(prefilling), 0);
-  }
   explicit InFlightEntryBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -2042,68 +3293,44 @@
 inline flatbuffers::Offset<InFlightEntry> CreateInFlightEntry(
     flatbuffers::FlatBufferBuilder &_fbb,
     const Mangofall::Wire::AttemptKey *attempt = nullptr,
-    flatbuffers::Offset<flatbuffers::String> organisation = 0,
-    uint64_t prefill_tokens = 0,
-    bool prefilling = false) {
+    uint64_t prefill_tokens = 0) {
   InFlightEntryBuilder builder_(_fbb);
   builder_.add_prefill_tokens(prefill_tokens);
-  builder_.add_organisation(organisation);
   builder_.add_attempt(attempt);
-  builder_.add_prefilling(prefilling);
   return builder_.Finish();
 }
 
-inline flatbuffers::Offset<InFlightEntry> CreateInFlightEntryDirect(
-    flatbuffers::FlatBufferBuilder &_fbb,
-    const Mangofall::Wire::AttemptKey *attempt = nullptr,
-    const char *organisation = nullptr,
-    uint64_t prefill_tokens = 0,
-    bool prefilling = false) {
-  auto organisation__ = organisation ? _fbb.CreateString(organisation) : 0;
-  return Mangofall::Wire::CreateInFlightEntry(
-      _fbb,
-      attempt,
-      organisation__,
-      prefill_tokens,
-      prefilling);
-}
-
 flatbuffers::Offset<InFlightEntry> CreateInFlightEntry(flatbuffers::FlatBufferBuilder &_fbb, const InFlightEntryT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
 
 struct HandOverT : public flatbuffers::NativeTable {
   typedef HandOver TableType;
   std::string upstream{};
-  std::string from{};
-  std::vector<std::unique_ptr<Mangofall::Wire::InFlightEntryT>> in_flight{};
+  uint64_t epoch = 0;
   uint32_t request_cap = 0;
   uint64_t prefill_cap = 0;
-  uint8_t state = 0;
+  std::vector<std::unique_ptr<Mangofall::Wire::InFlightEntryT>> in_flight{};
   HandOverT() = default;
   HandOverT(const HandOverT &o);
   HandOverT(HandOverT&&) FLATBUFFERS_NOEXCEPT = default;
   HandOverT &operator=(HandOverT o) FLATBUFFERS_NOEXCEPT;
 };
 
-/// The state of one upstream, from its former dispatcher to the next one.
+/// What a dispatcher that gives up its upstream tells the next one.
 struct HandOver FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
   typedef HandOverT NativeTableType;
   typedef HandOverBuilder Builder;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
     VT_UPSTREAM = 4,
-    VT_FROM = 6,
-    VT_IN_FLIGHT = 8,
-    VT_REQUEST_CAP = 10,
-    VT_PREFILL_CAP = 12,
-    VT_STATE = 14
+    VT_EPOCH = 6,
+    VT_REQUEST_CAP = 8,
+    VT_PREFILL_CAP = 10,
+    VT_IN_FLIGHT = 12
   };
   const flatbuffers::String *upstream() const {
     return GetPointer<const flatbuffers::String *>(VT_UPSTREAM);
   }
-  const flatbuffers::String *from() const {
-    return GetPointer<const flatbuffers::String *>(VT_FROM);
-  }
-  const flatbuffers::Vector<flatbuffers::Offset<Mangofall::Wire::InFlightEntry>> *in_flight() const {
-    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<Mangofall::Wire::InFlightEntry>> *>(VT_IN_FLIGHT);
+  uint64_t epoch() const {
+    return GetField<uint64_t>(VT_EPOCH, 0);
   }
   uint32_t request_cap() const {
     return GetField<uint32_t>(VT_REQUEST_CAP, 0);
@@ -2111,21 +3338,19 @@
   uint64_t prefill_cap() const {
     return GetField<uint64_t>(VT_PREFILL_CAP, 0);
   }
-  uint8_t state() const {
-    return GetField<uint8_t>(VT_STATE, 0);
+  const flatbuffers::Vector<flatbuffers::Offset<Mangofall::Wire::InFlightEntry>> *in_flight() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<Mangofall::Wire::InFlightEntry>> *>(VT_IN_FLIGHT);
   }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_UPSTREAM) &&
            verifier.VerifyString(upstream()) &&
-           VerifyOffset(verifier, VT_FROM) &&
-           verifier.VerifyString(from()) &&
+           VerifyField<uint64_t>(verifier, VT_EPOCH, 8) &&
+           VerifyField<uint32_t>(verifier, VT_REQUEST_CAP, 4) &&
+           VerifyField<uint64_t>(verifier, VT_PREFILL_CAP, 8) &&
            VerifyOffset(verifier, VT_IN_FLIGHT) &&
            verifier.VerifyVector(in_flight()) &&
            verifier.VerifyVectorOfTables(in_flight()) &&
-           VerifyField<uint32_t>(verifier, VT_REQUEST_CAP, 4) &&
-           VerifyField<uint64_t>(verifier, VT_PREFILL_CAP, 8) &&
-           VerifyField<uint8_t>(verifier, VT_STATE, 1) &&
            verifier.EndTable();
   }
   HandOverT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -2140,11 +3365,8 @@
   void add_upstream(flatbuffers::Offset<flatbuffers::String> upstream) {
     fbb_.AddOffset(HandOver::VT_UPSTREAM, upstream);
   }
-  void add_from(flatbuffers::Offset<flatbuffers::String> from) {
-    fbb_.AddOffset(HandOver::VT_FROM, from);
-  }
-  void add_in_flight(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<Mangofall::Wire::InFlightEntry>>> in_flight) {
-    fbb_.AddOffset(HandOver::VT_IN_FLIGHT, in_flight);
+  void add_epoch(uint64_t epoch) {
+    fbb_.AddElement<uint64_t>(HandOver::VT_EPOCH, epoch, 0);
   }
   void add_request_cap(uint32_t request_cap) {
     fbb_.AddElement<uint32_t>(HandOver::VT_REQUEST_CAP, request_cap, 0);
