@@ -2152,8 +3374,8 @@
   void add_prefill_cap(uint64_t prefill_cap) {
     fbb_.AddElement<uint64_t>(HandOver::VT_PREFILL_CAP, prefill_cap, 0);
   }
-  void add_state(uint8_t state) {
-    fbb_.AddElement<uint8_t>(HandOver::VT_STATE, state, 0);
+  void add_in_flight(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<Mangofall::Wire::InFlightEntry>>> in_flight) {
+    fbb_.AddOffset(HandOver::VT_IN_FLIGHT, in_flight);
   }
   explicit HandOverBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
@@ -2169,75 +3391,187 @@
 inline flatbuffers::Offset<HandOver> CreateHandOver(
     flatbuffers::FlatBufferBuilder &_fbb,
     flatbuffers::Offset<flatbuffers::String> upstream = 0,
-    flatbuffers::Offset<flatbuffers::String> from = 0,
-    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<Mangofall::Wire::InFlightEntry>>> in_flight = 0,
+    uint64_t epoch = 0,
     uint32_t request_cap = 0,
     uint64_t prefill_cap = 0,
-    uint8_t state = 0) {
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<Mangofall::Wire::InFlightEntry>>> in_flight = 0) {
   HandOverBuilder builder_(_fbb);
   builder_.add_prefill_cap(prefill_cap);
-  builder_.add_request_cap(request_cap);
+  builder_.add_epoch(epoch);
   builder_.add_in_flight(in_flight);
-  builder_.add_from(from);
+  builder_.add_request_cap(request_cap);
   builder_.add_upstream(upstream);
-  builder_.add_state(state);
   return builder_.Finish();
 }
 
 inline flatbuffers::Offset<HandOver> CreateHandOverDirect(
     flatbuffers::FlatBufferBuilder &_fbb,
     const char *upstream = nullptr,
-    const char *from = nullptr,
-    const std::vector<flatbuffers::Offset<Mangofall::Wire::InFlightEntry>> *in_flight = nullptr,
+    uint64_t epoch = 0,
     uint32_t request_cap = 0,
     uint64_t prefill_cap = 0,
-    uint8_t state = 0) {
+    const std::vector<flatbuffers::Offset<Mangofall::Wire::InFlightEntry>> *in_flight = nullptr) {
   auto upstream__ = upstream ? _fbb.CreateString(upstream) : 0;
-  auto from__ = from ? _fbb.CreateString(from) : 0;
   auto in_flight__ = in_flight ? _fbb.CreateVector<flatbuffers::Offset<Mangofall::Wire::InFlightEntry>>(*in_flight) : 0;
   return Mangofall::Wire::CreateHandOver(
       _fbb,
       upstream__,
-      from__,
-      in_flight__,
+      epoch,
       request_cap,
       prefill_cap,
-      state);
+      in_flight__);
 }
 
 flatbuffers::Offset<HandOver> CreateHandOver(flatbuffers::FlatBufferBuilder &_fbb, const HandOverT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
 
+struct CrashLossT : public flatbuffers::NativeTable {
+  typedef CrashLoss TableType;
+  std::string upstream{};
+  uint64_t epoch = 0;
+  std::string reporter{};
+};
+
+/// One crash of an upstream.
+struct CrashLoss FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef CrashLossT NativeTableType;
+  typedef CrashLossBuilder Builder;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_UPSTREAM = 4,
+    VT_EPOCH = 6,
+    VT_REPORTER = 8
+  };
+  const flatbuffers::String *upstream() const {
+    return GetPointer<const flatbuffers::String *>(VT_UPSTREAM);
+  }
+  uint64_t epoch() const {
+    return GetField<uint64_t>(VT_EPOCH, 0);
+  }
+  const flatbuffers::String *reporter() const {
+    return GetPointer<const flatbuffers::String *>(VT_REPORTER);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffset(verifier, VT_UPSTREAM) &&
+           verifier.VerifyString(upstream()) &&
+           VerifyField<uint64_t>(verifier, VT_EPOCH, 8) &&
+           VerifyOffset(verifier, VT_REPORTER) &&
+           verifier.VerifyString(reporter()) &&
+           verifier.EndTable();
+  }
+  CrashLossT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(CrashLossT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<CrashLoss> Pack(flatbuffers::FlatBufferBuilder &_fbb, const CrashLossT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct CrashLossBuilder {
+  typedef CrashLoss Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_upstream(flatbuffers::Offset<flatbuffers::String> upstream) {
+    fbb_.AddOffset(CrashLoss::VT_UPSTREAM, upstream);
+  }
+  void add_epoch(uint64_t epoch) {
+    fbb_.AddElement<uint64_t>(CrashLoss::VT_EPOCH, epoch, 0);
+  }
+  void add_reporter(flatbuffers::Offset<flatbuffers::String> reporter) {
+    fbb_.AddOffset(CrashLoss::VT_REPORTER, reporter);
+  }
+  explicit CrashLossBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<CrashLoss> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<CrashLoss>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<CrashLoss> CreateCrashLoss(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::String> upstream = 0,
+    uint64_t epoch = 0,
+    flatbuffers::Offset<flatbuffers::String> reporter = 0) {
+  CrashLossBuilder builder_(_fbb);
+  builder_.add_epoch(epoch);
+  builder_.add_reporter(reporter);
+  builder_.add_upstream(upstream);
+  return builder_.Finish();
+}
+
+inline flatbuffers::Offset<CrashLoss> CreateCrashLossDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const char *upstream = nullptr,
+    uint64_t epoch = 0,
+    const char *reporter = nullptr) {
+  auto upstream__ = upstream ? _fbb.CreateString(upstream) : 0;
+  auto reporter__ = reporter ? _fbb.CreateString(reporter) : 0;
+  return Mangofall::Wire::CreateCrashLoss(
+      _fbb,
+      upstream__,
+      epoch,
+      reporter__);
+}
+
+flatbuffers::Offset<CrashLoss> CreateCrashLoss(flatbuffers::FlatBufferBuilder &_fbb, const CrashLossT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
 struct CrashNoticeT : public flatbuffers::NativeTable {
   typedef CrashNotice TableType;
-  uint64_t fingerprint = 0;
-  std::vector<std::string> upstreams{};
-  uint64_t serial = 0;
+  uint64_t number = 0;
+  std::string organisation{};
+  std::string content_hash{};
+  std::vector<std::unique_ptr<Mangofall::Wire::CrashLossT>> losses{};
+  std::vector<std::unique_ptr<Mangofall::Wire::CrashLossT>> cleared{};
+  int64_t remaining_us = 0;
+  CrashNoticeT() = default;
+  CrashNoticeT(const CrashNoticeT &o);
+  CrashNoticeT(CrashNoticeT&&) FLATBUFFERS_NOEXCEPT = default;
+  CrashNoticeT &operator=(CrashNoticeT o) FLATBUFFERS_NOEXCEPT;
 };
 
 struct CrashNotice FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
   typedef CrashNoticeT NativeTableType;
   typedef CrashNoticeBuilder Builder;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
-    VT_FINGERPRINT = 4,
-    VT_UPSTREAMS = 6,
-    VT_SERIAL = 8
+    VT_NUMBER = 4,
+    VT_ORGANISATION = 6,
+    VT_CONTENT_HASH = 8,
+    VT_LOSSES = 10,
+    VT_CLEARED = 12,
+    VT_REMAINING_US = 14
   };
-  uint64_t fingerprint() const {
-    return GetField<uint64_t>(VT_FINGERPRINT, 0);
+  uint64_t number() const {
+    return GetField<uint64_t>(VT_NUMBER, 0);
+  }
+  const flatbuffers::String *organisation() const {
+    return GetPointer<const flatbuffers::String *>(VT_ORGANISATION);
   }
-  const flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>> *upstreams() const {
-    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>> *>(VT_UPSTREAMS);
+  const flatbuffers::String *content_hash() const {
+    return GetPointer<const flatbuffers::String *>(VT_CONTENT_HASH);
   }
-  uint64_t serial() const {
-    return GetField<uint64_t>(VT_SERIAL, 0);
+  const flatbuffers::Vector<flatbuffers::Offset<Mangofall::Wire::CrashLoss>> *losses() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<Mangofall::Wire::CrashLoss>> *>(VT_LOSSES);
+  }
+  const flatbuffers::Vector<flatbuffers::Offset<Mangofall::Wire::CrashLoss>> *cleared() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<Mangofall::Wire::CrashLoss>> *>(VT_CLEARED);
+  }
+  int64_t remaining_us() const {
+    return GetField<int64_t>(VT_REMAINING_US, 0);
   }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
-           VerifyField<uint64_t>(verifier, VT_FINGERPRINT, 8) &&
-           VerifyOffset(verifier, VT_UPSTREAMS) &&
-           verifier.VerifyVector(upstreams()) &&
-           verifier.VerifyVectorOfStrings(upstreams()) &&
-           VerifyField<uint64_t>(verifier, VT_SERIAL, 8) &&
+           VerifyField<uint64_t>(verifier, VT_NUMBER, 8) &&
+           VerifyOffset(verifier, VT_ORGANISATION) &&
+           verifier.VerifyString(organisation()) &&
+           VerifyOffset(verifier, VT_CONTENT_HASH) &&
+           verifier.VerifyString(content_hash()) &&
+           VerifyOffset(verifier, VT_LOSSES) &&
+           verifier.VerifyVector(losses()) &&
+           verifier.VerifyVectorOfTables(losses()) &&
+           VerifyOffset(verifier, VT_CLEARED) &&
+           verifier.VerifyVector(cleared()) &&
+           verifier.VerifyVectorOfTables(cleared()) &&
+           VerifyField<int64_t>(verifier, VT_REMAINING_US, 8) &&
            verifier.EndTable();
   }
   CrashNoticeT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -2249,14 +3583,23 @@
   typedef CrashNotice Table;
   flatbuffers::FlatBufferBuilder &fbb_;
   flatbuffers::uoffset_t start_;
-  void add_fingerprint(uint64_t fingerprint) {
-    fbb_.AddElement<uint64_t>(CrashNotice::VT_FINGERPRINT, fingerprint, 0);
+  void add_number(uint64_t number) {
+    fbb_.AddElement<uint64_t>(CrashNotice::VT_NUMBER, number, 0);
+  }
+  void add_organisation(flatbuffers::Offset<flatbuffers::String> organisation) {
+    fbb_.AddOffset(CrashNotice::VT_ORGANISATION, organisation);
+  }
+  void add_content_hash(flatbuffers::Offset<flatbuffers::String> content_hash) {
+    fbb_.AddOffset(CrashNotice::VT_CONTENT_HASH, content_hash);
   }
-  void add_upstreams(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> upstreams) {
-    fbb_.AddOffset(CrashNotice::VT_UPSTREAMS, upstreams);
+  void add_losses(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<Mangofall::Wire::CrashLoss>>> losses) {
+    fbb_.AddOffset(CrashNotice::VT_LOSSES, losses);
   }
-  void add_serial(uint64_t serial) {
-    fbb_.AddElement<uint64_t>(CrashNotice::VT_SERIAL, serial, 0);
+  void add_cleared(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<Mangofall::Wire::CrashLoss>>> cleared) {
+    fbb_.AddOffset(CrashNotice::VT_CLEARED, cleared);
+  }
+  void add_remaining_us(int64_t remaining_us) {
+    fbb_.AddElement<int64_t>(CrashNotice::VT_REMAINING_US, remaining_us, 0);
   }
   explicit CrashNoticeBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
@@ -2271,54 +3614,63 @@
 
 inline flatbuffers::Offset<CrashNotice> CreateCrashNotice(
     flatbuffers::FlatBufferBuilder &_fbb,
-    uint64_t fingerprint = 0,
-    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> upstreams = 0,
-    uint64_t serial = 0) {
+    uint64_t number = 0,
+    flatbuffers::Offset<flatbuffers::String> organisation = 0,
+    flatbuffers::Offset<flatbuffers::String> content_hash = 0,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<Mangofall::Wire::CrashLoss>>> losses = 0,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<Mangofall::Wire::CrashLoss>>> cleared = 0,
+    int64_t remaining_us = 0) {
   CrashNoticeBuilder builder_(_fbb);
-  builder_.add_serial(serial);
-  builder_.add_fingerprint(fingerprint);
-  builder_.add_upstreams(upstreams);
+  builder_.add_remaining_us(remaining_us);
+  builder_.add_number(number);
+  builder_.add_cleared(cleared);
+  builder_.add_losses(losses);
+  builder_.add_content_hash(content_hash);
+  builder_.add_organisation(organisation);
   return builder_.Finish();
 }
 
 inline flatbuffers::Offset<CrashNotice> CreateCrashNoticeDirect(
     flatbuffers::FlatBufferBuilder &_fbb,
-    uint64_t fingerprint = 0,
-    const std::vector<flatbuffers::Offset<flatbuffers::String>> *upstreams = nullptr,
-    uint64_t serial = 0) {
-  auto upstreams__ = upstreams ? _fbb.CreateVector<flatbuffers::Offset<flatbuffers::String>>(*upstreams) : 0;
+    uint64_t number = 0,
+    const char *organisation = nullptr,
+    const char *content_hash = nullptr,
+    const std::vector<flatbuffers::Offset<Mangofall::Wire::CrashLoss>> *losses = nullptr,
+    const std::vector<flatbuffers::Offset<Mangofall::Wire::CrashLoss>> *cleared = nullptr,
+    int64_t remaining_us = 0) {
+  auto organisation__ = organisation ? _fbb.CreateString(organisation) : 0;
+  auto content_hash__ = content_hash ? _fbb.CreateString(content_hash) : 0;
+  auto losses__ = losses ? _fbb.CreateVector<flatbuffers::Offset<Mangofall::Wire::CrashLoss>>(*losses) : 0;
+  auto cleared__ = cleared ? _fbb.CreateVector<flatbuffers::Offset<Mangofall::Wire::CrashLoss>>(*cleared) : 0;
   return Mangofall::Wire::CreateCrashNotice(
       _fbb,
-      fingerprint,
-      upstreams__,
-      serial);
+      number,
+      organisation__,
+      content_hash__,
+      losses__,
+      cleared__,
+      remaining_us);
 }
 
 flatbuffers::Offset<CrashNotice> CreateCrashNotice(flatbuffers::FlatBufferBuilder &_fbb, const CrashNoticeT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
 
 struct CrashNoticeAckT : public flatbuffers::NativeTable {
   typedef CrashNoticeAck TableType;
-  uint64_t fingerprint = 0;
-  uint64_t serial = 0;
+  uint64_t number = 0;
 };
 
 struct CrashNoticeAck FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
   typedef CrashNoticeAckT NativeTableType;
   typedef CrashNoticeAckBuilder Builder;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
-    VT_FINGERPRINT = 4,
-    VT_SERIAL = 6
+    VT_NUMBER = 4
   };
-  uint64_t fingerprint() const {
-    return GetField<uint64_t>(VT_FINGERPRINT, 0);
-  }
-  uint64_t serial() const {
-    return GetField<uint64_t>(VT_SERIAL, 0);
+  uint64_t number() const {
+    return GetField<uint64_t>(VT_NUMBER, 0);
   }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
-           VerifyField<uint64_t>(verifier, VT_FINGERPRINT, 8) &&
-           VerifyField<uint64_t>(verifier, VT_SERIAL, 8) &&
+           VerifyField<uint64_t>(verifier, VT_NUMBER, 8) &&
            verifier.EndTable();
   }
   CrashNoticeAckT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -2330,11 +3682,8 @@
   typedef CrashNoticeAck Table;
   flatbuffers::FlatBufferBuilder &fbb_;
   flatbuffers::uoffset_t start_;
-  void add_fingerprint(uint64_t fingerprint) {
-    fbb_.AddElement<uint64_t>(CrashNoticeAck::VT_FINGERPRINT, fingerprint, 0);
-  }
-  void add_serial(uint64_t serial) {
-    fbb_.AddElement<uint64_t>(CrashNoticeAck::VT_SERIAL, serial, 0);
+  void add_number(uint64_t number) {
+    fbb_.AddElement<uint64_t>(CrashNoticeAck::VT_NUMBER, number, 0);
   }
   explicit CrashNoticeAckBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
@@ -2349,125 +3698,251 @@
 
 inline flatbuffers::Offset<CrashNoticeAck> CreateCrashNoticeAck(
     flatbuffers::FlatBufferBuilder &_fbb,
-    uint64_t fingerprint = 0,
-    uint64_t serial = 0) {
+    uint64_t number = 0) {
   CrashNoticeAckBuilder builder_(_fbb);
-  builder_.add_serial(serial);
-  builder_.add_fingerprint(fingerprint);
+  builder_.add_number(number);
   return builder_.Finish();
 }
 
 flatbuffers::Offset<CrashNoticeAck> CreateCrashNoticeAck(flatbuffers::FlatBufferBuilder &_fbb, const CrashNoticeAckT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
 
-struct LedgerCallT : public flatbuffers::NativeTable {
-  typedef LedgerCall TableType;
+struct LedgerOrderT : public flatbuffers::NativeTable {
+  typedef LedgerOrder TableType;
   uint64_t call = 0;
-  Mangofall::Wire::LedgerOperation operation = Mangofall::Wire::LedgerOperation::Begin;
   std::string key{};
-  std::vector<uint8_t> payload{};
+  std::string organisation{};
+  std::string service{};
+  std::string upstream{};
+  std::string status_path{};
+  int64_t remaining_us = 0;
+  std::string method{};
+  std::string target{};
+  std::vector<std::unique_ptr<Mangofall::Wire::HeaderT>> headers{};
+  std::vector<uint8_t> body{};
+  std::string trace_parent{};
+  LedgerOrderT() = default;
+  LedgerOrderT(const LedgerOrderT &o);
+  LedgerOrderT(LedgerOrderT&&) FLATBUFFERS_NOEXCEPT = default;
+  LedgerOrderT &operator=(LedgerOrderT o) FLATBUFFERS_NOEXCEPT;
 };
 
-struct LedgerCall FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
-  typedef LedgerCallT NativeTableType;
-  typedef LedgerCallBuilder Builder;
+/// A caller's order, from its entry host to the owner of the ledger shard.
+struct LedgerOrder FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef LedgerOrderT NativeTableType;
+  typedef LedgerOrderBuilder Builder;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
     VT_CALL = 4,
-    VT_OPERATION = 6,
-    VT_KEY = 8,
-    VT_PAYLOAD = 10
+    VT_KEY = 6,
+    VT_ORGANISATION = 8,
+    VT_SERVICE = 10,
+    VT_UPSTREAM = 12,
+    VT_STATUS_PATH = 14,
+    VT_REMAINING_US = 16,
+    VT_METHOD = 18,
+    VT_TARGET = 20,
+    VT_HEADERS = 22,
+    VT_BODY = 24,
+    VT_TRACE_PARENT = 26
   };
   uint64_t call() const {
     return GetField<uint64_t>(VT_CALL, 0);
   }
-  Mangofall::Wire::LedgerOperation operation() const {
-    return static_cast<Mangofall::Wire::LedgerOperation>(GetField<int8_t>(VT_OPERATION, 0));
-  }
   const flatbuffers::String *key() const {
     return GetPointer<const flatbuffers::String *>(VT_KEY);
   }
-  const flatbuffers::Vector<uint8_t> *payload() const {
-    return GetPointer<const flatbuffers::Vector<uint8_t> *>(VT_PAYLOAD);
+  const flatbuffers::String *organisation() const {
+    return GetPointer<const flatbuffers::String *>(VT_ORGANISATION);
+  }
+  const flatbuffers::String *service() const {
+    return GetPointer<const flatbuffers::String *>(VT_SERVICE);
+  }
+  const flatbuffers::String *upstream() const {
+    return GetPointer<const flatbuffers::String *>(VT_UPSTREAM);
+  }
+  const flatbuffers::String *status_path() const {
+    return GetPointer<const flatbuffers::String *>(VT_STATUS_PATH);
+  }
+  int64_t remaining_us() const {
+    return GetField<int64_t>(VT_REMAINING_US, 0);
+  }
+  const flatbuffers::String *method() const {
+    return GetPointer<const flatbuffers::String *>(VT_METHOD);
+  }
+  const flatbuffers::String *target() const {
+    return GetPointer<const flatbuffers::String *>(VT_TARGET);
+  }
+  const flatbuffers::Vector<flatbuffers::Offset<Mangofall::Wire::Header>> *headers() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<Mangofall::Wire::Header>> *>(VT_HEADERS);
+  }
+  const flatbuffers::Vector<uint8_t> *body() const {
+    return GetPointer<const flatbuffers::Vector<uint8_t> *>(VT_BODY);
+  }
+  const flatbuffers::String *trace_parent() const {
+    return GetPointer<const flatbuffers::String *>(VT_TRACE_PARENT);
   }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_CALL, 8) &&
-           VerifyField<int8_t>(verifier, VT_OPERATION, 1) &&
            VerifyOffset(verifier, VT_KEY) &&
            verifier.VerifyString(key()) &&
-           VerifyOffset(verifier, VT_PAYLOAD) &&
-           verifier.VerifyVector(payload()) &&
+           VerifyOffset(verifier, VT_ORGANISATION) &&
+           verifier.VerifyString(organisation()) &&
+           VerifyOffset(verifier, VT_SERVICE) &&
+           verifier.VerifyString(service()) &&
+           VerifyOffset(verifier, VT_UPSTREAM) &&
+           verifier.VerifyString(upstream()) &&
+           VerifyOffset(verifier, VT_STATUS_PATH) &&
+           verifier.VerifyString(status_path()) &&
+           VerifyField<int64_t>(verifier, VT_REMAINING_US, 8) &&
+           VerifyOffset(verifier, VT_METHOD) &&
+           verifier.VerifyString(method()) &&
+           VerifyOffset(verifier, VT_TARGET) &&
+           verifier.VerifyString(target()) &&
+           VerifyOffset(verifier, VT_HEADERS) &&
+           verifier.VerifyVector(headers()) &&
+           verifier.VerifyVectorOfTables(headers()) &&
+           VerifyOffset(verifier, VT_BODY) &&
+           verifier.VerifyVector(body()) &&
+           VerifyOffset(verifier, VT_TRACE_PARENT) &&
+           verifier.VerifyString(trace_parent()) &&
            verifier.EndTable();
   }
-  LedgerCallT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
-  void UnPackTo(LedgerCallT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
-  static flatbuffers::Offset<LedgerCall> Pack(flatbuffers::FlatBufferBuilder &_fbb, const LedgerCallT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+  LedgerOrderT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(LedgerOrderT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<LedgerOrder> Pack(flatbuffers::FlatBufferBuilder &_fbb, const LedgerOrderT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
 };
 
-struct LedgerCallBuilder {
-  typedef LedgerCall Table;
+struct LedgerOrderBuilder {
+  typedef LedgerOrder Table;
   flatbuffers::FlatBufferBuilder &fbb_;
   flatbuffers::uoffset_t start_;
   void add_call(uint64_t call) {
-    fbb_.AddElement<uint64_t>(LedgerCall::VT_CALL, call, 0);
-  }
-  void add_operation(Mangofall::Wire::LedgerOperation operation) {
-    fbb_.AddElement<int8_t>(LedgerCall::VT_OPERATION, static_cast<int8_t>(operation), 0);
+    fbb_.AddElement<uint64_t>(LedgerOrder::VT_CALL, call, 0);
   }
   void add_key(flatbuffers::Offset<flatbuffers::String> key) {
-    fbb_.AddOffset(LedgerCall::VT_KEY, key);
+    fbb_.AddOffset(LedgerOrder::VT_KEY, key);
   }
-  void add_payload(flatbuffers::Offset<flatbuffers::Vector<uint8_t>> payload) {
-    fbb_.AddOffset(LedgerCall::VT_PAYLOAD, payload);
+  void add_organisation(flatbuffers::Offset<flatbuffers::String> organisation) {
+    fbb_.AddOffset(LedgerOrder::VT_ORGANISATION, organisation);
+  }
+  void add_service(flatbuffers::Offset<flatbuffers::String> service) {
+    fbb_.AddOffset(LedgerOrder::VT_SERVICE, service);
+  }
+  void add_upstream(flatbuffers::Offset<flatbuffers::String> upstream) {
+    fbb_.AddOffset(LedgerOrder::VT_UPSTREAM, upstream);
+  }
+  void add_status_path(flatbuffers::Offset<flatbuffers::String> status_path) {
+    fbb_.AddOffset(LedgerOrder::VT_STATUS_PATH, status_path);
+  }
+  void add_remaining_us(int64_t remaining_us) {
+    fbb_.AddElement<int64_t>(LedgerOrder::VT_REMAINING_US, remaining_us, 0);
+  }
+  void add_method(flatbuffers::Offset<flatbuffers::String> method) {
+    fbb_.AddOffset(LedgerOrder::VT_METHOD, method);
+  }
+  void add_target(flatbuffers::Offset<flatbuffers::String> target) {
+    fbb_.AddOffset(LedgerOrder::VT_TARGET, target);
   }
-  explicit LedgerCallBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+  void add_headers(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<Mangofall::Wire::Header>>> headers) {
+    fbb_.AddOffset(LedgerOrder::VT_HEADERS, headers);
+  }
+  void add_body(flatbuffers::Offset<flatbuffers::Vector<uint8_t>> body) {
+    fbb_.AddOffset(LedgerOrder::VT_BODY, body);
+  }
+  void add_trace_parent(flatbuffers::Offset<flatbuffers::String> trace_parent) {
+    fbb_.AddOffset(LedgerOrder::VT_TRACE_PARENT, trace_parent);
+  }
+  explicit LedgerOrderBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
   }
-  flatbuffers::Offset<LedgerCall> Finish() {
+  flatbuffers::Offset<LedgerOrder> Finish() {
     const auto end = fbb_.EndTable(start_);
-    auto o = flatbuffers::Offset<LedgerCall>(end);
+    auto o = flatbuffers::Offset<LedgerOrder>(end);
     return o;
   }
 };
 
-inline flatbuffers::Offset<LedgerCall> CreateLedgerCall(
+inline flatbuffers::Offset<LedgerOrder> CreateLedgerOrder(
     flatbuffers::FlatBufferBuilder &_fbb,
     uint64_t call = 0,
-    Mangofall::Wire::LedgerOperation operation = Mangofall::Wire::LedgerOperation::Begin,
     flatbuffers::Offset<flatbuffers::String> key = 0,
-    flatbuffers::Offset<flatbuffers::Vector<uint8_t>> payload = 0) {
-  LedgerCallBuilder builder_(_fbb);
+    flatbuffers::Offset<flatbuffers::String> organisation = 0,
+    flatbuffers::Offset<flatbuffers::String> service = 0,
+    flatbuffers::Offset<flatbuffers::String> upstream = 0,
+    flatbuffers::Offset<flatbuffers::String> status_path = 0,
+    int64_t remaining_us = 0,
+    flatbuffers::Offset<flatbuffers::String> method = 0,
+    flatbuffers::Offset<flatbuffers::String> target = 0,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<Mangofall::Wire::Header>>> headers = 0,
+    flatbuffers::Offset<flatbuffers::Vector<uint8_t>> body = 0,
+    flatbuffers::Offset<flatbuffers::String> trace_parent = 0) {
+  LedgerOrderBuilder builder_(_fbb);
+  builder_.add_remaining_us(remaining_us);
   builder_.add_call(call);
-  builder_.add_payload(payload);
+  builder_.add_trace_parent(trace_parent);
+  builder_.add_body(body);
+  builder_.add_headers(headers);
+  builder_.add_target(target);
+  builder_.add_method(method);
+  builder_.add_status_path(status_path);
+  builder_.add_upstream(upstream);
+  builder_.add_service(service);
+  builder_.add_organisation(organisation);
   builder_.add_key(key);
-  builder_.add_operation(operation);
   return builder_.Finish();
 }
 
-inline flatbuffers::Offset<LedgerCall> CreateLedgerCallDirect(
+inline flatbuffers::Offset<LedgerOrder> CreateLedgerOrderDirect(
     flatbuffers::FlatBufferBuilder &_fbb,
     uint64_t call = 0,
-    Mangofall::Wire::LedgerOperation operation = Mangofall::Wire::LedgerOperation::Begin,
     const char *key = nullptr,
-    const std::vector<uint8_t> *payload = nullptr) {
+    const char *organisation = nullptr,
+    const char *service = nullptr,
+    const char *upstream = nullptr,
+    const char *status_path = nullptr,
+    int64_t remaining_us = 0,
+    const char *method = nullptr,
+    const char *target = nullptr,
+    const std::vector<flatbuffers::Offset<Mangofall::Wire::Header>> *headers = nullptr,
+    const std::vector<uint8_t> *body = nullptr,
+    const char *trace_parent = nullptr) {
   auto key__ = key ? _fbb.CreateString(key) : 0;
-  auto payload__ = payload ? _fbb.CreateVector<uint8_t>(*payload) : 0;
-  return Mangofall::Wire::CreateLedgerCall(
+  auto organisation__ = organisation ? _fbb.CreateString(organisation) : 0;
+  auto service__ = service ? _fbb.CreateString(service) : 0;
+  auto upstream__ = upstream ? _fbb.CreateString(upstream) : 0;
+  auto status_path__ = status_path ? _fbb.CreateString(status_path) : 0;
+  auto method__ = method ? _fbb.CreateString(method) : 0;
+  auto target__ = target ? _fbb.CreateString(target) : 0;
+  auto headers__ = headers ? _fbb.CreateVector<flatbuffers::Offset<Mangofall::Wire::Header>>(*headers) : 0;
+  auto body__ = body ? _fbb.CreateVector<uint8_t>(*body) : 0;
+  auto trace_parent__ = trace_parent ? _fbb.CreateString(trace_parent) : 0;
+  return Mangofall::Wire::CreateLedgerOrder(
       _fbb,
       call,
-      operation,
       key__,
-      payload__);
+      organisation__,
+      service__,
+      upstream__,
+      status_path__,
+      remaining_us,
+      method__,
+      target__,
+      headers__,
+      body__,
+      trace_parent__);
 }
 
-flatbuffers::Offset<LedgerCall> CreateLedgerCall(flatbuffers::FlatBufferBuilder &_fbb, const LedgerCallT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+flatbuffers::Offset<LedgerOrder> CreateLedgerOrder(flatbuffers::FlatBufferBuilder &_fbb, const LedgerOrderT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
 
 struct LedgerAnswerT : public flatbuffers::NativeTable {
   typedef LedgerAnswer TableType;
   uint64_t call = 0;
   uint16_t error = 0;
-  uint8_t state = 0;
-  std::vector<uint8_t> payload{};
+  bool not_run = false;
+  uint16_t status = 0;
+  std::string content_type{};
+  std::vector<uint8_t> body{};
 };
 
 struct LedgerAnswer FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -2476,28 +3951,40 @@
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
     VT_CALL = 4,
     VT_ERROR = 6,
-    VT_STATE = 8,
-    VT_PAYLOAD = 10
+    VT_NOT_RUN = 8,
+    VT_STATUS = 10,
+    VT_CONTENT_TYPE = 12,
+    VT_BODY = 14
   };
   uint64_t call() const {
     return GetField<uint64_t>(VT_CALL, 0);
   }
+  /// Value of ErrorKind.
   uint16_t error() const {
     return GetField<uint16_t>(VT_ERROR, 0);
   }
-  uint8_t state() const {
-    return GetField<uint8_t>(VT_STATE, 0);
+  bool not_run() const {
+    return GetField<uint8_t>(VT_NOT_RUN, 0) != 0;
   }
-  const flatbuffers::Vector<uint8_t> *payload() const {
-    return GetPointer<const flatbuffers::Vector<uint8_t> *>(VT_PAYLOAD);
+  uint16_t status() const {
+    return GetField<uint16_t>(VT_STATUS, 0);
+  }
+  const flatbuffers::String *content_type() const {
+    return GetPointer<const flatbuffers::String *>(VT_CONTENT_TYPE);
+  }
+  const flatbuffers::Vector<uint8_t> *body() const {
+    return GetPointer<const flatbuffers::Vector<uint8_t> *>(VT_BODY);
   }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_CALL, 8) &&
            VerifyField<uint16_t>(verifier, VT_ERROR, 2) &&
-           VerifyField<uint8_t>(verifier, VT_STATE, 1) &&
-           VerifyOffset(verifier, VT_PAYLOAD) &&
-           verifier.VerifyVector(payload()) &&
+           VerifyField<uint8_t>(verifier, VT_NOT_RUN, 1) &&
+           VerifyField<uint16_t>(verifier, VT_STATUS, 2) &&
+           VerifyOffset(verifier, VT_CONTENT_TYPE) &&
+           verifier.VerifyString(content_type()) &&
+           VerifyOffset(verifier, VT_BODY) &&
+           verifier.VerifyVector(body()) &&
            verifier.EndTable();
   }
   LedgerAnswerT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -2515,11 +4002,17 @@
   void add_error(uint16_t error) {
     fbb_.AddElement<uint16_t>(LedgerAnswer::VT_ERROR, error, 0);
   }
-  void add_state(uint8_t state) {
-    fbb_.AddElement<uint8_t>(LedgerAnswer::VT_STATE, state, 0);
+  void add_not_run(bool not_run) {
+    fbb_.AddElement<uint8_t>(LedgerAnswer::VT_NOT_RUN, static_cast<uint8_t>(not_run), 0);
   }
-  void add_payload(flatbuffers::Offset<flatbuffers::Vector<uint8_t>> payload) {
-    fbb_.AddOffset(LedgerAnswer::VT_PAYLOAD, payload);
+  void add_status(uint16_t status) {
+    fbb_.AddElement<uint16_t>(LedgerAnswer::VT_STATUS, status, 0);
+  }
+  void add_content_type(flatbuffers::Offset<flatbuffers::String> content_type) {
+    fbb_.AddOffset(LedgerAnswer::VT_CONTENT_TYPE, content_type);
+  }
+  void add_body(flatbuffers::Offset<flatbuffers::Vector<uint8_t>> body) {
+    fbb_.AddOffset(LedgerAnswer::VT_BODY, body);
   }
   explicit LedgerAnswerBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
@@ -2536,13 +4029,17 @@
     flatbuffers::FlatBufferBuilder &_fbb,
     uint64_t call = 0,
     uint16_t error = 0,
-    uint8_t state = 0,
-    flatbuffers::Offset<flatbuffers::Vector<uint8_t>> payload = 0) {
+    bool not_run = false,
+    uint16_t status = 0,
+    flatbuffers::Offset<flatbuffers::String> content_type = 0,
+    flatbuffers::Offset<flatbuffers::Vector<uint8_t>> body = 0) {
   LedgerAnswerBuilder builder_(_fbb);
   builder_.add_call(call);
-  builder_.add_payload(payload);
+  builder_.add_body(body);
+  builder_.add_content_type(content_type);
+  builder_.add_status(status);
   builder_.add_error(error);
-  builder_.add_state(state);
+  builder_.add_not_run(not_run);
   return builder_.Finish();
 }
 
@@ -2550,19 +4047,160 @@
     flatbuffers::FlatBufferBuilder &_fbb,
     uint64_t call = 0,
     uint16_t error = 0,
-    uint8_t state = 0,
-    const std::vector<uint8_t> *payload = nullptr) {
-  auto payload__ = payload ? _fbb.CreateVector<uint8_t>(*payload) : 0;
+    bool not_run = false,
+    uint16_t status = 0,
+    const char *content_type = nullptr,
+    const std::vector<uint8_t> *body = nullptr) {
+  auto content_type__ = content_type ? _fbb.CreateString(content_type) : 0;
+  auto body__ = body ? _fbb.CreateVector<uint8_t>(*body) : 0;
   return Mangofall::Wire::CreateLedgerAnswer(
       _fbb,
       call,
       error,
-      state,
-      payload__);
+      not_run,
+      status,
+      content_type__,
+      body__);
 }
 
 flatbuffers::Offset<LedgerAnswer> CreateLedgerAnswer(flatbuffers::FlatBufferBuilder &_fbb, const LedgerAnswerT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
 
+struct LedgerOutcomeT : public flatbuffers::NativeTable {
+  typedef LedgerOutcome TableType;
+  std::string key{};
+  std::unique_ptr<Mangofall::Wire::AttemptKey> attempt{};
+  uint8_t result = 0;
+  uint16_t status = 0;
+  std::string content_type{};
+  std::vector<uint8_t> body{};
+  LedgerOutcomeT() = default;
+  LedgerOutcomeT(const LedgerOutcomeT &o);
+  LedgerOutcomeT(LedgerOutcomeT&&) FLATBUFFERS_NOEXCEPT = default;
+  LedgerOutcomeT &operator=(LedgerOutcomeT o) FLATBUFFERS_NOEXCEPT;
+};
+
+/// An upstream's answer to an order, from the shard's former owner to the present one.
+struct LedgerOutcome FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef LedgerOutcomeT NativeTableType;
+  typedef LedgerOutcomeBuilder Builder;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_KEY = 4,
+    VT_ATTEMPT = 6,
+    VT_RESULT = 8,
+    VT_STATUS = 10,
+    VT_CONTENT_TYPE = 12,
+    VT_BODY = 14
+  };
+  const flatbuffers::String *key() const {
+    return GetPointer<const flatbuffers::String *>(VT_KEY);
+  }
+  const Mangofall::Wire::AttemptKey *attempt() const {
+    return GetStruct<const Mangofall::Wire::AttemptKey *>(VT_ATTEMPT);
+  }
+  uint8_t result() const {
+    return GetField<uint8_t>(VT_RESULT, 0);
+  }
+  uint16_t status() const {
+    return GetField<uint16_t>(VT_STATUS, 0);
+  }
+  const flatbuffers::String *content_type() const {
+    return GetPointer<const flatbuffers::String *>(VT_CONTENT_TYPE);
+  }
+  const flatbuffers::Vector<uint8_t> *body() const {
+    return GetPointer<const flatbuffers::Vector<uint8_t> *>(VT_BODY);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffset(verifier, VT_KEY) &&
+           verifier.VerifyString(key()) &&
+           VerifyField<Mangofall::Wire::AttemptKey>(verifier, VT_ATTEMPT, 8) &&
+           VerifyField<uint8_t>(verifier, VT_RESULT, 1) &&
+           VerifyField<uint16_t>(verifier, VT_STATUS, 2) &&
+           VerifyOffset(verifier, VT_CONTENT_TYPE) &&
+           verifier.VerifyString(content_type()) &&
+           VerifyOffset(verifier, VT_BODY) &&
+           verifier.VerifyVector(body()) &&
+           verifier.EndTable();
+  }
+  LedgerOutcomeT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(LedgerOutcomeT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<LedgerOutcome> Pack(flatbuffers::FlatBufferBuilder &_fbb, const LedgerOutcomeT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct LedgerOutcomeBuilder {
+  typedef LedgerOutcome Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_key(flatbuffers::Offset<flatbuffers::String> key) {
+    fbb_.AddOffset(LedgerOutcome::VT_KEY, key);
+  }
+  void add_attempt(const Mangofall::Wire::AttemptKey *attempt) {
+    fbb_.AddStruct(LedgerOutcome::VT_ATTEMPT, attempt);
+  }
+  void add_result(uint8_t result) {
+    fbb_.AddElement<uint8_t>(LedgerOutcome::VT_RESULT, result, 0);
+  }
+  void add_status(uint16_t status) {
+    fbb_.AddElement<uint16_t>(LedgerOutcome::VT_STATUS, status, 0);
+  }
+  void add_content_type(flatbuffers::Offset<flatbuffers::String> content_type) {
+    fbb_.AddOffset(LedgerOutcome::VT_CONTENT_TYPE, content_type);
+  }
+  void add_body(flatbuffers::Offset<flatbuffers::Vector<uint8_t>> body) {
+    fbb_.AddOffset(LedgerOutcome::VT_BODY, body);
+  }
+  explicit LedgerOutcomeBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<LedgerOutcome> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<LedgerOutcome>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<LedgerOutcome> CreateLedgerOutcome(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::String> key = 0,
+    const Mangofall::Wire::AttemptKey *attempt = nullptr,
+    uint8_t result = 0,
+    uint16_t status = 0,
+    flatbuffers::Offset<flatbuffers::String> content_type = 0,
+    flatbuffers::Offset<flatbuffers::Vector<uint8_t>> body = 0) {
+  LedgerOutcomeBuilder builder_(_fbb);
+  builder_.add_body(body);
+  builder_.add_content_type(content_type);
+  builder_.add_attempt(attempt);
+  builder_.add_key(key);
+  builder_.add_status(status);
+  builder_.add_result(result);
+  return builder_.Finish();
+}
+
+inline flatbuffers::Offset<LedgerOutcome> CreateLedgerOutcomeDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const char *key = nullptr,
+    const Mangofall::Wire::AttemptKey *attempt = nullptr,
+    uint8_t result = 0,
+    uint16_t status = 0,
+    const char *content_type = nullptr,
+    const std::vector<uint8_t> *body = nullptr) {
+  auto key__ = key ? _fbb.CreateString(key) : 0;
+  auto content_type__ = content_type ? _fbb.CreateString(content_type) : 0;
+  auto body__ = body ? _fbb.CreateVector<uint8_t>(*body) : 0;
+  return Mangofall::Wire::CreateLedgerOutcome(
+      _fbb,
+      key__,
+      attempt,
+      result,
+      status,
+      content_type__,
+      body__);
+}
+
+flatbuffers::Offset<LedgerOutcome> CreateLedgerOutcome(flatbuffers::FlatBufferBuilder &_fbb, const LedgerOutcomeT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
 struct LimitMessageT : public flatbuffers::NativeTable {
   typedef LimitMessage TableType;
   std::vector<uint8_t> payload{};
@@ -2870,12 +4508,24 @@
   const Mangofall::Wire::Heartbeat *body_as_Heartbeat() const {
     return body_type() == Mangofall::Wire::Body::Heartbeat ? static_cast<const Mangofall::Wire::Heartbeat *>(body()) : nullptr;
   }
-  const Mangofall::Wire::ConfigurationPush *body_as_ConfigurationPush() const {
-    return body_type() == Mangofall::Wire::Body::ConfigurationPush ? static_cast<const Mangofall::Wire::ConfigurationPush *>(body()) : nullptr;
+  const Mangofall::Wire::DigestMessage *body_as_DigestMessage() const {
+    return body_type() == Mangofall::Wire::Body::DigestMessage ? static_cast<const Mangofall::Wire::DigestMessage *>(body()) : nullptr;
+  }
+  const Mangofall::Wire::MembershipProbe *body_as_MembershipProbe() const {
+    return body_type() == Mangofall::Wire::Body::MembershipProbe ? static_cast<const Mangofall::Wire::MembershipProbe *>(body()) : nullptr;
+  }
+  const Mangofall::Wire::MembershipProbeAnswer *body_as_MembershipProbeAnswer() const {
+    return body_type() == Mangofall::Wire::Body::MembershipProbeAnswer ? static_cast<const Mangofall::Wire::MembershipProbeAnswer *>(body()) : nullptr;
+  }
+  const Mangofall::Wire::ConfigurationRoot *body_as_ConfigurationRoot() const {
+    return body_type() == Mangofall::Wire::Body::ConfigurationRoot ? static_cast<const Mangofall::Wire::ConfigurationRoot *>(body()) : nullptr;
   }
   const Mangofall::Wire::ConfigurationFetch *body_as_ConfigurationFetch() const {
     return body_type() == Mangofall::Wire::Body::ConfigurationFetch ? static_cast<const Mangofall::Wire::ConfigurationFetch *>(body()) : nullptr;
   }
+  const Mangofall::Wire::ConfigurationBlob *body_as_ConfigurationBlob() const {
+    return body_type() == Mangofall::Wire::Body::ConfigurationBlob ? static_cast<const Mangofall::Wire::ConfigurationBlob *>(body()) : nullptr;
+  }
   const Mangofall::Wire::Dispatch *body_as_Dispatch() const {
     return body_type() == Mangofall::Wire::Body::Dispatch ? static_cast<const Mangofall::Wire::Dispatch *>(body()) : nullptr;
   }
@@ -2891,6 +4541,15 @@
   const Mangofall::Wire::Cancel *body_as_Cancel() const {
     return body_type() == Mangofall::Wire::Body::Cancel ? static_cast<const Mangofall::Wire::Cancel *>(body()) : nullptr;
   }
+  const Mangofall::Wire::Flow *body_as_Flow() const {
+    return body_type() == Mangofall::Wire::Body::Flow ? static_cast<const Mangofall::Wire::Flow *>(body()) : nullptr;
+  }
+  const Mangofall::Wire::ProbeCall *body_as_ProbeCall() const {
+    return body_type() == Mangofall::Wire::Body::ProbeCall ? static_cast<const Mangofall::Wire::ProbeCall *>(body()) : nullptr;
+  }
+  const Mangofall::Wire::ProbeAnswer *body_as_ProbeAnswer() const {
+    return body_type() == Mangofall::Wire::Body::ProbeAnswer ? static_cast<const Mangofall::Wire::ProbeAnswer *>(body()) : nullptr;
+  }
   const Mangofall::Wire::HandOver *body_as_HandOver() const {
     return body_type() == Mangofall::Wire::Body::HandOver ? static_cast<const Mangofall::Wire::HandOver *>(body()) : nullptr;
   }
@@ -2900,12 +4559,15 @@
   const Mangofall::Wire::CrashNoticeAck *body_as_CrashNoticeAck() const {
     return body_type() == Mangofall::Wire::Body::CrashNoticeAck ? static_cast<const Mangofall::Wire::CrashNoticeAck *>(body()) : nullptr;
   }
-  const Mangofall::Wire::LedgerCall *body_as_LedgerCall() const {
-    return body_type() == Mangofall::Wire::Body::LedgerCall ? static_cast<const Mangofall::Wire::LedgerCall *>(body()) : nullptr;
+  const Mangofall::Wire::LedgerOrder *body_as_LedgerOrder() const {
+    return body_type() == Mangofall::Wire::Body::LedgerOrder ? static_cast<const Mangofall::Wire::LedgerOrder *>(body()) : nullptr;
   }
   const Mangofall::Wire::LedgerAnswer *body_as_LedgerAnswer() const {
     return body_type() == Mangofall::Wire::Body::LedgerAnswer ? static_cast<const Mangofall::Wire::LedgerAnswer *>(body()) : nullptr;
   }
+  const Mangofall::Wire::LedgerOutcome *body_as_LedgerOutcome() const {
+    return body_type() == Mangofall::Wire::Body::LedgerOutcome ? static_cast<const Mangofall::Wire::LedgerOutcome *>(body()) : nullptr;
+  }
   const Mangofall::Wire::LimitMessage *body_as_LimitMessage() const {
     return body_type() == Mangofall::Wire::Body::LimitMessage ? static_cast<const Mangofall::Wire::LimitMessage *>(body()) : nullptr;
   }
@@ -2935,14 +4597,30 @@
   return body_as_Heartbeat();
 }
 
-template<> inline const Mangofall::Wire::ConfigurationPush *PeerMessage::body_as<Mangofall::Wire::ConfigurationPush>() const {
-  return body_as_ConfigurationPush();
+template<> inline const Mangofall::Wire::DigestMessage *PeerMessage::body_as<Mangofall::Wire::DigestMessage>() const {
+  return body_as_DigestMessage();
+}
+
+template<> inline const Mangofall::Wire::MembershipProbe *PeerMessage::body_as<Mangofall::Wire::MembershipProbe>() const {
+  return body_as_MembershipProbe();
+}
+
+template<> inline const Mangofall::Wire::MembershipProbeAnswer *PeerMessage::body_as<Mangofall::Wire::MembershipProbeAnswer>() const {
+  return body_as_MembershipProbeAnswer();
+}
+
+template<> inline const Mangofall::Wire::ConfigurationRoot *PeerMessage::body_as<Mangofall::Wire::ConfigurationRoot>() const {
+  return body_as_ConfigurationRoot();
 }
 
 template<> inline const Mangofall::Wire::ConfigurationFetch *PeerMessage::body_as<Mangofall::Wire::ConfigurationFetch>() const {
   return body_as_ConfigurationFetch();
 }
 
+template<> inline const Mangofall::Wire::ConfigurationBlob *PeerMessage::body_as<Mangofall::Wire::ConfigurationBlob>() const {
+  return body_as_ConfigurationBlob();
+}
+
 template<> inline const Mangofall::Wire::Dispatch *PeerMessage::body_as<Mangofall::Wire::Dispatch>() const {
   return body_as_Dispatch();
 }
@@ -2963,6 +4641,18 @@
   return body_as_Cancel();
 }
 
+template<> inline const Mangofall::Wire::Flow *PeerMessage::body_as<Mangofall::Wire::Flow>() const {
+  return body_as_Flow();
+}
+
+template<> inline const Mangofall::Wire::ProbeCall *PeerMessage::body_as<Mangofall::Wire::ProbeCall>() const {
+  return body_as_ProbeCall();
+}
+
+template<> inline const Mangofall::Wire::ProbeAnswer *PeerMessage::body_as<Mangofall::Wire::ProbeAnswer>() const {
+  return body_as_ProbeAnswer();
+}
+
 template<> inline const Mangofall::Wire::HandOver *PeerMessage::body_as<Mangofall::Wire::HandOver>() const {
   return body_as_HandOver();
 }
@@ -2975,14 +4665,18 @@
   return body_as_CrashNoticeAck();
 }
 
-template<> inline const Mangofall::Wire::LedgerCall *PeerMessage::body_as<Mangofall::Wire::LedgerCall>() const {
-  return body_as_LedgerCall();
+template<> inline const Mangofall::Wire::LedgerOrder *PeerMessage::body_as<Mangofall::Wire::LedgerOrder>() const {
+  return body_as_LedgerOrder();
 }
 
 template<> inline const Mangofall::Wire::LedgerAnswer *PeerMessage::body_as<Mangofall::Wire::LedgerAnswer>() const {
   return body_as_LedgerAnswer();
 }
 
+template<> inline const Mangofall::Wire::LedgerOutcome *PeerMessage::body_as<Mangofall::Wire::LedgerOutcome>() const {
+  return body_as_LedgerOutcome();
+}
+
 template<> inline const Mangofall::Wire::LimitMessage *PeerMessage::body_as<Mangofall::Wire::LimitMessage>() const {
   return body_as_LimitMessage();
 }
@@ -3028,198 +4722,368 @@
 
 flatbuffers::Offset<PeerMessage> CreatePeerMessage(flatbuffers::FlatBufferBuilder &_fbb, const PeerMessageT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
 
-inline HelloT::HelloT(const HelloT &o)
-      : host(o.host),
-        incarnation(o.incarnation),
-        data_centre(o.data_centre),
-        purpose(o.purpose) {
-  notices.reserve(o.notices.size());
-  for (const auto &notices_ : o.notices) { notices.emplace_back((notices_) ? new Mangofall::Wire::CrashNoticeT(*notices_) : nullptr); }
+inline HelloT *Hello::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::unique_ptr<HelloT>(new HelloT());
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
 }
 
-inline HelloT &HelloT::operator=(HelloT o) FLATBUFFERS_NOEXCEPT {
-  std::swap(host, o.host);
-  std::swap(incarnation, o.incarnation);
+inline void Hello::UnPackTo(HelloT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = host(); if (_e) _o->host = _e->str(); }
+  { auto _e = incarnation(); _o->incarnation = _e; }
+  { auto _e = data_centre(); if (_e) _o->data_centre = _e->str(); }
+  { auto _e = purpose(); _o->purpose = _e; }
+}
+
+inline flatbuffers::Offset<Hello> Hello::Pack(flatbuffers::FlatBufferBuilder &_fbb, const HelloT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateHello(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<Hello> CreateHello(flatbuffers::FlatBufferBuilder &_fbb, const HelloT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const HelloT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _host = _o->host.empty() ? 0 : _fbb.CreateString(_o->host);
+  auto _incarnation = _o->incarnation;
+  auto _data_centre = _o->data_centre.empty() ? 0 : _fbb.CreateString(_o->data_centre);
+  auto _purpose = _o->purpose;
+  return Mangofall::Wire::CreateHello(
+      _fbb,
+      _host,
+      _incarnation,
+      _data_centre,
+      _purpose);
+}
+
+inline HostClaimT *HostClaim::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::unique_ptr<HostClaimT>(new HostClaimT());
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void HostClaim::UnPackTo(HostClaimT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = host(); if (_e) _o->host = _e->str(); }
+  { auto _e = incarnation(); _o->incarnation = _e; }
+  { auto _e = sequence(); _o->sequence = _e; }
+  { auto _e = state(); _o->state = _e; }
+  { auto _e = data_centre(); if (_e) _o->data_centre = _e->str(); }
+  { auto _e = region(); if (_e) _o->region = _e->str(); }
+  { auto _e = address(); if (_e) _o->address = _e->str(); }
+  { auto _e = port(); _o->port = _e; }
+  { auto _e = revision(); _o->revision = _e; }
+}
+
+inline flatbuffers::Offset<HostClaim> HostClaim::Pack(flatbuffers::FlatBufferBuilder &_fbb, const HostClaimT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateHostClaim(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<HostClaim> CreateHostClaim(flatbuffers::FlatBufferBuilder &_fbb, const HostClaimT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const HostClaimT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _host = _o->host.empty() ? 0 : _fbb.CreateString(_o->host);
+  auto _incarnation = _o->incarnation;
+  auto _sequence = _o->sequence;
+  auto _state = _o->state;
+  auto _data_centre = _o->data_centre.empty() ? 0 : _fbb.CreateString(_o->data_centre);
+  auto _region = _o->region.empty() ? 0 : _fbb.CreateString(_o->region);
+  auto _address = _o->address.empty() ? 0 : _fbb.CreateString(_o->address);
+  auto _port = _o->port;
+  auto _revision = _o->revision;
+  return Mangofall::Wire::CreateHostClaim(
+      _fbb,
+      _host,
+      _incarnation,
+      _sequence,
+      _state,
+      _data_centre,
+      _region,
+      _address,
+      _port,
+      _revision);
+}
+
+inline DigestT::DigestT(const DigestT &o)
+      : data_centre(o.data_centre),
+        region(o.region),
+        sender(o.sender),
+        sender_incarnation(o.sender_incarnation),
+        sequence(o.sequence),
+        load(o.load) {
+  hosts.reserve(o.hosts.size());
+  for (const auto &hosts_ : o.hosts) { hosts.emplace_back((hosts_) ? new Mangofall::Wire::HostClaimT(*hosts_) : nullptr); }
+}
+
+inline DigestT &DigestT::operator=(DigestT o) FLATBUFFERS_NOEXCEPT {
   std::swap(data_centre, o.data_centre);
-  std::swap(purpose, o.purpose);
-  std::swap(notices, o.notices);
+  std::swap(region, o.region);
+  std::swap(sender, o.sender);
+  std::swap(sender_incarnation, o.sender_incarnation);
+  std::swap(sequence, o.sequence);
+  std::swap(hosts, o.hosts);
+  std::swap(load, o.load);
   return *this;
 }
 
-inline HelloT *Hello::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
-  auto _o = std::unique_ptr<HelloT>(new HelloT());
+inline DigestT *Digest::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::unique_ptr<DigestT>(new DigestT());
   UnPackTo(_o.get(), _resolver);
   return _o.release();
 }
 
-inline void Hello::UnPackTo(HelloT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+inline void Digest::UnPackTo(DigestT *_o, const flatbuffers::resolver_function_t *_resolver) const {
   (void)_o;
   (void)_resolver;
-  { auto _e = host(); if (_e) _o->host = _e->str(); }
-  { auto _e = incarnation(); _o->incarnation = _e; }
   { auto _e = data_centre(); if (_e) _o->data_centre = _e->str(); }
-  { auto _e = purpose(); _o->purpose = _e; }
-  { auto _e = notices(); if (_e) { _o->notices.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->notices[_i] = std::unique_ptr<Mangofall::Wire::CrashNoticeT>(_e->Get(_i)->UnPack(_resolver)); } } }
+  { auto _e = region(); if (_e) _o->region = _e->str(); }
+  { auto _e = sender(); if (_e) _o->sender = _e->str(); }
+  { auto _e = sender_incarnation(); _o->sender_incarnation = _e; }
+  { auto _e = sequence(); _o->sequence = _e; }
+  { auto _e = hosts(); if (_e) { _o->hosts.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->hosts[_i] = std::unique_ptr<Mangofall::Wire::HostClaimT>(_e->Get(_i)->UnPack(_resolver)); } } }
+  { auto _e = load(); if (_e) { _o->load.resize(_e->size()); std::copy(_e->begin(), _e->end(), _o->load.begin()); } }
 }
 
-inline flatbuffers::Offset<Hello> Hello::Pack(flatbuffers::FlatBufferBuilder &_fbb, const HelloT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
-  return CreateHello(_fbb, _o, _rehasher);
+inline flatbuffers::Offset<Digest> Digest::Pack(flatbuffers::FlatBufferBuilder &_fbb, const DigestT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateDigest(_fbb, _o, _rehasher);
 }
 
-inline flatbuffers::Offset<Hello> CreateHello(flatbuffers::FlatBufferBuilder &_fbb, const HelloT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+inline flatbuffers::Offset<Digest> CreateDigest(flatbuffers::FlatBufferBuilder &_fbb, const DigestT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
   (void)_rehasher;
   (void)_o;
-  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const HelloT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
-  auto _host = _o->host.empty() ? 0 : _fbb.CreateString(_o->host);
-  auto _incarnation = _o->incarnation;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const DigestT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
   auto _data_centre = _o->data_centre.empty() ? 0 : _fbb.CreateString(_o->data_centre);
-  auto _purpose = _o->purpose;
-  auto _notices = _o->notices.size() ? _fbb.CreateVector<flatbuffers::Offset<Mangofall::Wire::CrashNotice>> (_o->notices.size(), [](size_t i, _VectorArgs *__va) { return CreateCrashNotice(*__va->__fbb, __va->__o->notices[i].get(), __va->__rehasher); }, &_va ) : 0;
-  return Mangofall::Wire::CreateHello(
+  auto _region = _o->region.empty() ? 0 : _fbb.CreateString(_o->region);
+  auto _sender = _o->sender.empty() ? 0 : _fbb.CreateString(_o->sender);
+  auto _sender_incarnation = _o->sender_incarnation;
+  auto _sequence = _o->sequence;
+  auto _hosts = _o->hosts.size() ? _fbb.CreateVector<flatbuffers::Offset<Mangofall::Wire::HostClaim>> (_o->hosts.size(), [](size_t i, _VectorArgs *__va) { return CreateHostClaim(*__va->__fbb, __va->__o->hosts[i].get(), __va->__rehasher); }, &_va ) : 0;
+  auto _load = _o->load.size() ? _fbb.CreateVector(_o->load) : 0;
+  return Mangofall::Wire::CreateDigest(
       _fbb,
-      _host,
-      _incarnation,
       _data_centre,
-      _purpose,
-      _notices);
+      _region,
+      _sender,
+      _sender_incarnation,
+      _sequence,
+      _hosts,
+      _load);
+}
+
+inline HeartbeatT::HeartbeatT(const HeartbeatT &o)
+      : host(o.host),
+        incarnation(o.incarnation),
+        sequence(o.sequence),
+        data_centre(o.data_centre),
+        region(o.region),
+        address(o.address),
+        port(o.port),
+        revision(o.revision),
+        leaving(o.leaving),
+        load(o.load) {
+  digests.reserve(o.digests.size());
+  for (const auto &digests_ : o.digests) { digests.emplace_back((digests_) ? new Mangofall::Wire::DigestT(*digests_) : nullptr); }
+}
+
+inline HeartbeatT &HeartbeatT::operator=(HeartbeatT o) FLATBUFFERS_NOEXCEPT {
+  std::swap(host, o.host);
+  std::swap(incarnation, o.incarnation);
+  std::swap(sequence, o.sequence);
+  std::swap(data_centre, o.data_centre);
+  std::swap(region, o.region);
+  std::swap(address, o.address);
+  std::swap(port, o.port);
+  std::swap(revision, o.revision);
+  std::swap(leaving, o.leaving);
+  std::swap(load, o.load);
+  std::swap(digests, o.digests);
+  return *this;
 }
 
-inline HostDigestT *HostDigest::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
-  auto _o = std::unique_ptr<HostDigestT>(new HostDigestT());
+inline HeartbeatT *Heartbeat::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::unique_ptr<HeartbeatT>(new HeartbeatT());
   UnPackTo(_o.get(), _resolver);
   return _o.release();
 }
 
-inline void HostDigest::UnPackTo(HostDigestT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+inline void Heartbeat::UnPackTo(HeartbeatT *_o, const flatbuffers::resolver_function_t *_resolver) const {
   (void)_o;
   (void)_resolver;
   { auto _e = host(); if (_e) _o->host = _e->str(); }
   { auto _e = incarnation(); _o->incarnation = _e; }
+  { auto _e = sequence(); _o->sequence = _e; }
   { auto _e = data_centre(); if (_e) _o->data_centre = _e->str(); }
   { auto _e = region(); if (_e) _o->region = _e->str(); }
   { auto _e = address(); if (_e) _o->address = _e->str(); }
   { auto _e = port(); _o->port = _e; }
   { auto _e = revision(); _o->revision = _e; }
   { auto _e = leaving(); _o->leaving = _e; }
-  { auto _e = age_ms(); _o->age_ms = _e; }
   { auto _e = load(); if (_e) { _o->load.resize(_e->size()); std::copy(_e->begin(), _e->end(), _o->load.begin()); } }
+  { auto _e = digests(); if (_e) { _o->digests.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->digests[_i] = std::unique_ptr<Mangofall::Wire::DigestT>(_e->Get(_i)->UnPack(_resolver)); } } }
 }
 
-inline flatbuffers::Offset<HostDigest> HostDigest::Pack(flatbuffers::FlatBufferBuilder &_fbb, const HostDigestT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
-  return CreateHostDigest(_fbb, _o, _rehasher);
+inline flatbuffers::Offset<Heartbeat> Heartbeat::Pack(flatbuffers::FlatBufferBuilder &_fbb, const HeartbeatT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateHeartbeat(_fbb, _o, _rehasher);
 }
 
-inline flatbuffers::Offset<HostDigest> CreateHostDigest(flatbuffers::FlatBufferBuilder &_fbb, const HostDigestT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+inline flatbuffers::Offset<Heartbeat> CreateHeartbeat(flatbuffers::FlatBufferBuilder &_fbb, const HeartbeatT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
   (void)_rehasher;
   (void)_o;
-  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const HostDigestT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const HeartbeatT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
   auto _host = _o->host.empty() ? 0 : _fbb.CreateString(_o->host);
   auto _incarnation = _o->incarnation;
+  auto _sequence = _o->sequence;
   auto _data_centre = _o->data_centre.empty() ? 0 : _fbb.CreateString(_o->data_centre);
   auto _region = _o->region.empty() ? 0 : _fbb.CreateString(_o->region);
   auto _address = _o->address.empty() ? 0 : _fbb.CreateString(_o->address);
   auto _port = _o->port;
   auto _revision = _o->revision;
   auto _leaving = _o->leaving;
-  auto _age_ms = _o->age_ms;
   auto _load = _o->load.size() ? _fbb.CreateVector(_o->load) : 0;
-  return Mangofall::Wire::CreateHostDigest(
+  auto _digests = _o->digests.size() ? _fbb.CreateVector<flatbuffers::Offset<Mangofall::Wire::Digest>> (_o->digests.size(), [](size_t i, _VectorArgs *__va) { return CreateDigest(*__va->__fbb, __va->__o->digests[i].get(), __va->__rehasher); }, &_va ) : 0;
+  return Mangofall::Wire::CreateHeartbeat(
       _fbb,
       _host,
       _incarnation,
+      _sequence,
       _data_centre,
       _region,
       _address,
       _port,
       _revision,
       _leaving,
-      _age_ms,
-      _load);
+      _load,
+      _digests);
 }
 
-inline HeartbeatT::HeartbeatT(const HeartbeatT &o)
-      : sequence(o.sequence),
-        sender((o.sender) ? new Mangofall::Wire::HostDigestT(*o.sender) : nullptr),
-        probe(o.probe),
-        answer(o.answer) {
-  digests.reserve(o.digests.size());
-  for (const auto &digests_ : o.digests) { digests.emplace_back((digests_) ? new Mangofall::Wire::HostDigestT(*digests_) : nullptr); }
+inline DigestMessageT::DigestMessageT(const DigestMessageT &o)
+      : digest((o.digest) ? new Mangofall::Wire::DigestT(*o.digest) : nullptr) {
 }
 
-inline HeartbeatT &HeartbeatT::operator=(HeartbeatT o) FLATBUFFERS_NOEXCEPT {
-  std::swap(sequence, o.sequence);
-  std::swap(sender, o.sender);
-  std::swap(digests, o.digests);
+inline DigestMessageT &DigestMessageT::operator=(DigestMessageT o) FLATBUFFERS_NOEXCEPT {
+  std::swap(digest, o.digest);
+  return *this;
+}
+
+inline DigestMessageT *DigestMessage::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::unique_ptr<DigestMessageT>(new DigestMessageT());
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void DigestMessage::UnPackTo(DigestMessageT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = digest(); if (_e) _o->digest = std::unique_ptr<Mangofall::Wire::DigestT>(_e->UnPack(_resolver)); }
+}
+
+inline flatbuffers::Offset<DigestMessage> DigestMessage::Pack(flatbuffers::FlatBufferBuilder &_fbb, const DigestMessageT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateDigestMessage(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<DigestMessage> CreateDigestMessage(flatbuffers::FlatBufferBuilder &_fbb, const DigestMessageT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const DigestMessageT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _digest = _o->digest ? CreateDigest(_fbb, _o->digest.get(), _rehasher) : 0;
+  return Mangofall::Wire::CreateDigestMessage(
+      _fbb,
+      _digest);
+}
+
+inline MembershipProbeT *MembershipProbe::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::unique_ptr<MembershipProbeT>(new MembershipProbeT());
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void MembershipProbe::UnPackTo(MembershipProbeT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = probe(); _o->probe = _e; }
+}
+
+inline flatbuffers::Offset<MembershipProbe> MembershipProbe::Pack(flatbuffers::FlatBufferBuilder &_fbb, const MembershipProbeT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateMembershipProbe(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<MembershipProbe> CreateMembershipProbe(flatbuffers::FlatBufferBuilder &_fbb, const MembershipProbeT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const MembershipProbeT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _probe = _o->probe;
+  return Mangofall::Wire::CreateMembershipProbe(
+      _fbb,
+      _probe);
+}
+
+inline MembershipProbeAnswerT::MembershipProbeAnswerT(const MembershipProbeAnswerT &o)
+      : probe(o.probe),
+        heartbeat((o.heartbeat) ? new Mangofall::Wire::HeartbeatT(*o.heartbeat) : nullptr) {
+}
+
+inline MembershipProbeAnswerT &MembershipProbeAnswerT::operator=(MembershipProbeAnswerT o) FLATBUFFERS_NOEXCEPT {
   std::swap(probe, o.probe);
-  std::swap(answer, o.answer);
+  std::swap(heartbeat, o.heartbeat);
   return *this;
 }
 
-inline HeartbeatT *Heartbeat::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
-  auto _o = std::unique_ptr<HeartbeatT>(new HeartbeatT());
+inline MembershipProbeAnswerT *MembershipProbeAnswer::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::unique_ptr<MembershipProbeAnswerT>(new MembershipProbeAnswerT());
   UnPackTo(_o.get(), _resolver);
   return _o.release();
 }
 
-inline void Heartbeat::UnPackTo(HeartbeatT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+inline void MembershipProbeAnswer::UnPackTo(MembershipProbeAnswerT *_o, const flatbuffers::resolver_function_t *_resolver) const {
   (void)_o;
   (void)_resolver;
-  { auto _e = sequence(); _o->sequence = _e; }
-  { auto _e = sender(); if (_e) _o->sender = std::unique_ptr<Mangofall::Wire::HostDigestT>(_e->UnPack(_resolver)); }
-  { auto _e = digests(); if (_e) { _o->digests.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->digests[_i] = std::unique_ptr<Mangofall::Wire::HostDigestT>(_e->Get(_i)->UnPack(_resolver)); } } }
   { auto _e = probe(); _o->probe = _e; }
-  { auto _e = answer(); _o->answer = _e; }
+  { auto _e = heartbeat(); if (_e) _o->heartbeat = std::unique_ptr<Mangofall::Wire::HeartbeatT>(_e->UnPack(_resolver)); }
 }
 
-inline flatbuffers::Offset<Heartbeat> Heartbeat::Pack(flatbuffers::FlatBufferBuilder &_fbb, const HeartbeatT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
-  return CreateHeartbeat(_fbb, _o, _rehasher);
+inline flatbuffers::Offset<MembershipProbeAnswer> MembershipProbeAnswer::Pack(flatbuffers::FlatBufferBuilder &_fbb, const MembershipProbeAnswerT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateMembershipProbeAnswer(_fbb, _o, _rehasher);
 }
 
-inline flatbuffers::Offset<Heartbeat> CreateHeartbeat(flatbuffers::FlatBufferBuilder &_fbb, const HeartbeatT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+inline flatbuffers::Offset<MembershipProbeAnswer> CreateMembershipProbeAnswer(flatbuffers::FlatBufferBuilder &_fbb, const MembershipProbeAnswerT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
   (void)_rehasher;
   (void)_o;
-  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const HeartbeatT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
-  auto _sequence = _o->sequence;
-  auto _sender = _o->sender ? CreateHostDigest(_fbb, _o->sender.get(), _rehasher) : 0;
-  auto _digests = _o->digests.size() ? _fbb.CreateVector<flatbuffers::Offset<Mangofall::Wire::HostDigest>> (_o->digests.size(), [](size_t i, _VectorArgs *__va) { return CreateHostDigest(*__va->__fbb, __va->__o->digests[i].get(), __va->__rehasher); }, &_va ) : 0;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const MembershipProbeAnswerT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
   auto _probe = _o->probe;
-  auto _answer = _o->answer;
-  return Mangofall::Wire::CreateHeartbeat(
+  auto _heartbeat = _o->heartbeat ? CreateHeartbeat(_fbb, _o->heartbeat.get(), _rehasher) : 0;
+  return Mangofall::Wire::CreateMembershipProbeAnswer(
       _fbb,
-      _sequence,
-      _sender,
-      _digests,
       _probe,
-      _answer);
+      _heartbeat);
 }
 
-inline ConfigurationPushT *ConfigurationPush::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
-  auto _o = std::unique_ptr<ConfigurationPushT>(new ConfigurationPushT());
+inline ConfigurationRootT *ConfigurationRoot::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::unique_ptr<ConfigurationRootT>(new ConfigurationRootT());
   UnPackTo(_o.get(), _resolver);
   return _o.release();
 }
 
-inline void ConfigurationPush::UnPackTo(ConfigurationPushT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+inline void ConfigurationRoot::UnPackTo(ConfigurationRootT *_o, const flatbuffers::resolver_function_t *_resolver) const {
   (void)_o;
   (void)_resolver;
-  { auto _e = revision(); _o->revision = _e; }
-  { auto _e = document(); if (_e) { _o->document.resize(_e->size()); std::copy(_e->begin(), _e->end(), _o->document.begin()); } }
+  { auto _e = root(); if (_e) _o->root = _e->str(); }
 }
 
-inline flatbuffers::Offset<ConfigurationPush> ConfigurationPush::Pack(flatbuffers::FlatBufferBuilder &_fbb, const ConfigurationPushT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
-  return CreateConfigurationPush(_fbb, _o, _rehasher);
+inline flatbuffers::Offset<ConfigurationRoot> ConfigurationRoot::Pack(flatbuffers::FlatBufferBuilder &_fbb, const ConfigurationRootT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateConfigurationRoot(_fbb, _o, _rehasher);
 }
 
-inline flatbuffers::Offset<ConfigurationPush> CreateConfigurationPush(flatbuffers::FlatBufferBuilder &_fbb, const ConfigurationPushT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+inline flatbuffers::Offset<ConfigurationRoot> CreateConfigurationRoot(flatbuffers::FlatBufferBuilder &_fbb, const ConfigurationRootT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
   (void)_rehasher;
   (void)_o;
-  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const ConfigurationPushT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
-  auto _revision = _o->revision;
-  auto _document = _o->document.size() ? _fbb.CreateVector(_o->document) : 0;
-  return Mangofall::Wire::CreateConfigurationPush(
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const ConfigurationRootT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _root = _o->root.empty() ? 0 : _fbb.CreateString(_o->root);
+  return Mangofall::Wire::CreateConfigurationRoot(
       _fbb,
-      _revision,
-      _document);
+      _root);
 }
 
 inline ConfigurationFetchT *ConfigurationFetch::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
@@ -3231,7 +5095,7 @@
 inline void ConfigurationFetch::UnPackTo(ConfigurationFetchT *_o, const flatbuffers::resolver_function_t *_resolver) const {
   (void)_o;
   (void)_resolver;
-  { auto _e = known_revision(); _o->known_revision = _e; }
+  { auto _e = hash(); if (_e) _o->hash = _e->str(); }
 }
 
 inline flatbuffers::Offset<ConfigurationFetch> ConfigurationFetch::Pack(flatbuffers::FlatBufferBuilder &_fbb, const ConfigurationFetchT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -3242,10 +5106,42 @@
   (void)_rehasher;
   (void)_o;
   struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const ConfigurationFetchT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
-  auto _known_revision = _o->known_revision;
+  auto _hash = _o->hash.empty() ? 0 : _fbb.CreateString(_o->hash);
   return Mangofall::Wire::CreateConfigurationFetch(
       _fbb,
-      _known_revision);
+      _hash);
+}
+
+inline ConfigurationBlobT *ConfigurationBlob::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::unique_ptr<ConfigurationBlobT>(new ConfigurationBlobT());
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void ConfigurationBlob::UnPackTo(ConfigurationBlobT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = hash(); if (_e) _o->hash = _e->str(); }
+  { auto _e = text(); if (_e) _o->text = _e->str(); }
+  { auto _e = missing(); _o->missing = _e; }
+}
+
+inline flatbuffers::Offset<ConfigurationBlob> ConfigurationBlob::Pack(flatbuffers::FlatBufferBuilder &_fbb, const ConfigurationBlobT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateConfigurationBlob(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<ConfigurationBlob> CreateConfigurationBlob(flatbuffers::FlatBufferBuilder &_fbb, const ConfigurationBlobT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const ConfigurationBlobT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _hash = _o->hash.empty() ? 0 : _fbb.CreateString(_o->hash);
+  auto _text = _o->text.empty() ? 0 : _fbb.CreateString(_o->text);
+  auto _missing = _o->missing;
+  return Mangofall::Wire::CreateConfigurationBlob(
+      _fbb,
+      _hash,
+      _text,
+      _missing);
 }
 
 inline HeaderT *Header::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
@@ -3277,24 +5173,113 @@
       _value);
 }
 
+inline LoadT *Load::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::unique_ptr<LoadT>(new LoadT());
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void Load::UnPackTo(LoadT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = upstream(); if (_e) _o->upstream = _e->str(); }
+  { auto _e = state(); _o->state = _e; }
+  { auto _e = request_cap(); _o->request_cap = _e; }
+  { auto _e = prefill_cap(); _o->prefill_cap = _e; }
+  { auto _e = in_flight_requests(); _o->in_flight_requests = _e; }
+  { auto _e = queued_requests(); _o->queued_requests = _e; }
+  { auto _e = in_flight_prefill_tokens(); if (_e) { _o->in_flight_prefill_tokens.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->in_flight_prefill_tokens[_i] = _e->Get(_i); } } }
+  { auto _e = queued_prefill_tokens(); if (_e) { _o->queued_prefill_tokens.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->queued_prefill_tokens[_i] = _e->Get(_i); } } }
+  { auto _e = prefill_rate(); _o->prefill_rate = _e; }
+  { auto _e = residence_us(); _o->residence_us = _e; }
+}
+
+inline flatbuffers::Offset<Load> Load::Pack(flatbuffers::FlatBufferBuilder &_fbb, const LoadT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateLoad(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<Load> CreateLoad(flatbuffers::FlatBufferBuilder &_fbb, const LoadT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const LoadT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _upstream = _o->upstream.empty() ? 0 : _fbb.CreateString(_o->upstream);
+  auto _state = _o->state;
+  auto _request_cap = _o->request_cap;
+  auto _prefill_cap = _o->prefill_cap;
+  auto _in_flight_requests = _o->in_flight_requests;
+  auto _queued_requests = _o->queued_requests;
+  auto _in_flight_prefill_tokens = _o->in_flight_prefill_tokens.size() ? _fbb.CreateVector(_o->in_flight_prefill_tokens) : 0;
+  auto _queued_prefill_tokens = _o->queued_prefill_tokens.size() ? _fbb.CreateVector(_o->queued_prefill_tokens) : 0;
+  auto _prefill_rate = _o->prefill_rate;
+  auto _residence_us = _o->residence_us;
+  return Mangofall::Wire::CreateLoad(
+      _fbb,
+      _upstream,
+      _state,
+      _request_cap,
+      _prefill_cap,
+      _in_flight_requests,
+      _queued_requests,
+      _in_flight_prefill_tokens,
+      _queued_prefill_tokens,
+      _prefill_rate,
+      _residence_us);
+}
+
+inline LoadReportT::LoadReportT(const LoadReportT &o) {
+  loads.reserve(o.loads.size());
+  for (const auto &loads_ : o.loads) { loads.emplace_back((loads_) ? new Mangofall::Wire::LoadT(*loads_) : nullptr); }
+}
+
+inline LoadReportT &LoadReportT::operator=(LoadReportT o) FLATBUFFERS_NOEXCEPT {
+  std::swap(loads, o.loads);
+  return *this;
+}
+
+inline LoadReportT *LoadReport::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::unique_ptr<LoadReportT>(new LoadReportT());
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void LoadReport::UnPackTo(LoadReportT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = loads(); if (_e) { _o->loads.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->loads[_i] = std::unique_ptr<Mangofall::Wire::LoadT>(_e->Get(_i)->UnPack(_resolver)); } } }
+}
+
+inline flatbuffers::Offset<LoadReport> LoadReport::Pack(flatbuffers::FlatBufferBuilder &_fbb, const LoadReportT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateLoadReport(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<LoadReport> CreateLoadReport(flatbuffers::FlatBufferBuilder &_fbb, const LoadReportT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const LoadReportT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _loads = _o->loads.size() ? _fbb.CreateVector<flatbuffers::Offset<Mangofall::Wire::Load>> (_o->loads.size(), [](size_t i, _VectorArgs *__va) { return CreateLoad(*__va->__fbb, __va->__o->loads[i].get(), __va->__rehasher); }, &_va ) : 0;
+  return Mangofall::Wire::CreateLoadReport(
+      _fbb,
+      _loads);
+}
+
 inline DispatchT::DispatchT(const DispatchT &o)
       : attempt((o.attempt) ? new Mangofall::Wire::AttemptKey(*o.attempt) : nullptr),
+        connection(o.connection),
         request(o.request),
         organisation(o.organisation),
         weight(o.weight),
         upstream(o.upstream),
         prompt_tokens(o.prompt_tokens),
         uncached_tokens(o.uncached_tokens),
-        decode_tokens(o.decode_tokens),
         length_class(o.length_class),
         remaining_us(o.remaining_us),
         idempotent(o.idempotent),
-        exclusive(o.exclusive),
+        token_stream(o.token_stream),
         method(o.method),
         target(o.target),
         body(o.body),
-        resume_from(o.resume_from),
-        resumes((o.resumes) ? new Mangofall::Wire::AttemptKey(*o.resumes) : nullptr),
+        first_token(o.first_token),
+        resumes(o.resumes),
         trace_parent(o.trace_parent) {
   headers.reserve(o.headers.size());
   for (const auto &headers_ : o.headers) { headers.emplace_back((headers_) ? new Mangofall::Wire::HeaderT(*headers_) : nullptr); }
@@ -3302,22 +5287,22 @@
 
 inline DispatchT &DispatchT::operator=(DispatchT o) FLATBUFFERS_NOEXCEPT {
   std::swap(attempt, o.attempt);
+  std::swap(connection, o.connection);
   std::swap(request, o.request);
   std::swap(organisation, o.organisation);
   std::swap(weight, o.weight);
   std::swap(upstream, o.upstream);
   std::swap(prompt_tokens, o.prompt_tokens);
   std::swap(uncached_tokens, o.uncached_tokens);
-  std::swap(decode_tokens, o.decode_tokens);
   std::swap(length_class, o.length_class);
   std::swap(remaining_us, o.remaining_us);
   std::swap(idempotent, o.idempotent);
-  std::swap(exclusive, o.exclusive);
+  std::swap(token_stream, o.token_stream);
   std::swap(method, o.method);
   std::swap(target, o.target);
   std::swap(headers, o.headers);
   std::swap(body, o.body);
-  std::swap(resume_from, o.resume_from);
+  std::swap(first_token, o.first_token);
   std::swap(resumes, o.resumes);
   std::swap(trace_parent, o.trace_parent);
   return *this;
@@ -3333,23 +5318,23 @@
   (void)_o;
   (void)_resolver;
   { auto _e = attempt(); if (_e) _o->attempt = std::unique_ptr<Mangofall::Wire::AttemptKey>(new Mangofall::Wire::AttemptKey(*_e)); }
+  { auto _e = connection(); _o->connection = _e; }
   { auto _e = request(); if (_e) _o->request = _e->str(); }
   { auto _e = organisation(); if (_e) _o->organisation = _e->str(); }
   { auto _e = weight(); _o->weight = _e; }
   { auto _e = upstream(); if (_e) _o->upstream = _e->str(); }
   { auto _e = prompt_tokens(); _o->prompt_tokens = _e; }
   { auto _e = uncached_tokens(); _o->uncached_tokens = _e; }
-  { auto _e = decode_tokens(); _o->decode_tokens = _e; }
   { auto _e = length_class(); _o->length_class = _e; }
   { auto _e = remaining_us(); _o->remaining_us = _e; }
   { auto _e = idempotent(); _o->idempotent = _e; }
-  { auto _e = exclusive(); _o->exclusive = _e; }
+  { auto _e = token_stream(); _o->token_stream = _e; }
   { auto _e = method(); if (_e) _o->method = _e->str(); }
   { auto _e = target(); if (_e) _o->target = _e->str(); }
   { auto _e = headers(); if (_e) { _o->headers.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->headers[_i] = std::unique_ptr<Mangofall::Wire::HeaderT>(_e->Get(_i)->UnPack(_resolver)); } } }
   { auto _e = body(); if (_e) { _o->body.resize(_e->size()); std::copy(_e->begin(), _e->end(), _o->body.begin()); } }
-  { auto _e = resume_from(); _o->resume_from = _e; }
-  { auto _e = resumes(); if (_e) _o->resumes = std::unique_ptr<Mangofall::Wire::AttemptKey>(new Mangofall::Wire::AttemptKey(*_e)); }
+  { auto _e = first_token(); _o->first_token = _e; }
+  { auto _e = resumes(); _o->resumes = _e; }
   { auto _e = trace_parent(); if (_e) _o->trace_parent = _e->str(); }
 }
 
@@ -3362,57 +5347,61 @@
   (void)_o;
   struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const DispatchT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
   auto _attempt = _o->attempt ? _o->attempt.get() : nullptr;
+  auto _connection = _o->connection;
   auto _request = _o->request.empty() ? 0 : _fbb.CreateString(_o->request);
   auto _organisation = _o->organisation.empty() ? 0 : _fbb.CreateString(_o->organisation);
   auto _weight = _o->weight;
   auto _upstream = _o->upstream.empty() ? 0 : _fbb.CreateString(_o->upstream);
   auto _prompt_tokens = _o->prompt_tokens;
   auto _uncached_tokens = _o->uncached_tokens;
-  auto _decode_tokens = _o->decode_tokens;
   auto _length_class = _o->length_class;
   auto _remaining_us = _o->remaining_us;
   auto _idempotent = _o->idempotent;
-  auto _exclusive = _o->exclusive;
+  auto _token_stream = _o->token_stream;
   auto _method = _o->method.empty() ? 0 : _fbb.CreateString(_o->method);
   auto _target = _o->target.empty() ? 0 : _fbb.CreateString(_o->target);
   auto _headers = _o->headers.size() ? _fbb.CreateVector<flatbuffers::Offset<Mangofall::Wire::Header>> (_o->headers.size(), [](size_t i, _VectorArgs *__va) { return CreateHeader(*__va->__fbb, __va->__o->headers[i].get(), __va->__rehasher); }, &_va ) : 0;
   auto _body = _o->body.size() ? _fbb.CreateVector(_o->body) : 0;
-  auto _resume_from = _o->resume_from;
-  auto _resumes = _o->resumes ? _o->resumes.get() : nullptr;
+  auto _first_token = _o->first_token;
+  auto _resumes = _o->resumes;
   auto _trace_parent = _o->trace_parent.empty() ? 0 : _fbb.CreateString(_o->trace_parent);
   return Mangofall::Wire::CreateDispatch(
       _fbb,
       _attempt,
+      _connection,
       _request,
       _organisation,
       _weight,
       _upstream,
       _prompt_tokens,
       _uncached_tokens,
-      _decode_tokens,
       _length_class,
       _remaining_us,
       _idempotent,
-      _exclusive,
+      _token_stream,
       _method,
       _target,
       _headers,
       _body,
-      _resume_from,
+      _first_token,
       _resumes,
       _trace_parent);
 }
 
 inline StreamStartT::StreamStartT(const StreamStartT &o)
       : attempt((o.attempt) ? new Mangofall::Wire::AttemptKey(*o.attempt) : nullptr),
+        connection(o.connection),
         status(o.status),
-        content_type(o.content_type) {
+        content_type(o.content_type),
+        load((o.load) ? new Mangofall::Wire::LoadT(*o.load) : nullptr) {
 }
 
 inline StreamStartT &StreamStartT::operator=(StreamStartT o) FLATBUFFERS_NOEXCEPT {
   std::swap(attempt, o.attempt);
+  std::swap(connection, o.connection);
   std::swap(status, o.status);
   std::swap(content_type, o.content_type);
+  std::swap(load, o.load);
   return *this;
 }
 
@@ -3426,8 +5415,10 @@
   (void)_o;
   (void)_resolver;
   { auto _e = attempt(); if (_e) _o->attempt = std::unique_ptr<Mangofall::Wire::AttemptKey>(new Mangofall::Wire::AttemptKey(*_e)); }
+  { auto _e = connection(); _o->connection = _e; }
   { auto _e = status(); _o->status = _e; }
   { auto _e = content_type(); if (_e) _o->content_type = _e->str(); }
+  { auto _e = load(); if (_e) _o->load = std::unique_ptr<Mangofall::Wire::LoadT>(_e->UnPack(_resolver)); }
 }
 
 inline flatbuffers::Offset<StreamStart> StreamStart::Pack(flatbuffers::FlatBufferBuilder &_fbb, const StreamStartT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -3439,23 +5430,29 @@
   (void)_o;
   struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const StreamStartT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
   auto _attempt = _o->attempt ? _o->attempt.get() : nullptr;
+  auto _connection = _o->connection;
   auto _status = _o->status;
   auto _content_type = _o->content_type.empty() ? 0 : _fbb.CreateString(_o->content_type);
+  auto _load = _o->load ? CreateLoad(_fbb, _o->load.get(), _rehasher) : 0;
   return Mangofall::Wire::CreateStreamStart(
       _fbb,
       _attempt,
+      _connection,
       _status,
-      _content_type);
+      _content_type,
+      _load);
 }
 
 inline StreamDataT::StreamDataT(const StreamDataT &o)
       : attempt((o.attempt) ? new Mangofall::Wire::AttemptKey(*o.attempt) : nullptr),
+        connection(o.connection),
         index(o.index),
         data(o.data) {
 }
 
 inline StreamDataT &StreamDataT::operator=(StreamDataT o) FLATBUFFERS_NOEXCEPT {
   std::swap(attempt, o.attempt);
+  std::swap(connection, o.connection);
   std::swap(index, o.index);
   std::swap(data, o.data);
   return *this;
@@ -3471,6 +5468,7 @@
   (void)_o;
   (void)_resolver;
   { auto _e = attempt(); if (_e) _o->attempt = std::unique_ptr<Mangofall::Wire::AttemptKey>(new Mangofall::Wire::AttemptKey(*_e)); }
+  { auto _e = connection(); _o->connection = _e; }
   { auto _e = index(); _o->index = _e; }
   { auto _e = data(); if (_e) { _o->data.resize(_e->size()); std::copy(_e->begin(), _e->end(), _o->data.begin()); } }
 }
@@ -3484,35 +5482,39 @@
   (void)_o;
   struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const StreamDataT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
   auto _attempt = _o->attempt ? _o->attempt.get() : nullptr;
+  auto _connection = _o->connection;
   auto _index = _o->index;
   auto _data = _o->data.size() ? _fbb.CreateVector(_o->data) : 0;
   return Mangofall::Wire::CreateStreamData(
       _fbb,
       _attempt,
+      _connection,
       _index,
       _data);
 }
 
 inline StreamEndT::StreamEndT(const StreamEndT &o)
       : attempt((o.attempt) ? new Mangofall::Wire::AttemptKey(*o.attempt) : nullptr),
+        connection(o.connection),
+        outcome(o.outcome),
         error(o.error),
-        bytes_sent(o.bytes_sent),
-        refused(o.refused),
-        crashed(o.crashed),
+        tokens(o.tokens),
         prompt_tokens(o.prompt_tokens),
         cached_tokens(o.cached_tokens),
-        completion_tokens(o.completion_tokens) {
+        prefill_us(o.prefill_us),
+        load((o.load) ? new Mangofall::Wire::LoadT(*o.load) : nullptr) {
 }
 
 inline StreamEndT &StreamEndT::operator=(StreamEndT o) FLATBUFFERS_NOEXCEPT {
   std::swap(attempt, o.attempt);
+  std::swap(connection, o.connection);
+  std::swap(outcome, o.outcome);
   std::swap(error, o.error);
-  std::swap(bytes_sent, o.bytes_sent);
-  std::swap(refused, o.refused);
-  std::swap(crashed, o.crashed);
+  std::swap(tokens, o.tokens);
   std::swap(prompt_tokens, o.prompt_tokens);
   std::swap(cached_tokens, o.cached_tokens);
-  std::swap(completion_tokens, o.completion_tokens);
+  std::swap(prefill_us, o.prefill_us);
+  std::swap(load, o.load);
   return *this;
 }
 
@@ -3526,13 +5528,14 @@
   (void)_o;
   (void)_resolver;
   { auto _e = attempt(); if (_e) _o->attempt = std::unique_ptr<Mangofall::Wire::AttemptKey>(new Mangofall::Wire::AttemptKey(*_e)); }
+  { auto _e = connection(); _o->connection = _e; }
+  { auto _e = outcome(); _o->outcome = _e; }
   { auto _e = error(); _o->error = _e; }
-  { auto _e = bytes_sent(); _o->bytes_sent = _e; }
-  { auto _e = refused(); _o->refused = _e; }
-  { auto _e = crashed(); _o->crashed = _e; }
+  { auto _e = tokens(); _o->tokens = _e; }
   { auto _e = prompt_tokens(); _o->prompt_tokens = _e; }
   { auto _e = cached_tokens(); _o->cached_tokens = _e; }
-  { auto _e = completion_tokens(); _o->completion_tokens = _e; }
+  { auto _e = prefill_us(); _o->prefill_us = _e; }
+  { auto _e = load(); if (_e) _o->load = std::unique_ptr<Mangofall::Wire::LoadT>(_e->UnPack(_resolver)); }
 }
 
 inline flatbuffers::Offset<StreamEnd> StreamEnd::Pack(flatbuffers::FlatBufferBuilder &_fbb, const StreamEndT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -3544,72 +5547,193 @@
   (void)_o;
   struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const StreamEndT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
   auto _attempt = _o->attempt ? _o->attempt.get() : nullptr;
+  auto _connection = _o->connection;
+  auto _outcome = _o->outcome;
   auto _error = _o->error;
-  auto _bytes_sent = _o->bytes_sent;
-  auto _refused = _o->refused;
-  auto _crashed = _o->crashed;
+  auto _tokens = _o->tokens;
   auto _prompt_tokens = _o->prompt_tokens;
   auto _cached_tokens = _o->cached_tokens;
-  auto _completion_tokens = _o->completion_tokens;
+  auto _prefill_us = _o->prefill_us;
+  auto _load = _o->load ? CreateLoad(_fbb, _o->load.get(), _rehasher) : 0;
   return Mangofall::Wire::CreateStreamEnd(
       _fbb,
       _attempt,
+      _connection,
+      _outcome,
       _error,
-      _bytes_sent,
-      _refused,
-      _crashed,
+      _tokens,
       _prompt_tokens,
       _cached_tokens,
-      _completion_tokens);
+      _prefill_us,
+      _load);
+}
+
+inline CancelT::CancelT(const CancelT &o)
+      : attempt((o.attempt) ? new Mangofall::Wire::AttemptKey(*o.attempt) : nullptr),
+        connection(o.connection),
+        upstream(o.upstream),
+        stop(o.stop) {
+}
+
+inline CancelT &CancelT::operator=(CancelT o) FLATBUFFERS_NOEXCEPT {
+  std::swap(attempt, o.attempt);
+  std::swap(connection, o.connection);
+  std::swap(upstream, o.upstream);
+  std::swap(stop, o.stop);
+  return *this;
+}
+
+inline CancelT *Cancel::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::unique_ptr<CancelT>(new CancelT());
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void Cancel::UnPackTo(CancelT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = attempt(); if (_e) _o->attempt = std::unique_ptr<Mangofall::Wire::AttemptKey>(new Mangofall::Wire::AttemptKey(*_e)); }
+  { auto _e = connection(); _o->connection = _e; }
+  { auto _e = upstream(); if (_e) _o->upstream = _e->str(); }
+  { auto _e = stop(); _o->stop = _e; }
+}
+
+inline flatbuffers::Offset<Cancel> Cancel::Pack(flatbuffers::FlatBufferBuilder &_fbb, const CancelT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateCancel(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<Cancel> CreateCancel(flatbuffers::FlatBufferBuilder &_fbb, const CancelT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const CancelT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _attempt = _o->attempt ? _o->attempt.get() : nullptr;
+  auto _connection = _o->connection;
+  auto _upstream = _o->upstream.empty() ? 0 : _fbb.CreateString(_o->upstream);
+  auto _stop = _o->stop;
+  return Mangofall::Wire::CreateCancel(
+      _fbb,
+      _attempt,
+      _connection,
+      _upstream,
+      _stop);
+}
+
+inline FlowT::FlowT(const FlowT &o)
+      : attempt((o.attempt) ? new Mangofall::Wire::AttemptKey(*o.attempt) : nullptr),
+        connection(o.connection),
+        upstream(o.upstream),
+        paused(o.paused) {
+}
+
+inline FlowT &FlowT::operator=(FlowT o) FLATBUFFERS_NOEXCEPT {
+  std::swap(attempt, o.attempt);
+  std::swap(connection, o.connection);
+  std::swap(upstream, o.upstream);
+  std::swap(paused, o.paused);
+  return *this;
+}
+
+inline FlowT *Flow::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::unique_ptr<FlowT>(new FlowT());
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void Flow::UnPackTo(FlowT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = attempt(); if (_e) _o->attempt = std::unique_ptr<Mangofall::Wire::AttemptKey>(new Mangofall::Wire::AttemptKey(*_e)); }
+  { auto _e = connection(); _o->connection = _e; }
+  { auto _e = upstream(); if (_e) _o->upstream = _e->str(); }
+  { auto _e = paused(); _o->paused = _e; }
+}
+
+inline flatbuffers::Offset<Flow> Flow::Pack(flatbuffers::FlatBufferBuilder &_fbb, const FlowT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateFlow(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<Flow> CreateFlow(flatbuffers::FlatBufferBuilder &_fbb, const FlowT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const FlowT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _attempt = _o->attempt ? _o->attempt.get() : nullptr;
+  auto _connection = _o->connection;
+  auto _upstream = _o->upstream.empty() ? 0 : _fbb.CreateString(_o->upstream);
+  auto _paused = _o->paused;
+  return Mangofall::Wire::CreateFlow(
+      _fbb,
+      _attempt,
+      _connection,
+      _upstream,
+      _paused);
+}
+
+inline ProbeCallT *ProbeCall::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::unique_ptr<ProbeCallT>(new ProbeCallT());
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void ProbeCall::UnPackTo(ProbeCallT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = call(); _o->call = _e; }
+  { auto _e = upstream(); if (_e) _o->upstream = _e->str(); }
 }
 
-inline CancelT::CancelT(const CancelT &o)
-      : attempt((o.attempt) ? new Mangofall::Wire::AttemptKey(*o.attempt) : nullptr) {
+inline flatbuffers::Offset<ProbeCall> ProbeCall::Pack(flatbuffers::FlatBufferBuilder &_fbb, const ProbeCallT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateProbeCall(_fbb, _o, _rehasher);
 }
 
-inline CancelT &CancelT::operator=(CancelT o) FLATBUFFERS_NOEXCEPT {
-  std::swap(attempt, o.attempt);
-  return *this;
+inline flatbuffers::Offset<ProbeCall> CreateProbeCall(flatbuffers::FlatBufferBuilder &_fbb, const ProbeCallT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const ProbeCallT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _call = _o->call;
+  auto _upstream = _o->upstream.empty() ? 0 : _fbb.CreateString(_o->upstream);
+  return Mangofall::Wire::CreateProbeCall(
+      _fbb,
+      _call,
+      _upstream);
 }
 
-inline CancelT *Cancel::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
-  auto _o = std::unique_ptr<CancelT>(new CancelT());
+inline ProbeAnswerT *ProbeAnswer::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::unique_ptr<ProbeAnswerT>(new ProbeAnswerT());
   UnPackTo(_o.get(), _resolver);
   return _o.release();
 }
 
-inline void Cancel::UnPackTo(CancelT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+inline void ProbeAnswer::UnPackTo(ProbeAnswerT *_o, const flatbuffers::resolver_function_t *_resolver) const {
   (void)_o;
   (void)_resolver;
-  { auto _e = attempt(); if (_e) _o->attempt = std::unique_ptr<Mangofall::Wire::AttemptKey>(new Mangofall::Wire::AttemptKey(*_e)); }
+  { auto _e = call(); _o->call = _e; }
+  { auto _e = responsive(); _o->responsive = _e; }
 }
 
-inline flatbuffers::Offset<Cancel> Cancel::Pack(flatbuffers::FlatBufferBuilder &_fbb, const CancelT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
-  return CreateCancel(_fbb, _o, _rehasher);
+inline flatbuffers::Offset<ProbeAnswer> ProbeAnswer::Pack(flatbuffers::FlatBufferBuilder &_fbb, const ProbeAnswerT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateProbeAnswer(_fbb, _o, _rehasher);
 }
 
-inline flatbuffers::Offset<Cancel> CreateCancel(flatbuffers::FlatBufferBuilder &_fbb, const CancelT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+inline flatbuffers::Offset<ProbeAnswer> CreateProbeAnswer(flatbuffers::FlatBufferBuilder &_fbb, const ProbeAnswerT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
   (void)_rehasher;
   (void)_o;
-  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const CancelT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
-  auto _attempt = _o->attempt ? _o->attempt.get() : nullptr;
-  return Mangofall::Wire::CreateCancel(
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const ProbeAnswerT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _call = _o->call;
+  auto _responsive = _o->responsive;
+  return Mangofall::Wire::CreateProbeAnswer(
       _fbb,
-      _attempt);
+      _call,
+      _responsive);
 }
 
 inline InFlightEntryT::InFlightEntryT(const InFlightEntryT &o)
       : attempt((o.attempt) ? new Mangofall::Wire::AttemptKey(*o.attempt) : nullptr),
-        organisation(o.organisation),
-        prefill_tokens(o.prefill_tokens),
-        prefilling(o.prefilling) {
+        prefill_tokens(o.prefill_tokens) {
 }
 
 inline InFlightEntryT &InFlightEntryT::operator=(InFlightEntryT o) FLATBUFFERS_NOEXCEPT {
   std::swap(attempt, o.attempt);
-  std::swap(organisation, o.organisation);
   std::swap(prefill_tokens, o.prefill_tokens);
-  std::swap(prefilling, o.prefilling);
   return *this;
 }
 
@@ -3623,9 +5747,7 @@
   (void)_o;
   (void)_resolver;
   { auto _e = attempt(); if (_e) _o->attempt = std::unique_ptr<Mangofall::Wire::AttemptKey>(new Mangofall::Wire::AttemptKey(*_e)); }
-  { auto _e = organisation(); if (_e) _o->organisation = _e->str(); }
   { auto _e = prefill_tokens(); _o->prefill_tokens = _e; }
-  { auto _e = prefilling(); _o->prefilling = _e; }
 }
 
 inline flatbuffers::Offset<InFlightEntry> InFlightEntry::Pack(flatbuffers::FlatBufferBuilder &_fbb, const InFlightEntryT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -3637,34 +5759,28 @@
   (void)_o;
   struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const InFlightEntryT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
   auto _attempt = _o->attempt ? _o->attempt.get() : nullptr;
-  auto _organisation = _o->organisation.empty() ? 0 : _fbb.CreateString(_o->organisation);
   auto _prefill_tokens = _o->prefill_tokens;
-  auto _prefilling = _o->prefilling;
   return Mangofall::Wire::CreateInFlightEntry(
       _fbb,
       _attempt,
-      _organisation,
-      _prefill_tokens,
-      _prefilling);
+      _prefill_tokens);
 }
 
 inline HandOverT::HandOverT(const HandOverT &o)
       : upstream(o.upstream),
-        from(o.from),
+        epoch(o.epoch),
         request_cap(o.request_cap),
-        prefill_cap(o.prefill_cap),
-        state(o.state) {
+        prefill_cap(o.prefill_cap) {
   in_flight.reserve(o.in_flight.size());
   for (const auto &in_flight_ : o.in_flight) { in_flight.emplace_back((in_flight_) ? new Mangofall::Wire::InFlightEntryT(*in_flight_) : nullptr); }
 }
 
 inline HandOverT &HandOverT::operator=(HandOverT o) FLATBUFFERS_NOEXCEPT {
   std::swap(upstream, o.upstream);
-  std::swap(from, o.from);
-  std::swap(in_flight, o.in_flight);
+  std::swap(epoch, o.epoch);
   std::swap(request_cap, o.request_cap);
   std::swap(prefill_cap, o.prefill_cap);
-  std::swap(state, o.state);
+  std::swap(in_flight, o.in_flight);
   return *this;
 }
 
@@ -3678,11 +5794,10 @@
   (void)_o;
   (void)_resolver;
   { auto _e = upstream(); if (_e) _o->upstream = _e->str(); }
-  { auto _e = from(); if (_e) _o->from = _e->str(); }
-  { auto _e = in_flight(); if (_e) { _o->in_flight.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->in_flight[_i] = std::unique_ptr<Mangofall::Wire::InFlightEntryT>(_e->Get(_i)->UnPack(_resolver)); } } }
+  { auto _e = epoch(); _o->epoch = _e; }
   { auto _e = request_cap(); _o->request_cap = _e; }
   { auto _e = prefill_cap(); _o->prefill_cap = _e; }
-  { auto _e = state(); _o->state = _e; }
+  { auto _e = in_flight(); if (_e) { _o->in_flight.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->in_flight[_i] = std::unique_ptr<Mangofall::Wire::InFlightEntryT>(_e->Get(_i)->UnPack(_resolver)); } } }
 }
 
 inline flatbuffers::Offset<HandOver> HandOver::Pack(flatbuffers::FlatBufferBuilder &_fbb, const HandOverT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -3694,19 +5809,70 @@
   (void)_o;
   struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const HandOverT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
   auto _upstream = _o->upstream.empty() ? 0 : _fbb.CreateString(_o->upstream);
-  auto _from = _o->from.empty() ? 0 : _fbb.CreateString(_o->from);
-  auto _in_flight = _o->in_flight.size() ? _fbb.CreateVector<flatbuffers::Offset<Mangofall::Wire::InFlightEntry>> (_o->in_flight.size(), [](size_t i, _VectorArgs *__va) { return CreateInFlightEntry(*__va->__fbb, __va->__o->in_flight[i].get(), __va->__rehasher); }, &_va ) : 0;
+  auto _epoch = _o->epoch;
   auto _request_cap = _o->request_cap;
   auto _prefill_cap = _o->prefill_cap;
-  auto _state = _o->state;
+  auto _in_flight = _o->in_flight.size() ? _fbb.CreateVector<flatbuffers::Offset<Mangofall::Wire::InFlightEntry>> (_o->in_flight.size(), [](size_t i, _VectorArgs *__va) { return CreateInFlightEntry(*__va->__fbb, __va->__o->in_flight[i].get(), __va->__rehasher); }, &_va ) : 0;
   return Mangofall::Wire::CreateHandOver(
       _fbb,
       _upstream,
-      _from,
-      _in_flight,
+      _epoch,
       _request_cap,
       _prefill_cap,
-      _state);
+      _in_flight);
+}
+
+inline CrashLossT *CrashLoss::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::unique_ptr<CrashLossT>(new CrashLossT());
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void CrashLoss::UnPackTo(CrashLossT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = upstream(); if (_e) _o->upstream = _e->str(); }
+  { auto _e = epoch(); _o->epoch = _e; }
+  { auto _e = reporter(); if (_e) _o->reporter = _e->str(); }
+}
+
+inline flatbuffers::Offset<CrashLoss> CrashLoss::Pack(flatbuffers::FlatBufferBuilder &_fbb, const CrashLossT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateCrashLoss(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<CrashLoss> CreateCrashLoss(flatbuffers::FlatBufferBuilder &_fbb, const CrashLossT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const CrashLossT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _upstream = _o->upstream.empty() ? 0 : _fbb.CreateString(_o->upstream);
+  auto _epoch = _o->epoch;
+  auto _reporter = _o->reporter.empty() ? 0 : _fbb.CreateString(_o->reporter);
+  return Mangofall::Wire::CreateCrashLoss(
+      _fbb,
+      _upstream,
+      _epoch,
+      _reporter);
+}
+
+inline CrashNoticeT::CrashNoticeT(const CrashNoticeT &o)
+      : number(o.number),
+        organisation(o.organisation),
+        content_hash(o.content_hash),
+        remaining_us(o.remaining_us) {
+  losses.reserve(o.losses.size());
+  for (const auto &losses_ : o.losses) { losses.emplace_back((losses_) ? new Mangofall::Wire::CrashLossT(*losses_) : nullptr); }
+  cleared.reserve(o.cleared.size());
+  for (const auto &cleared_ : o.cleared) { cleared.emplace_back((cleared_) ? new Mangofall::Wire::CrashLossT(*cleared_) : nullptr); }
+}
+
+inline CrashNoticeT &CrashNoticeT::operator=(CrashNoticeT o) FLATBUFFERS_NOEXCEPT {
+  std::swap(number, o.number);
+  std::swap(organisation, o.organisation);
+  std::swap(content_hash, o.content_hash);
+  std::swap(losses, o.losses);
+  std::swap(cleared, o.cleared);
+  std::swap(remaining_us, o.remaining_us);
+  return *this;
 }
 
 inline CrashNoticeT *CrashNotice::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
@@ -3718,9 +5884,12 @@
 inline void CrashNotice::UnPackTo(CrashNoticeT *_o, const flatbuffers::resolver_function_t *_resolver) const {
   (void)_o;
   (void)_resolver;
-  { auto _e = fingerprint(); _o->fingerprint = _e; }
-  { auto _e = upstreams(); if (_e) { _o->upstreams.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->upstreams[_i] = _e->Get(_i)->str(); } } }
-  { auto _e = serial(); _o->serial = _e; }
+  { auto _e = number(); _o->number = _e; }
+  { auto _e = organisation(); if (_e) _o->organisation = _e->str(); }
+  { auto _e = content_hash(); if (_e) _o->content_hash = _e->str(); }
+  { auto _e = losses(); if (_e) { _o->losses.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->losses[_i] = std::unique_ptr<Mangofall::Wire::CrashLossT>(_e->Get(_i)->UnPack(_resolver)); } } }
+  { auto _e = cleared(); if (_e) { _o->cleared.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->cleared[_i] = std::unique_ptr<Mangofall::Wire::CrashLossT>(_e->Get(_i)->UnPack(_resolver)); } } }
+  { auto _e = remaining_us(); _o->remaining_us = _e; }
 }
 
 inline flatbuffers::Offset<CrashNotice> CrashNotice::Pack(flatbuffers::FlatBufferBuilder &_fbb, const CrashNoticeT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -3731,14 +5900,20 @@
   (void)_rehasher;
   (void)_o;
   struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const CrashNoticeT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
-  auto _fingerprint = _o->fingerprint;
-  auto _upstreams = _o->upstreams.size() ? _fbb.CreateVectorOfStrings(_o->upstreams) : 0;
-  auto _serial = _o->serial;
+  auto _number = _o->number;
+  auto _organisation = _o->organisation.empty() ? 0 : _fbb.CreateString(_o->organisation);
+  auto _content_hash = _o->content_hash.empty() ? 0 : _fbb.CreateString(_o->content_hash);
+  auto _losses = _o->losses.size() ? _fbb.CreateVector<flatbuffers::Offset<Mangofall::Wire::CrashLoss>> (_o->losses.size(), [](size_t i, _VectorArgs *__va) { return CreateCrashLoss(*__va->__fbb, __va->__o->losses[i].get(), __va->__rehasher); }, &_va ) : 0;
+  auto _cleared = _o->cleared.size() ? _fbb.CreateVector<flatbuffers::Offset<Mangofall::Wire::CrashLoss>> (_o->cleared.size(), [](size_t i, _VectorArgs *__va) { return CreateCrashLoss(*__va->__fbb, __va->__o->cleared[i].get(), __va->__rehasher); }, &_va ) : 0;
+  auto _remaining_us = _o->remaining_us;
   return Mangofall::Wire::CreateCrashNotice(
       _fbb,
-      _fingerprint,
-      _upstreams,
-      _serial);
+      _number,
+      _organisation,
+      _content_hash,
+      _losses,
+      _cleared,
+      _remaining_us);
 }
 
 inline CrashNoticeAckT *CrashNoticeAck::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
@@ -3750,8 +5925,7 @@
 inline void CrashNoticeAck::UnPackTo(CrashNoticeAckT *_o, const flatbuffers::resolver_function_t *_resolver) const {
   (void)_o;
   (void)_resolver;
-  { auto _e = fingerprint(); _o->fingerprint = _e; }
-  { auto _e = serial(); _o->serial = _e; }
+  { auto _e = number(); _o->number = _e; }
 }
 
 inline flatbuffers::Offset<CrashNoticeAck> CrashNoticeAck::Pack(flatbuffers::FlatBufferBuilder &_fbb, const CrashNoticeAckT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -3762,47 +5936,101 @@
   (void)_rehasher;
   (void)_o;
   struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const CrashNoticeAckT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
-  auto _fingerprint = _o->fingerprint;
-  auto _serial = _o->serial;
+  auto _number = _o->number;
   return Mangofall::Wire::CreateCrashNoticeAck(
       _fbb,
-      _fingerprint,
-      _serial);
+      _number);
+}
+
+inline LedgerOrderT::LedgerOrderT(const LedgerOrderT &o)
+      : call(o.call),
+        key(o.key),
+        organisation(o.organisation),
+        service(o.service),
+        upstream(o.upstream),
+        status_path(o.status_path),
+        remaining_us(o.remaining_us),
+        method(o.method),
+        target(o.target),
+        body(o.body),
+        trace_parent(o.trace_parent) {
+  headers.reserve(o.headers.size());
+  for (const auto &headers_ : o.headers) { headers.emplace_back((headers_) ? new Mangofall::Wire::HeaderT(*headers_) : nullptr); }
+}
+
+inline LedgerOrderT &LedgerOrderT::operator=(LedgerOrderT o) FLATBUFFERS_NOEXCEPT {
+  std::swap(call, o.call);
+  std::swap(key, o.key);
+  std::swap(organisation, o.organisation);
+  std::swap(service, o.service);
+  std::swap(upstream, o.upstream);
+  std::swap(status_path, o.status_path);
+  std::swap(remaining_us, o.remaining_us);
+  std::swap(method, o.method);
+  std::swap(target, o.target);
+  std::swap(headers, o.headers);
+  std::swap(body, o.body);
+  std::swap(trace_parent, o.trace_parent);
+  return *this;
 }
 
-inline LedgerCallT *LedgerCall::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
-  auto _o = std::unique_ptr<LedgerCallT>(new LedgerCallT());
+inline LedgerOrderT *LedgerOrder::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::unique_ptr<LedgerOrderT>(new LedgerOrderT());
   UnPackTo(_o.get(), _resolver);
   return _o.release();
 }
 
-inline void LedgerCall::UnPackTo(LedgerCallT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+inline void LedgerOrder::UnPackTo(LedgerOrderT *_o, const flatbuffers::resolver_function_t *_resolver) const {
   (void)_o;
   (void)_resolver;
   { auto _e = call(); _o->call = _e; }
-  { auto _e = operation(); _o->operation = _e; }
   { auto _e = key(); if (_e) _o->key = _e->str(); }
-  { auto _e = payload(); if (_e) { _o->payload.resize(_e->size()); std::copy(_e->begin(), _e->end(), _o->payload.begin()); } }
+  { auto _e = organisation(); if (_e) _o->organisation = _e->str(); }
+  { auto _e = service(); if (_e) _o->service = _e->str(); }
+  { auto _e = upstream(); if (_e) _o->upstream = _e->str(); }
+  { auto _e = status_path(); if (_e) _o->status_path = _e->str(); }
+  { auto _e = remaining_us(); _o->remaining_us = _e; }
+  { auto _e = method(); if (_e) _o->method = _e->str(); }
+  { auto _e = target(); if (_e) _o->target = _e->str(); }
+  { auto _e = headers(); if (_e) { _o->headers.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->headers[_i] = std::unique_ptr<Mangofall::Wire::HeaderT>(_e->Get(_i)->UnPack(_resolver)); } } }
+  { auto _e = body(); if (_e) { _o->body.resize(_e->size()); std::copy(_e->begin(), _e->end(), _o->body.begin()); } }
+  { auto _e = trace_parent(); if (_e) _o->trace_parent = _e->str(); }
 }
 
-inline flatbuffers::Offset<LedgerCall> LedgerCall::Pack(flatbuffers::FlatBufferBuilder &_fbb, const LedgerCallT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
-  return CreateLedgerCall(_fbb, _o, _rehasher);
+inline flatbuffers::Offset<LedgerOrder> LedgerOrder::Pack(flatbuffers::FlatBufferBuilder &_fbb, const LedgerOrderT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateLedgerOrder(_fbb, _o, _rehasher);
 }
 
-inline flatbuffers::Offset<LedgerCall> CreateLedgerCall(flatbuffers::FlatBufferBuilder &_fbb, const LedgerCallT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+inline flatbuffers::Offset<LedgerOrder> CreateLedgerOrder(flatbuffers::FlatBufferBuilder &_fbb, const LedgerOrderT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
   (void)_rehasher;
   (void)_o;
-  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const LedgerCallT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const LedgerOrderT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
   auto _call = _o->call;
-  auto _operation = _o->operation;
   auto _key = _o->key.empty() ? 0 : _fbb.CreateString(_o->key);
-  auto _payload = _o->payload.size() ? _fbb.CreateVector(_o->payload) : 0;
-  return Mangofall::Wire::CreateLedgerCall(
+  auto _organisation = _o->organisation.empty() ? 0 : _fbb.CreateString(_o->organisation);
+  auto _service = _o->service.empty() ? 0 : _fbb.CreateString(_o->service);
+  auto _upstream = _o->upstream.empty() ? 0 : _fbb.CreateString(_o->upstream);
+  auto _status_path = _o->status_path.empty() ? 0 : _fbb.CreateString(_o->status_path);
+  auto _remaining_us = _o->remaining_us;
+  auto _method = _o->method.empty() ? 0 : _fbb.CreateString(_o->method);
+  auto _target = _o->target.empty() ? 0 : _fbb.CreateString(_o->target);
+  auto _headers = _o->headers.size() ? _fbb.CreateVector<flatbuffers::Offset<Mangofall::Wire::Header>> (_o->headers.size(), [](size_t i, _VectorArgs *__va) { return CreateHeader(*__va->__fbb, __va->__o->headers[i].get(), __va->__rehasher); }, &_va ) : 0;
+  auto _body = _o->body.size() ? _fbb.CreateVector(_o->body) : 0;
+  auto _trace_parent = _o->trace_parent.empty() ? 0 : _fbb.CreateString(_o->trace_parent);
+  return Mangofall::Wire::CreateLedgerOrder(
       _fbb,
       _call,
-      _operation,
       _key,
-      _payload);
+      _organisation,
+      _service,
+      _upstream,
+      _status_path,
+      _remaining_us,
+      _method,
+      _target,
+      _headers,
+      _body,
+      _trace_parent);
 }
 
 inline LedgerAnswerT *LedgerAnswer::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
@@ -3816,8 +6044,10 @@
   (void)_resolver;
   { auto _e = call(); _o->call = _e; }
   { auto _e = error(); _o->error = _e; }
-  { auto _e = state(); _o->state = _e; }
-  { auto _e = payload(); if (_e) { _o->payload.resize(_e->size()); std::copy(_e->begin(), _e->end(), _o->payload.begin()); } }
+  { auto _e = not_run(); _o->not_run = _e; }
+  { auto _e = status(); _o->status = _e; }
+  { auto _e = content_type(); if (_e) _o->content_type = _e->str(); }
+  { auto _e = body(); if (_e) { _o->body.resize(_e->size()); std::copy(_e->begin(), _e->end(), _o->body.begin()); } }
 }
 
 inline flatbuffers::Offset<LedgerAnswer> LedgerAnswer::Pack(flatbuffers::FlatBufferBuilder &_fbb, const LedgerAnswerT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -3830,14 +6060,78 @@
   struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const LedgerAnswerT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
   auto _call = _o->call;
   auto _error = _o->error;
-  auto _state = _o->state;
-  auto _payload = _o->payload.size() ? _fbb.CreateVector(_o->payload) : 0;
+  auto _not_run = _o->not_run;
+  auto _status = _o->status;
+  auto _content_type = _o->content_type.empty() ? 0 : _fbb.CreateString(_o->content_type);
+  auto _body = _o->body.size() ? _fbb.CreateVector(_o->body) : 0;
   return Mangofall::Wire::CreateLedgerAnswer(
       _fbb,
       _call,
       _error,
-      _state,
-      _payload);
+      _not_run,
+      _status,
+      _content_type,
+      _body);
+}
+
+inline LedgerOutcomeT::LedgerOutcomeT(const LedgerOutcomeT &o)
+      : key(o.key),
+        attempt((o.attempt) ? new Mangofall::Wire::AttemptKey(*o.attempt) : nullptr),
+        result(o.result),
+        status(o.status),
+        content_type(o.content_type),
+        body(o.body) {
+}
+
+inline LedgerOutcomeT &LedgerOutcomeT::operator=(LedgerOutcomeT o) FLATBUFFERS_NOEXCEPT {
+  std::swap(key, o.key);
+  std::swap(attempt, o.attempt);
+  std::swap(result, o.result);
+  std::swap(status, o.status);
+  std::swap(content_type, o.content_type);
+  std::swap(body, o.body);
+  return *this;
+}
+
+inline LedgerOutcomeT *LedgerOutcome::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::unique_ptr<LedgerOutcomeT>(new LedgerOutcomeT());
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void LedgerOutcome::UnPackTo(LedgerOutcomeT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = key(); if (_e) _o->key = _e->str(); }
+  { auto _e = attempt(); if (_e) _o->attempt = std::unique_ptr<Mangofall::Wire::AttemptKey>(new Mangofall::Wire::AttemptKey(*_e)); }
+  { auto _e = result(); _o->result = _e; }
+  { auto _e = status(); _o->status = _e; }
+  { auto _e = content_type(); if (_e) _o->content_type = _e->str(); }
+  { auto _e = body(); if (_e) { _o->body.resize(_e->size()); std::copy(_e->begin(), _e->end(), _o->body.begin()); } }
+}
+
+inline flatbuffers::Offset<LedgerOutcome> LedgerOutcome::Pack(flatbuffers::FlatBufferBuilder &_fbb, const LedgerOutcomeT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateLedgerOutcome(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<LedgerOutcome> CreateLedgerOutcome(flatbuffers::FlatBufferBuilder &_fbb, const LedgerOutcomeT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const LedgerOutcomeT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _key = _o->key.empty() ? 0 : _fbb.CreateString(_o->key);
+  auto _attempt = _o->attempt ? _o->attempt.get() : nullptr;
+  auto _result = _o->result;
+  auto _status = _o->status;
+  auto _content_type = _o->content_type.empty() ? 0 : _fbb.CreateString(_o->content_type);
+  auto _body = _o->body.size() ? _fbb.CreateVector(_o->body) : 0;
+  return Mangofall::Wire::CreateLedgerOutcome(
+      _fbb,
+      _key,
+      _attempt,
+      _result,
+      _status,
+      _content_type,
+      _body);
 }
 
 inline LimitMessageT *LimitMessage::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
@@ -4000,14 +6294,30 @@
       auto ptr = reinterpret_cast<const Mangofall::Wire::Heartbeat *>(obj);
       return verifier.VerifyTable(ptr);
     }
-    case Body::ConfigurationPush: {
-      auto ptr = reinterpret_cast<const Mangofall::Wire::ConfigurationPush *>(obj);
+    case Body::DigestMessage: {
+      auto ptr = reinterpret_cast<const Mangofall::Wire::DigestMessage *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
+    case Body::MembershipProbe: {
+      auto ptr = reinterpret_cast<const Mangofall::Wire::MembershipProbe *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
+    case Body::MembershipProbeAnswer: {
+      auto ptr = reinterpret_cast<const Mangofall::Wire::MembershipProbeAnswer *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
+    case Body::ConfigurationRoot: {
+      auto ptr = reinterpret_cast<const Mangofall::Wire::ConfigurationRoot *>(obj);
       return verifier.VerifyTable(ptr);
     }
     case Body::ConfigurationFetch: {
       auto ptr = reinterpret_cast<const Mangofall::Wire::ConfigurationFetch *>(obj);
       return verifier.VerifyTable(ptr);
     }
+    case Body::ConfigurationBlob: {
+      auto ptr = reinterpret_cast<const Mangofall::Wire::ConfigurationBlob *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
     case Body::Dispatch: {
       auto ptr = reinterpret_cast<const Mangofall::Wire::Dispatch *>(obj);
       return verifier.VerifyTable(ptr);
@@ -4028,6 +6338,18 @@
       auto ptr = reinterpret_cast<const Mangofall::Wire::Cancel *>(obj);
       return verifier.VerifyTable(ptr);
     }
+    case Body::Flow: {
+      auto ptr = reinterpret_cast<const Mangofall::Wire::Flow *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
+    case Body::ProbeCall: {
+      auto ptr = reinterpret_cast<const Mangofall::Wire::ProbeCall *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
+    case Body::ProbeAnswer: {
+      auto ptr = reinterpret_cast<const Mangofall::Wire::ProbeAnswer *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
     case Body::HandOver: {
       auto ptr = reinterpret_cast<const Mangofall::Wire::HandOver *>(obj);
       return verifier.VerifyTable(ptr);
@@ -4040,14 +6362,18 @@
       auto ptr = reinterpret_cast<const Mangofall::Wire::CrashNoticeAck *>(obj);
       return verifier.VerifyTable(ptr);
     }
-    case Body::LedgerCall: {
-      auto ptr = reinterpret_cast<const Mangofall::Wire::LedgerCall *>(obj);
+    case Body::LedgerOrder: {
+      auto ptr = reinterpret_cast<const Mangofall::Wire::LedgerOrder *>(obj);
       return verifier.VerifyTable(ptr);
     }
     case Body::LedgerAnswer: {
       auto ptr = reinterpret_cast<const Mangofall::Wire::LedgerAnswer *>(obj);
       return verifier.VerifyTable(ptr);
     }
+    case Body::LedgerOutcome: {
+      auto ptr = reinterpret_cast<const Mangofall::Wire::LedgerOutcome *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
     case Body::LimitMessage: {
       auto ptr = reinterpret_cast<const Mangofall::Wire::LimitMessage *>(obj);
       return verifier.VerifyTable(ptr);
@@ -4087,14 +6413,30 @@
       auto ptr = reinterpret_cast<const Mangofall::Wire::Heartbeat *>(obj);
       return ptr->UnPack(resolver);
     }
-    case Body::ConfigurationPush: {
-      auto ptr = reinterpret_cast<const Mangofall::Wire::ConfigurationPush *>(obj);
+    case Body::DigestMessage: {
+      auto ptr = reinterpret_cast<const Mangofall::Wire::DigestMessage *>(obj);
+      return ptr->UnPack(resolver);
+    }
+    case Body::MembershipProbe: {
+      auto ptr = reinterpret_cast<const Mangofall::Wire::MembershipProbe *>(obj);
+      return ptr->UnPack(resolver);
+    }
+    case Body::MembershipProbeAnswer: {
+      auto ptr = reinterpret_cast<const Mangofall::Wire::MembershipProbeAnswer *>(obj);
+      return ptr->UnPack(resolver);
+    }
+    case Body::ConfigurationRoot: {
+      auto ptr = reinterpret_cast<const Mangofall::Wire::ConfigurationRoot *>(obj);
       return ptr->UnPack(resolver);
     }
     case Body::ConfigurationFetch: {
       auto ptr = reinterpret_cast<const Mangofall::Wire::ConfigurationFetch *>(obj);
       return ptr->UnPack(resolver);
     }
+    case Body::ConfigurationBlob: {
+      auto ptr = reinterpret_cast<const Mangofall::Wire::ConfigurationBlob *>(obj);
+      return ptr->UnPack(resolver);
+    }
     case Body::Dispatch: {
       auto ptr = reinterpret_cast<const Mangofall::Wire::Dispatch *>(obj);
       return ptr->UnPack(resolver);
@@ -4115,6 +6457,18 @@
       auto ptr = reinterpret_cast<const Mangofall::Wire::Cancel *>(obj);
       return ptr->UnPack(resolver);
     }
+    case Body::Flow: {
+      auto ptr = reinterpret_cast<const Mangofall::Wire::Flow *>(obj);
+      return ptr->UnPack(resolver);
+    }
+    case Body::ProbeCall: {
+      auto ptr = reinterpret_cast<const Mangofall::Wire::ProbeCall *>(obj);
+      return ptr->UnPack(resolver);
+    }
+    case Body::ProbeAnswer: {
+      auto ptr = reinterpret_cast<const Mangofall::Wire::ProbeAnswer *>(obj);
+      return ptr->UnPack(resolver);
+    }
     case Body::HandOver: {
       auto ptr = reinterpret_cast<const Mangofall::Wire::HandOver *>(obj);
       return ptr->UnPack(resolver);
@@ -4127,14 +6481,18 @@
       auto ptr = reinterpret_cast<const Mangofall::Wire::CrashNoticeAck *>(obj);
       return ptr->UnPack(resolver);
     }
-    case Body::LedgerCall: {
-      auto ptr = reinterpret_cast<const Mangofall::Wire::LedgerCall *>(obj);
+    case Body::LedgerOrder: {
+      auto ptr = reinterpret_cast<const Mangofall::Wire::LedgerOrder *>(obj);
       return ptr->UnPack(resolver);
     }
     case Body::LedgerAnswer: {
       auto ptr = reinterpret_cast<const Mangofall::Wire::LedgerAnswer *>(obj);
       return ptr->UnPack(resolver);
     }
+    case Body::LedgerOutcome: {
+      auto ptr = reinterpret_cast<const Mangofall::Wire::LedgerOutcome *>(obj);
+      return ptr->UnPack(resolver);
+    }
     case Body::LimitMessage: {
       auto ptr = reinterpret_cast<const Mangofall::Wire::LimitMessage *>(obj);
       return ptr->UnPack(resolver);
@@ -4162,14 +6520,30 @@
       auto ptr = reinterpret_cast<const Mangofall::Wire::HeartbeatT *>(value);
       return CreateHeartbeat(_fbb, ptr, _rehasher).Union();
     }
-    case Body::ConfigurationPush: {
-      auto ptr = reinterpret_cast<const Mangofall::Wire::ConfigurationPushT *>(value);
-      return CreateConfigurationPush(_fbb, ptr, _rehasher).Union();
+    case Body::DigestMessage: {
+      auto ptr = reinterpret_cast<const Mangofall::Wire::DigestMessageT *>(value);
+      return CreateDigestMessage(_fbb, ptr, _rehasher).Union();
+    }
+    case Body::MembershipProbe: {
+      auto ptr = reinterpret_cast<const Mangofall::Wire::MembershipProbeT *>(value);
+      return CreateMembershipProbe(_fbb, ptr, _rehasher).Union();
+    }
+    case Body::MembershipProbeAnswer: {
+      auto ptr = reinterpret_cast<const Mangofall::Wire::MembershipProbeAnswerT *>(value);
+      return CreateMembershipProbeAnswer(_fbb, ptr, _rehasher).Union();
+    }
+    case Body::ConfigurationRoot: {
+      auto ptr = reinterpret_cast<const Mangofall::Wire::ConfigurationRootT *>(value);
+      return CreateConfigurationRoot(_fbb, ptr, _rehasher).Union();
     }
     case Body::ConfigurationFetch: {
       auto ptr = reinterpret_cast<const Mangofall::Wire::ConfigurationFetchT *>(value);
       return CreateConfigurationFetch(_fbb, ptr, _rehasher).Union();
     }
+    case Body::ConfigurationBlob: {
+      auto ptr = reinterpret_cast<const Mangofall::Wire::ConfigurationBlobT *>(value);
+      return CreateConfigurationBlob(_fbb, ptr, _rehasher).Union();
+    }
     case Body::Dispatch: {
       auto ptr = reinterpret_cast<const Mangofall::Wire::DispatchT *>(value);
       return CreateDispatch(_fbb, ptr, _rehasher).Union();
@@ -4190,6 +6564,18 @@
       auto ptr = reinterpret_cast<const Mangofall::Wire::CancelT *>(value);
       return CreateCancel(_fbb, ptr, _rehasher).Union();
     }
+    case Body::Flow: {
+      auto ptr = reinterpret_cast<const Mangofall::Wire::FlowT *>(value);
+      return CreateFlow(_fbb, ptr, _rehasher).Union();
+    }
+    case Body::ProbeCall: {
+      auto ptr = reinterpret_cast<const Mangofall::Wire::ProbeCallT *>(value);
+      return CreateProbeCall(_fbb, ptr, _rehasher).Union();
+    }
+    case Body::ProbeAnswer: {
+      auto ptr = reinterpret_cast<const Mangofall::Wire::ProbeAnswerT *>(value);
+      return CreateProbeAnswer(_fbb, ptr, _rehasher).Union();
+    }
     case Body::HandOver: {
       auto ptr = reinterpret_cast<const Mangofall::Wire::HandOverT *>(value);
       return CreateHandOver(_fbb, ptr, _rehasher).Union();
@@ -4202,14 +6588,18 @@
       auto ptr = reinterpret_cast<const Mangofall::Wire::CrashNoticeAckT *>(value);
       return CreateCrashNoticeAck(_fbb, ptr, _rehasher).Union();
     }
-    case Body::LedgerCall: {
-      auto ptr = reinterpret_cast<const Mangofall::Wire::LedgerCallT *>(value);
-      return CreateLedgerCall(_fbb, ptr, _rehasher).Union();
+    case Body::LedgerOrder: {
+      auto ptr = reinterpret_cast<const Mangofall::Wire::LedgerOrderT *>(value);
+      return CreateLedgerOrder(_fbb, ptr, _rehasher).Union();
     }
     case Body::LedgerAnswer: {
       auto ptr = reinterpret_cast<const Mangofall::Wire::LedgerAnswerT *>(value);
       return CreateLedgerAnswer(_fbb, ptr, _rehasher).Union();
     }
+    case Body::LedgerOutcome: {
+      auto ptr = reinterpret_cast<const Mangofall::Wire::LedgerOutcomeT *>(value);
+      return CreateLedgerOutcome(_fbb, ptr, _rehasher).Union();
+    }
     case Body::LimitMessage: {
       auto ptr = reinterpret_cast<const Mangofall::Wire::LimitMessageT *>(value);
       return CreateLimitMessage(_fbb, ptr, _rehasher).Union();
@@ -4236,14 +6626,30 @@
       value = new Mangofall::Wire::HeartbeatT(*reinterpret_cast<Mangofall::Wire::HeartbeatT *>(u.value));
       break;
     }
-    case Body::ConfigurationPush: {
-      value = new Mangofall::Wire::ConfigurationPushT(*reinterpret_cast<Mangofall::Wire::ConfigurationPushT *>(u.value));
+    case Body::DigestMessage: {
+      value = new Mangofall::Wire::DigestMessageT(*reinterpret_cast<Mangofall::Wire::DigestMessageT *>(u.value));
+      break;
+    }
+    case Body::MembershipProbe: {
+      value = new Mangofall::Wire::MembershipProbeT(*reinterpret_cast<Mangofall::Wire::MembershipProbeT *>(u.value));
+      break;
+    }
+    case Body::MembershipProbeAnswer: {
+      value = new Mangofall::Wire::MembershipProbeAnswerT(*reinterpret_cast<Mangofall::Wire::MembershipProbeAnswerT *>(u.value));
+      break;
+    }
+    case Body::ConfigurationRoot: {
+      value = new Mangofall::Wire::ConfigurationRootT(*reinterpret_cast<Mangofall::Wire::ConfigurationRootT *>(u.value));
       break;
     }
     case Body::ConfigurationFetch: {
       value = new Mangofall::Wire::ConfigurationFetchT(*reinterpret_cast<Mangofall::Wire::ConfigurationFetchT *>(u.value));
       break;
     }
+    case Body::ConfigurationBlob: {
+      value = new Mangofall::Wire::ConfigurationBlobT(*reinterpret_cast<Mangofall::Wire::ConfigurationBlobT *>(u.value));
+      break;
+    }
     case Body::Dispatch: {
       value = new Mangofall::Wire::DispatchT(*reinterpret_cast<Mangofall::Wire::DispatchT *>(u.value));
       break;
@@ -4264,6 +6670,18 @@
       value = new Mangofall::Wire::CancelT(*reinterpret_cast<Mangofall::Wire::CancelT *>(u.value));
       break;
     }
+    case Body::Flow: {
+      value = new Mangofall::Wire::FlowT(*reinterpret_cast<Mangofall::Wire::FlowT *>(u.value));
+      break;
+    }
+    case Body::ProbeCall: {
+      value = new Mangofall::Wire::ProbeCallT(*reinterpret_cast<Mangofall::Wire::ProbeCallT *>(u.value));
+      break;
+    }
+    case Body::ProbeAnswer: {
+      value = new Mangofall::Wire::ProbeAnswerT(*reinterpret_cast<Mangofall::Wire::ProbeAnswerT *>(u.value));
+      break;
+    }
     case Body::HandOver: {
       value = new Mangofall::Wire::HandOverT(*reinterpret_cast<Mangofall::Wire::HandOverT *>(u.value));
       break;
@@ -4276,14 +6694,18 @@
       value = new Mangofall::Wire::CrashNoticeAckT(*reinterpret_cast<Mangofall::Wire::CrashNoticeAckT *>(u.value));
       break;
     }
-    case Body::LedgerCall: {
-      value = new Mangofall::Wire::LedgerCallT(*reinterpret_cast<Mangofall::Wire::LedgerCallT *>(u.value));
+    case Body::LedgerOrder: {
+      value = new Mangofall::Wire::LedgerOrderT(*reinterpret_cast<Mangofall::Wire::LedgerOrderT *>(u.value));
       break;
     }
     case Body::LedgerAnswer: {
       value = new Mangofall::Wire::LedgerAnswerT(*reinterpret_cast<Mangofall::Wire::LedgerAnswerT *>(u.value));
       break;
     }
+    case Body::LedgerOutcome: {
+      value = new Mangofall::Wire::LedgerOutcomeT(*reinterpret_cast<Mangofall::Wire::LedgerOutcomeT *>(u.value));
+      break;
+    }
     case Body::LimitMessage: {
       value = new Mangofall::Wire::LimitMessageT(*reinterpret_cast<Mangofall::Wire::LimitMessageT *>(u.value));
       break;
@@ -4313,8 +6735,23 @@
       delete ptr;
       break;
     }
-    case Body::ConfigurationPush: {
-      auto ptr = reinterpret_cast<Mangofall::Wire::ConfigurationPushT *>(value);
+    case Body::DigestMessage: {
+      auto ptr = reinterpret_cast<Mangofall::Wire::DigestMessageT *>(value);
+      delete ptr;
+      break;
+    }
+    case Body::MembershipProbe: {
+      auto ptr = reinterpret_cast<Mangofall::Wire::MembershipProbeT *>(value);
+      delete ptr;
+      break;
+    }
+    case Body::MembershipProbeAnswer: {
+      auto ptr = reinterpret_cast<Mangofall::Wire::MembershipProbeAnswerT *>(value);
+      delete ptr;
+      break;
+    }
+    case Body::ConfigurationRoot: {
+      auto ptr = reinterpret_cast<Mangofall::Wire::ConfigurationRootT *>(value);
       delete ptr;
       break;
     }
@@ -4323,6 +6760,11 @@
       delete ptr;
       break;
     }
+    case Body::ConfigurationBlob: {
+      auto ptr = reinterpret_cast<Mangofall::Wire::ConfigurationBlobT *>(value);
+      delete ptr;
+      break;
+    }
     case Body::Dispatch: {
       auto ptr = reinterpret_cast<Mangofall::Wire::DispatchT *>(value);
       delete ptr;
@@ -4348,6 +6790,21 @@
       delete ptr;
       break;
     }
+    case Body::Flow: {
+      auto ptr = reinterpret_cast<Mangofall::Wire::FlowT *>(value);
+      delete ptr;
+      break;
+    }
+    case Body::ProbeCall: {
+      auto ptr = reinterpret_cast<Mangofall::Wire::ProbeCallT *>(value);
+      delete ptr;
+      break;
+    }
+    case Body::ProbeAnswer: {
+      auto ptr = reinterpret_cast<Mangofall::Wire::ProbeAnswerT *>(value);
+      delete ptr;
+      break;
+    }
     case Body::HandOver: {
       auto ptr = reinterpret_cast<Mangofall::Wire::HandOverT *>(value);
       delete ptr;
@@ -4363,8 +6820,8 @@
       delete ptr;
       break;
     }
-    case Body::LedgerCall: {
-      auto ptr = reinterpret_cast<Mangofall::Wire::LedgerCallT *>(value);
+    case Body::LedgerOrder: {
+      auto ptr = reinterpret_cast<Mangofall::Wire::LedgerOrderT *>(value);
       delete ptr;
       break;
     }
@@ -4373,6 +6830,11 @@
       delete ptr;
       break;
     }
+    case Body::LedgerOutcome: {
+      auto ptr = reinterpret_cast<Mangofall::Wire::LedgerOutcomeT *>(value);
+      delete ptr;
+      break;
+    }
     case Body::LimitMessage: {
       auto ptr = reinterpret_cast<Mangofall::Wire::LimitMessageT *>(value);
       delete ptr;
--- a/Source/Telemetry/Log.cpp
+++ b/Source/Telemetry/Log.cpp
@@ -10,16 +10,18 @@
 
 namespace {
 
-log4cxx::LevelPtr toLog4cxx(LogLevel level)
+log4cxx::LevelPtr toLog4cxx(LogThreshold level)
 {
     switch (level) {
-    case LogLevel::Debug:
+    case LogThreshold::Trace:
+        return log4cxx::Level::getTrace();
+    case LogThreshold::Debug:
         return log4cxx::Level::getDebug();
-    case LogLevel::Info:
+    case LogThreshold::Info:
         return log4cxx::Level::getInfo();
-    case LogLevel::Warning:
+    case LogThreshold::Warn:
         return log4cxx::Level::getWarn();
-    case LogLevel::Error:
+    case LogThreshold::Error:
         return log4cxx::Level::getError();
     }
     return log4cxx::Level::getInfo();
@@ -35,7 +37,7 @@
 
 }
 
-void configureLogging(LogLevel level, bool json)
+void configureLogging(LogThreshold level, bool json)
 {
     const auto appender = std::make_shared<log4cxx::ConsoleAppender>(makeLayout(json), log4cxx::ConsoleAppender::getSystemErr());
     log4cxx::BasicConfigurator::resetConfiguration();
--- a/Source/Telemetry/Log.h
+++ b/Source/Telemetry/Log.h
@@ -1,20 +1,15 @@
 #pragma once
 
+#include "Config/Settings.h"
+
 #include <memory>
 #include <string>
 #include <string_view>
 
 namespace Mangofall {
 
-enum class LogLevel {
-    Debug,
-    Info,
-    Warning,
-    Error,
-};
-
 /// Sets level and layout (one JSON object per line if \p json) of the process's log on standard error. Call once, before the first line.
-void configureLogging(LogLevel level, bool json);
+void configureLogging(LogThreshold level, bool json);
 
 /**
  * \class Log
--- a/Tests/Membership/GracefulStopTest.cpp
+++ b/Tests/Membership/GracefulStopTest.cpp
@@ -8,6 +8,7 @@
 #include <algorithm>
 
 using namespace Mangofall;
+using namespace Mangofall::Membership;
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
--- a/Tests/Membership/LimitDivisionTest.cpp
+++ b/Tests/Membership/LimitDivisionTest.cpp
@@ -13,6 +13,7 @@
 #include <set>
 
 using namespace Mangofall;
+using namespace Mangofall::Membership;
 using std::chrono::seconds;
 
 namespace {
--- a/Utilities/CMake/Targets.cmake
+++ b/Utilities/CMake/Targets.cmake
@@ -2,6 +2,8 @@
 
 add_library(MangofallOptions INTERFACE)
 target_compile_options(MangofallOptions INTERFACE -Wall -Wextra -Wpedantic -Werror)
+# GCC 12 reports the operator delete of Asio's coroutine frames wrongly.
+target_compile_options(MangofallOptions INTERFACE -Wno-mismatched-new-delete)
 target_include_directories(MangofallOptions INTERFACE "${PROJECT_SOURCE_DIR}/Source")
 target_compile_definitions(MangofallOptions INTERFACE BOOST_ASIO_NO_DEPRECATED BOOST_ASIO_DISABLE_BOOST_COROUTINE)
 
