Make the load plot's labels readable

Cause: gnuplot read the underscores of the bucket names as subscripts, so the labels overlapped, and the key covered the curves.

Change: the plot's terminal takes text literally and the key stands outside.

--- a/Utilities/Load/LoadReport.cpp
+++ b/Utilities/Load/LoadReport.cpp
@@ -109,11 +109,11 @@
 std::string LoadReport::plotScript(const std::string &dataFile, const std::string &svgFile)
 {
     std::ostringstream script;
-    script << "set terminal svg size 900,500\nset output '" << svgFile << "'\nset logscale y\nset style data linespoints\n"
-           << "set ylabel 'time to first token, ms of service time'\nset xlabel 'prompt tokens'\nset key left top\nset offsets 0.3, 0.3, 0, 0\nplot";
+    script << "set terminal svg size 900,500 noenhanced\nset output '" << svgFile << "'\nset logscale y\nset style data linespoints\n"
+           << "set ylabel 'time to first token, ms of service time'\nset xlabel 'prompt tokens'\nset key outside right\nset offsets 0.3, 0.3, 0, 0\nplot";
     for (std::size_t column = 0; column < plotShares.size(); ++column) {
         script << (column == 0 ? " '" : ", '") << dataFile << "' using 0:" << column + 2 << ":xtic(1) title 'p" << std::lround(plotShares[column] * 100)
-               << "' noenhanced";
+               << '\'';
     }
     script << '\n';
     return script.str();
