--- a/Source/Daemon/Main.cpp
+++ b/Source/Daemon/Main.cpp
@@ -1,3 +1,4 @@
+#include "Base/Hash.h"
 #include "Config/SettingsReader.h"
 #include "Daemon/ControlPlane.h"
 #include "Daemon/HostContext.h"
@@ -16,6 +17,7 @@
 
 struct Arguments {
     std::string config;
+    std::string hashKeyFile;
     bool check = false;
 };
 
@@ -24,7 +26,8 @@
 {
     TCLAP::CmdLine commandLine("Serves language model requests between callers and upstreams", ' ', MANGOFALL_VERSION);
     commandLine.setExceptionHandling(false);
-    TCLAP::ValueArg<std::string> config("c", "config", "Settings file (JSON with comments)", true, "", "FILE", commandLine);
+    TCLAP::ValueArg<std::string> config("c", "config", "Settings file (JSON with comments)", false, "", "FILE", commandLine);
+    TCLAP::ValueArg<std::string> hashKey("", "hash-key", "Print the hash of the key in FILE, for an organisation's apiKeyHash, and exit", false, "", "FILE", commandLine);
     TCLAP::SwitchArg check("", "check", "Validate the settings and exit", commandLine);
     try {
         commandLine.parse(argc, argv);
@@ -34,7 +37,11 @@
     } catch (const TCLAP::ExitException &exit) {
         std::exit(exit.getExitStatus());
     }
-    return Arguments{config.getValue(), check.getValue()};
+    if (config.isSet() == hashKey.isSet()) {
+        std::cerr << "mangofalld: give either --config or --hash-key\n";
+        return std::nullopt;
+    }
+    return Arguments{config.getValue(), hashKey.getValue(), check.getValue()};
 }
 
 // The first line of the key file; empty if it cannot be read.
@@ -83,6 +90,10 @@
     if (!arguments) {
         return exitUsage;
     }
+    if (!arguments->hashKeyFile.empty()) {
+        std::cout << Mangofall::contentHash(readKey(arguments->hashKeyFile)) << '\n';
+        return 0;
+    }
     Mangofall::SettingsReader reader(arguments->config);
     const std::optional<Mangofall::Settings> settings = reader.read();
     if (!settings) {
