--- /dev/null
+++ b/Source/Ctl/CtlOptions.cpp
@@ -0,0 +1,115 @@
+#include "Ctl/CtlOptions.h"
+
+#include "Config/TextRule.h"
+
+#include <tclap/CmdLine.h>
+
+#include <charconv>
+#include <limits>
+#include <utility>
+
+namespace Mangofall {
+
+namespace {
+
+const char *const usage = "usage: mangofallctl --key-file FILE [--server ADDRESS:PORT] [--json] [--wait DURATION] [--change-id ID] COMMAND\n"
+                          "commands:\n"
+                          "  status\n"
+                          "  preset list | preset show NAME | preset put FILE | preset use NAME\n"
+                          "  drain datacentre|host|upstream ID\n"
+                          "  restore datacentre|host|upstream ID\n"
+                          "  apply FILE\n"
+                          "  orders list | orders show KEY | orders unresolved\n"
+                          "  limits\n"
+                          "  config history\n";
+
+std::optional<NetworkAddress> parseServer(const std::string &text)
+{
+    const std::size_t colon = text.rfind(':');
+    if (colon == std::string::npos) {
+        return std::nullopt;
+    }
+    NetworkAddress address{text.substr(0, colon), 0};
+    if (address.address.starts_with('[') && address.address.ends_with(']')) {
+        address.address = address.address.substr(1, address.address.size() - 2);
+    }
+    const auto result = std::from_chars(text.data() + colon + 1, text.data() + text.size(), address.port);
+    const bool whole = result.ec == std::errc() && result.ptr == text.data() + text.size() && address.port > 0;
+    return whole && ipAddressRule.accepts(address.address) ? std::optional(address) : std::nullopt;
+}
+
+CtlParseResult badUse(std::ostream &errors, const std::string &message)
+{
+    errors << "mangofallctl: " << message << '\n' << usage;
+    return {std::nullopt, CtlStatus::BadUse};
+}
+
+}
+
+std::optional<Duration> parseDuration(const std::string &text)
+{
+    std::uint32_t value = 0;
+    const auto result = std::from_chars(text.data(), text.data() + text.size(), value);
+    if (result.ec != std::errc()) {
+        return std::nullopt;
+    }
+    const std::string unit(result.ptr, text.data() + text.size());
+    if (unit == "ms") {
+        return std::chrono::milliseconds(value);
+    }
+    if (unit == "s") {
+        return std::chrono::seconds(value);
+    }
+    return unit == "m" ? std::optional<Duration>(std::chrono::minutes(value)) : std::nullopt;
+}
+
+CtlParseResult parseCtlOptions(std::vector<std::string> arguments, std::ostream &output, std::ostream &errors)
+{
+    CtlOptions options;
+    std::string server;
+    std::string wait;
+    try {
+        TCLAP::CmdLine command("Operate a mangofall fleet", ' ', "0.1.0", false);
+        command.setExceptionHandling(false);
+        TCLAP::ValueArg<std::string> serverArg("", "server", "operators' listener of a daemon", false, "127.0.0.1:8081", "ADDRESS:PORT", command);
+        TCLAP::ValueArg<std::string> keyArg("", "key-file", "file with the operators' key", false, "", "FILE", command);
+        TCLAP::ValueArg<std::string> idArg("", "change-id", "id of a change that is repeated", false, "", "ID", command);
+        TCLAP::ValueArg<std::string> waitArg("", "wait", "wait until every live host has the change", false, "", "DURATION", command);
+        TCLAP::SwitchArg jsonArg("", "json", "print the daemon's answer as JSON", command);
+        TCLAP::SwitchArg helpArg("h", "help", "print the usage", command);
+        TCLAP::UnlabeledMultiArg<std::string> wordsArg("command", "subcommand and its arguments", false, "COMMAND", command);
+        command.parse(arguments);
+        if (helpArg.getValue()) {
+            output << usage;
+            return {std::nullopt, CtlStatus::Success};
+        }
+        server = serverArg.getValue();
+        wait = waitArg.getValue();
+        options.keyFile = keyArg.getValue();
+        options.changeId = idArg.getValue();
+        options.json = jsonArg.getValue();
+        options.words = wordsArg.getValue();
+    } catch (const TCLAP::ArgException &error) {
+        return badUse(errors, error.argId() + ": " + error.error());
+    }
+    const std::optional<NetworkAddress> address = parseServer(server);
+    if (!address.has_value()) {
+        return badUse(errors, "--server: found \"" + server + "\", allowed: a numeric address and a port, such as 127.0.0.1:8081");
+    }
+    options.server = *address;
+    if (options.keyFile.empty()) {
+        return badUse(errors, "--key-file is required");
+    }
+    if (!options.changeId.empty() && !identifierRule.accepts(options.changeId)) {
+        return badUse(errors, "--change-id: found \"" + options.changeId + "\", allowed: " + identifierRule.allowed);
+    }
+    if (!wait.empty()) {
+        options.wait = parseDuration(wait);
+        if (!options.wait.has_value()) {
+            return badUse(errors, "--wait: found \"" + wait + "\", allowed: a number with unit ms, s or m");
+        }
+    }
+    return {std::move(options), CtlStatus::Success};
+}
+
+}
