Close gaps in the tests of Routing and Admission

The recovery test measured the wait in the dispatcher's queue, which was 0 s before and after because the backlog stood in the engine.

--- a/Tests/Admission/DispatcherLoadTest.cpp
+++ b/Tests/Admission/DispatcherLoadTest.cpp
@@ -19,7 +19,6 @@
 
 struct Outcome {
     QueuedAttempt attempt;
-    std::optional<TimePoint> sent;
     std::optional<TimePoint> finished;
     std::optional<ErrorKind> refused;
 
@@ -56,7 +55,7 @@
         attempt.lengthClass = lengthClass;
         attempt.arrival = now;
         attempt.deadline = now + deadline;
-        outcomes.push_back({attempt, {}, {}, {}});
+        outcomes.push_back({attempt, {}, {}});
         apply(DispatcherEvent::Enqueued{attempt});
     }
 
@@ -84,7 +83,6 @@
         }
         for (const DispatcherOutput &action : m_dispatcher.handle(now, event)) {
             if (const auto *send = std::get_if<DispatcherAction::Send>(&action)) {
-                outcomes[send->attempt.sequence].sent = now;
                 m_engine.add(outcomes[send->attempt.sequence].attempt, send->enginePriority);
             } else if (const auto *refuse = std::get_if<DispatcherAction::Refuse>(&action)) {
                 outcomes[refuse->attempt.sequence].refused = refuse->kind;
@@ -151,39 +149,45 @@
     });
 }
 
-// Guards against a metastable overload: waits or losses that remain after the load has returned to normal.
+// Guards against a metastable overload: delays or losses that remain after the load has returned to normal.
 TEST(DispatcherLoadTest, RecoversAfterADoubledLoad)
 {
-    Testing::checkProperty("waits and goodput return after a doubled load", [] {
-        RandomEngine random(*rc::gen::arbitrary<std::uint64_t>());
+    Testing::checkProperty("times and goodput return after a doubled load", [] {
+        const auto seed = *rc::gen::arbitrary<std::uint64_t>();
         Load load;
-        const auto phase = [&](double share, Duration duration) {
+        const auto phase = [&](RandomEngine &random, double share, Duration duration) {
             const std::size_t first = load.outcomes.size();
             load.run(duration, [&] {
                 offerShort(load, random, "o", share, 5s);
             });
             return std::pair(first, load.outcomes.size());
         };
-        phase(0.7, 30s);
-        const auto before = phase(0.7, 60s);
-        const auto during = phase(1.4, 60s);
-        phase(0.7, 10s);
-        const auto after = phase(0.7, 60s);
-        phase(0, 10s);
+        // The same arrivals before and after. A backlog of the 5 s up to the deadline drains within 17 s at 70% load.
+        const auto normal = [&] {
+            RandomEngine random(seed);
+            phase(random, 0.7, 30s);
+            return phase(random, 0.7, 60s);
+        };
+        const auto before = normal();
+        RandomEngine random(seed + 1);
+        const auto during = phase(random, 1.4, 60s);
+        const auto after = normal();
+        phase(random, 0, 10s);
         const auto figures = [&](std::pair<std::size_t, std::size_t> range) {
             double inTime = 0;
-            Seconds wait{0};
+            Seconds time{0};
             for (std::size_t index = range.first; index < range.second; ++index) {
                 const Outcome &outcome = load.outcomes[index];
                 inTime += outcome.inTime() ? 1 : 0;
-                wait += outcome.sent.value_or(outcome.attempt.deadline) - outcome.attempt.arrival;
+                time += outcome.finished.value_or(outcome.attempt.deadline) - outcome.attempt.arrival;
             }
-            return std::pair(inTime / static_cast<double>(range.second - range.first), wait.count() / static_cast<double>(range.second - range.first));
+            return std::pair(inTime / static_cast<double>(range.second - range.first), time.count() / static_cast<double>(range.second - range.first));
         };
-        RC_LOG() << "goodput, mean wait in s: before " << figures(before).first << ", " << figures(before).second << "; during " << figures(during).first
-                 << ", " << figures(during).second << "; after " << figures(after).first << ", " << figures(after).second;
+        RC_LOG() << "goodput, mean time to the last token in s: before " << figures(before).first << ", " << figures(before).second << "; during "
+                 << figures(during).first << ", " << figures(during).second << "; after " << figures(after).first << ", " << figures(after).second;
         RC_ASSERT(figures(during).first >= 0.6);
-        RC_ASSERT(figures(after).first >= figures(before).first - 0.02);
-        RC_ASSERT(figures(after).second <= 2 * figures(before).second + 0.05);
+        RC_ASSERT(figures(after).first >= figures(before).first - 0.005);
+        RC_ASSERT(figures(during).second >= 2 * figures(before).second);
+        RC_ASSERT(figures(after).second <= 1.05 * figures(before).second);
     });
 }
--- a/Tests/Admission/OrganisationLimiterTest.cpp
+++ b/Tests/Admission/OrganisationLimiterTest.cpp
@@ -51,6 +51,19 @@
     });
 }
 
+// Guards against a bucket that saves up requests without bound while the organisation is idle.
+TEST(OrganisationLimiterTest, IdleTimeSavesUpOneSecondAtMost)
+{
+    const OrganisationId organisation("o");
+    OrganisationLimiter limiter;
+    limiter.setShare(TimePoint(), organisation, 5, 0);
+    const TimePoint now(std::chrono::hours(1));
+    for (int count = 0; count < 5; ++count) {
+        CHECK(limiter.admit(now, organisation, 1) == ErrorKind::None);
+    }
+    CHECK(limiter.admit(now, organisation, 1) == ErrorKind::RateLimited);
+}
+
 // Guards against a limiter that never admits again, and against limits for an organisation without any.
 TEST(OrganisationLimiterTest, RefillsAndLeavesUnlimitedAlone)
 {
--- a/Tests/Admission/UpstreamDispatcherTest.cpp
+++ b/Tests/Admission/UpstreamDispatcherTest.cpp
@@ -275,7 +275,38 @@
 
 }
 
-TEST_GROUP(UpstreamDispatcherTest){};
+TEST_GROUP(UpstreamDispatcherTest)
+{
+    TimePoint now;
+
+    /// Reports the upstream's first run; the uptime follows the clock.
+    static DispatcherInput report(TimePoint at, std::uint32_t running)
+    {
+        return DispatcherEvent::LoadReported{1, at - TimePoint(), running, 0, 0s};
+    }
+
+    static QueuedAttempt makeAttempt(std::uint64_t sequence, LengthClass lengthClass, std::uint64_t tokens)
+    {
+        QueuedAttempt attempt;
+        attempt.attempt.sequence = sequence;
+        attempt.lengthClass = lengthClass;
+        attempt.promptTokens = tokens;
+        attempt.uncachedTokens = tokens;
+        attempt.deadline = TimePoint(1h);
+        return attempt;
+    }
+
+    /// Runs \p count short prompts one after the other, 100 ms each.
+    void warmUp(UpstreamDispatcher & dispatcher, std::uint64_t count)
+    {
+        for (std::uint64_t sequence = 1'000; sequence < 1'000 + count; ++sequence) {
+            dispatcher.handle(now, DispatcherEvent::Enqueued{makeAttempt(sequence, LengthClass::Short, 1'000)});
+            now += 100ms;
+            dispatcher.handle(now, DispatcherEvent::FirstToken{{0, 0, sequence}});
+            dispatcher.handle(now, DispatcherEvent::Finished{{0, 0, sequence}});
+        }
+    }
+};
 
 // Guards against sends over a cap or in a state that takes no work, against lost or doubled ends, and against a takeover
 // that exceeds the cold cap together with the former owner.
@@ -353,3 +384,79 @@
     CHECK(std::get<DispatcherAction::Refuse>(evicted.at(0)).kind == ErrorKind::QueueFull);
     LONGS_EQUAL(4, dispatcher.summary().queuedRequests);
 }
+
+// Guards against sends on top of requests that the upstream still runs although nobody here knows them.
+TEST(UpstreamDispatcherTest, UnexplainedRequestsTakeUpTheCap)
+{
+    UpstreamDispatcher dispatcher(makeSpec(), Preset{});
+    dispatcher.handle(now, report(now, 2));
+    LONGS_EQUAL(2, dispatcher.unexplainedRequests());
+    CHECK(dispatcher.handle(now, DispatcherEvent::Enqueued{makeAttempt(1, LengthClass::Short, 10)}).empty());
+    now += 10s;
+    LONGS_EQUAL(1, dispatcher.handle(now, report(now, 0)).size());
+    LONGS_EQUAL(1, dispatcher.inFlight().size());
+}
+
+// Guards against a slot that is lost for good when the upstream never confirms a cancel, and against freeing it early.
+TEST(UpstreamDispatcherTest, UnconfirmedCancelIsReleasedByReports)
+{
+    UpstreamDispatcher dispatcher(makeSpec(), Preset{});
+    dispatcher.handle(now, DispatcherEvent::Enqueued{makeAttempt(1, LengthClass::Short, 10)});
+    dispatcher.handle(now, DispatcherEvent::CancelRequested{{0, 0, 1}});
+    now += 3s;
+    dispatcher.handle(now, report(now, 1));
+    LONGS_EQUAL(1, dispatcher.inFlight().size());
+    const auto released = dispatcher.handle(now, report(now, 0));
+    CHECK_FALSE(released.empty());
+    CHECK(std::get<DispatcherAction::Refuse>(released.back()).kind == ErrorKind::Cancelled);
+    LONGS_EQUAL(0, dispatcher.inFlight().size());
+}
+
+// Guards against caps that ignore an upstream that became slow.
+TEST(UpstreamDispatcherTest, LateFirstTokenShrinksTheCaps)
+{
+    UpstreamDispatcher dispatcher(makeSpec(), Preset{});
+    warmUp(dispatcher, 40);
+    const Caps before = dispatcher.summary().caps;
+    LONGS_EQUAL(8, before.requests);
+    dispatcher.handle(now, DispatcherEvent::Enqueued{makeAttempt(1, LengthClass::Short, 1'000)});
+    now += 5s;
+    dispatcher.handle(now, DispatcherEvent::FirstToken{{0, 0, 1}});
+    const Caps after = dispatcher.summary().caps;
+    CHECK(after.requests < before.requests && after.prefillTokens < before.prefillTokens);
+    dispatcher.handle(now, DispatcherEvent::Finished{{0, 0, 1}});
+    CHECK(dispatcher.summary().caps == after);
+}
+
+// Guards against medium prompts that wait as long as short ones keep coming.
+TEST(UpstreamDispatcherTest, MediumPromptOvertakesShortOnesAfterAProportionateWait)
+{
+    UpstreamDispatcher dispatcher(makeSpec(), Preset{});
+    for (std::uint64_t sequence = 1; sequence <= 2; ++sequence) {
+        dispatcher.handle(now, DispatcherEvent::Enqueued{makeAttempt(sequence, LengthClass::Short, 10)});
+    }
+    dispatcher.handle(now, DispatcherEvent::Enqueued{makeAttempt(3, LengthClass::Medium, 1'000)});
+    now += 10s;
+    QueuedAttempt late = makeAttempt(4, LengthClass::Short, 100);
+    late.arrival = now - 100ms;
+    dispatcher.handle(now, DispatcherEvent::Enqueued{late});
+    const auto next = dispatcher.handle(now, DispatcherEvent::Finished{{0, 0, 1}});
+    CHECK_FALSE(next.empty());
+    LONGS_EQUAL(3, std::get<DispatcherAction::Send>(next.back()).attempt.sequence);
+}
+
+// Guards against a prefill cap that leaves out the former owner's prompts.
+TEST(UpstreamDispatcherTest, FormerOwnersPromptsTakeUpThePrefillCap)
+{
+    UpstreamDispatcher dispatcher(makeSpec(), Preset{});
+    dispatcher.handle(now, report(now, 2));
+    dispatcher.handle(now, DispatcherEvent::TakeoverBegan{2, 50'000});
+    dispatcher.handle(now, DispatcherEvent::HandOverReceived{{UpstreamId("u"), 1, {8, 60'000}, {{{1, 0, 1}, 20'000}, {{1, 0, 2}, 20'000}}}});
+    LONGS_EQUAL(8, dispatcher.summary().caps.requests);
+    dispatcher.handle(now, DispatcherEvent::Enqueued{makeAttempt(1, LengthClass::Medium, 15'000)});
+    dispatcher.handle(now, DispatcherEvent::Enqueued{makeAttempt(2, LengthClass::Medium, 15'000)});
+    LONGS_EQUAL(1, dispatcher.inFlight().size());
+    dispatcher.handle(now, DispatcherEvent::Finished{{1, 0, 1}});
+    dispatcher.handle(now, DispatcherEvent::Tick{});
+    LONGS_EQUAL(2, dispatcher.inFlight().size());
+}
--- a/Tests/Routing/UpstreamChooserTest.cpp
+++ b/Tests/Routing/UpstreamChooserTest.cpp
@@ -75,9 +75,14 @@
     std::vector<UpstreamView> views = {warmView("cached"), warmView("a"), warmView("b"), warmView("c"), warmView("d"), warmView("e"), warmView("f")};
     views[0].cachedTokens = 4'000;
     views[0].inFlightPrefillTokens[0] = 3'900;
-    CHECK(chooser->choose(shortRequest(), views, random) == UpstreamId("cached"));
+    // Repeated because the random candidates alone contain the cache holder only sometimes.
+    for (int count = 0; count < 50; ++count) {
+        CHECK(chooser->choose(shortRequest(), views, random) == UpstreamId("cached"));
+    }
     views[0].inFlightPrefillTokens[0] = 4'100;
-    CHECK(chooser->choose(shortRequest(), views, random) != UpstreamId("cached"));
+    for (int count = 0; count < 50; ++count) {
+        CHECK(chooser->choose(shortRequest(), views, random) != UpstreamId("cached"));
+    }
 }
 
 // Guards against short prompts behind long ones, and against idle long upstreams that serve nothing.
@@ -96,6 +101,11 @@
     longRequest.promptTokens = 300'000;
     longRequest.lengthClass = LengthClass::Long;
     CHECK(chooser->choose(longRequest, views, random) == UpstreamId("long"));
+    // 1,200,000 tokens of work against 300,000: beyond three times the estimate at the upstream for short ones.
+    views[0].inFlightPrefillTokens[indexOf(LengthClass::Long)] = 900'000;
+    views[1].inFlightPrefillTokens[0] = 0;
+    CHECK(chooser->choose(longRequest, views, random) == UpstreamId("short"));
+    views[0].inFlightPrefillTokens[indexOf(LengthClass::Long)] = 200'000;
     views[0].prefillCap = 20'000;
     CHECK(chooser->choose(longRequest, views, random) == UpstreamId("short"));
 }
