Test that the dispatcher's measured prefill rate converges

Cause: deadlines and ageing depend on the rate that the dispatcher measures from partly overlapping prompts, and no test read that rate.

Change: a property over short loads of 0.2 to 1.5 times the engine's rate with a long prompt every 4 to 12 s.

--- a/Tests/Admission/DispatcherLoadTest.cpp
+++ b/Tests/Admission/DispatcherLoadTest.cpp
@@ -72,6 +72,11 @@
         }
     }
 
+    LoadSummary summary() const
+    {
+        return m_dispatcher.summary();
+    }
+
     TimePoint now;
     std::vector<Outcome> outcomes; ///< By sequence number.
 
@@ -107,6 +112,27 @@
 
 TEST_GROUP(DispatcherLoadTest){};
 
+// Guards against a measured prefill rate that drifts with the load or with long prompts that are partly done.
+TEST(DispatcherLoadTest, MeasuredRateConverges)
+{
+    Testing::checkProperty("the measured rate is near the engine's", [] {
+        RandomEngine random(*rc::gen::arbitrary<std::uint64_t>());
+        const double share = *rc::gen::inRange(20, 150) / 100.0;
+        const int longEvery = *rc::gen::inRange(400, 1'200);
+        Load load;
+        for (int part = 0; part < 6; ++part) {
+            int steps = 0;
+            load.run(12s, [&] {
+                offerShort(load, random, "o", share, 10s);
+                if (++steps % longEvery == 0) {
+                    load.enqueue("o", LengthClass::Long, 100'000, 10min);
+                }
+            });
+            RC_ASSERT(std::abs(load.summary().prefillRate / engineRate - 1) < 0.2);
+        }
+    });
+}
+
 // Guards against a long prompt that starves behind short ones although the engine could finish it by its deadline.
 TEST(DispatcherLoadTest, LongPromptFinishesByItsDeadlineUnderSaturation)
 {
