--- a/Source/Orders/OrderActions.h
+++ b/Source/Orders/OrderActions.h
@@ -42,11 +42,12 @@
 };
 
 enum class DecisionResult {
-    Accepted, ///< It is recorded next; an answer that the upstream gave meanwhile prevails.
-    NotUnknown, ///< The order is in progress, resolved, or not in this shard.
+    Recorded, ///< The decision is durable.
+    NotUnknown, ///< The order is in progress, resolved otherwise, or not in this shard.
+    NotOwner, ///< Ownership was lost before the decision was durable; it may be repeated at the new owner.
 };
 
-/// Answers OperatorDecided.
+/// Answers OperatorDecided, once the decision is durable or cannot become so here.
 struct DecisionAnswered {
     OrderKey key;
     DecisionResult result = DecisionResult::NotUnknown;
--- a/Source/Orders/OrderProcessor.cpp
+++ b/Source/Orders/OrderProcessor.cpp
@@ -111,6 +111,7 @@
     ProcessorActions actions;
     if (m_phase == Phase::Recording) {
         answerAll(event.resolution, actions);
+        answerOperator(event.resolution.source == ResolutionSource::Operator ? DecisionResult::Recorded : DecisionResult::NotUnknown, actions);
         m_phase = Phase::Finished;
     }
     return actions;
@@ -156,8 +157,8 @@
         actions.emplace_back(DecisionAnswered{event.key, DecisionResult::NotUnknown});
         return actions;
     }
+    m_operatorWaits = true;
     resolve({event.ran, ResolutionSource::Operator, event.outcome}, actions);
-    actions.emplace_back(DecisionAnswered{event.key, DecisionResult::Accepted});
     return actions;
 }
 
@@ -170,6 +171,7 @@
     }
     const bool mayHaveRun = m_phase != Phase::Claiming && m_phase != Phase::Abandoned;
     answerAll(mayHaveRun ? ErrorKind::OrderUnknown : ErrorKind::NotReady, false, actions);
+    answerOperator(DecisionResult::NotOwner, actions);
     m_phase = m_phase == Phase::Sent || m_phase == Phase::Fenced ? Phase::Fenced : Phase::Finished;
     return actions;
 }
@@ -283,6 +285,13 @@
     });
 }
 
+void OrderProcessor::answerOperator(DecisionResult result, ProcessorActions &actions)
+{
+    if (std::exchange(m_operatorWaits, false)) {
+        actions.emplace_back(DecisionAnswered{m_claim.key, result});
+    }
+}
+
 void OrderProcessor::tickClaiming(TimePoint now, ProcessorActions &actions)
 {
     const bool anyWaits = std::any_of(m_callers.begin(), m_callers.end(), [&](const Caller &caller) {
--- a/Source/Orders/OrderProcessor.h
+++ b/Source/Orders/OrderProcessor.h
@@ -71,6 +71,7 @@
     void answerAll(ErrorKind error, bool notRun, ProcessorActions &actions);
     void answerAll(const OrderResolution &resolution, ProcessorActions &actions);
     void answerExpired(ErrorKind error, TimePoint now, ProcessorActions &actions);
+    void answerOperator(DecisionResult result, ProcessorActions &actions);
     void tickClaiming(TimePoint now, ProcessorActions &actions);
 
     OrderClaim m_claim;
@@ -81,6 +82,7 @@
     std::optional<TimePoint> m_statusAt; ///< Next status call.
     RetryDelay m_statusDelay;
     OrderResolution m_resolution;
+    bool m_operatorWaits = false; ///< An operator's decision is not answered yet.
 };
 
 }
--- a/Tests/Orders/OrderServiceTest.cpp
+++ b/Tests/Orders/OrderServiceTest.cpp
@@ -202,7 +202,10 @@
         LONGS_EQUAL(1, unknown.size());
         CHECK(unknown.front().claim.organisation == OrganisationId("org") && unknown.front().claim.service == ServiceId("orders"));
         CHECK(unknown.front().claim.upstream == UpstreamId("runner") && unknown.front().claim.claimedAt == WallTime(std::chrono::milliseconds(7)));
-        CHECK(find<DecisionAnswered>(next.run(next.service.handle(decision, next.now)))->result == DecisionResult::Accepted);
+        next.up = false;
+        CHECK(find<DecisionAnswered>(next.run(next.service.handle(decision, next.now))) == nullptr);
+        next.up = true;
+        CHECK(find<DecisionAnswered>(next.tick(seconds(3)))->result == DecisionResult::Recorded);
         CHECK(next.service.unknownOrders().empty());
         const OrderActions after = next.request("after");
         CHECK(find<SendOrder>(after) == nullptr);
