Use the Orders namespace in the orders benchmark

Cause: the benchmark was written before the types of Orders got a namespace. Change: one using directive.

--- a/Utilities/Benchmarks/OrdersBenchmark.cpp
+++ b/Utilities/Benchmarks/OrdersBenchmark.cpp
@@ -20,6 +20,7 @@
 #include <utility>
 
 using namespace Mangofall;
+using namespace Mangofall::Orders;
 
 namespace {
 
