--- a/Source/Membership/StoreLease.cpp
+++ b/Source/Membership/StoreLease.cpp
@@ -50,22 +50,29 @@
         m_oldestSent.reset();
     }
     if (!own) {
-        end(actions);
+        end(now, actions);
     }
     m_version = event.version;
     m_value = event.value;
+    m_nextPoll = now + m_settings.poll;
+    if (event.version == m_seenVersion) {
+        return;
+    }
     const Duration wait = event.version == 0 || own ? Duration::zero() : withDrift(event.value.wait);
+    m_seenVersion = event.version;
     m_takeOver = std::max(now + wait, m_until);
 }
 
 void StoreLease::onWritten(std::uint64_t version, TimePoint now, Actions &actions)
 {
     m_version = version;
+    m_seenVersion = version;
     m_value = m_written;
     const TimePoint sent = m_oldestSent.value_or(now);
     m_oldestSent.reset();
     if (m_value.holder != m_self) {
         m_takeOver = std::max(now + withDrift(m_value.wait), m_until);
+        m_nextPoll = now + m_settings.poll;
         return;
     }
     m_takeOver = std::max(now, m_until);
@@ -77,10 +84,13 @@
     }
 }
 
-void StoreLease::end(Actions &actions)
+void StoreLease::end(TimePoint now, Actions &actions)
 {
     if (m_holding) {
         m_holding = false;
+        // No new term starts while effects of this one may last. The holder knows their end only when it gives up the lease itself.
+        m_until = m_wanted ? m_until : std::min(m_until, std::max(m_lastUse, now));
+        m_takeOver = std::max(m_takeOver, m_until);
         actions.emplace_back(LeaseEnded{});
     }
 }
@@ -88,7 +98,7 @@
 void StoreLease::tick(TimePoint now, Actions &actions)
 {
     if (m_holding && (now >= m_until || !m_wanted)) {
-        end(actions);
+        end(now, actions);
     }
     if (m_calling || now < m_notBefore) {
         return;
@@ -114,6 +124,9 @@
     }
     if (now >= m_takeOver) {
         write({.holder = m_self, .incarnation = m_incarnation, .term = *m_version + 1, .wait = m_settings.successorWait}, now, actions);
+    } else if (now >= m_nextPoll) {
+        m_calling = true;
+        actions.emplace_back(ReadLease{m_key});
     }
 }
 
--- a/Source/Membership/StoreLease.h
+++ b/Source/Membership/StoreLease.h
@@ -20,6 +20,7 @@
     std::chrono::milliseconds renewal{10'000}; ///< Between renewals.
     std::chrono::milliseconds successorWait{30'000}; ///< At least the validity, or zero if a newer term excludes older ones by other means.
     std::chrono::milliseconds retry{1000}; ///< After a lost store call.
+    std::chrono::milliseconds poll{2000}; ///< Between reads while waiting for the holder, which may release the lease early.
     double clockDrift = 0.01; ///< Added to every wait on another host's expiry.
 };
 
@@ -98,7 +99,7 @@
 private:
     void onRead(const LeaseRead &event, TimePoint now, Actions &actions);
     void onWritten(std::uint64_t version, TimePoint now, Actions &actions);
-    void end(Actions &actions);
+    void end(TimePoint now, Actions &actions);
     void tick(TimePoint now, Actions &actions);
     void write(LeaseValue value, TimePoint now, Actions &actions);
     Duration withDrift(Duration wait) const;
@@ -114,7 +115,9 @@
     TimePoint m_lastUse;
     std::optional<std::uint64_t> m_version; ///< Version last seen; empty if it must be read again.
     LeaseValue m_value; ///< Value at that version.
+    std::optional<std::uint64_t> m_seenVersion; ///< Version since whose first sight the wait counts.
     TimePoint m_takeOver; ///< When the value seen may be replaced.
+    TimePoint m_nextPoll;
     LeaseValue m_written;
     std::uint64_t m_expected = 0; ///< Version that the unresolved writes replace.
     std::optional<TimePoint> m_oldestSent; ///< Earliest unresolved write; a successor may have seen its effect since then.
--- /dev/null
+++ b/Tests/Engines/Commands.cmake
@@ -0,0 +1,7 @@
+mangofall_add_test(EngineCommandsTest
+  SOURCES
+    CommandsTestCommander.cpp
+    CommandsTestWeightLoads.cpp
+  LINK MangofallEngineCommands
+  LABELS unit
+)
--- a/Tests/Membership/LimitDivisionTest.cpp
+++ b/Tests/Membership/LimitDivisionTest.cpp
@@ -13,6 +13,7 @@
 #include <set>
 
 using namespace Mangofall;
+using std::chrono::milliseconds;
 using std::chrono::seconds;
 
 namespace {
@@ -29,7 +30,7 @@
     settings.grantValidity = seconds(30);
     settings.reportInterval = seconds(12);
     settings.urgentInterval = seconds(2);
-    settings.authority = {.validity = seconds(60), .renewal = seconds(20), .successorWait = seconds(60), .retry = seconds(3)};
+    settings.authority = {.validity = seconds(60), .renewal = seconds(20), .successorWait = seconds(60), .retry = seconds(3), .poll = seconds(5)};
     return settings;
 }
 
@@ -317,11 +318,34 @@
     authority.handle(LeaseWanted{true, at(70)}, at(41));
     authority.handle(LeaseCallLost(), at(45));
     authority.handle(LeaseTick(), at(50));
-    LONGS_EQUAL_TEXT(0, authority.handle(LeaseRead{2, value}, at(51)).size(), "loans of the ended term may run until second 81");
-    const auto next = authority.handle(LeaseTick(), at(81));
+    LONGS_EQUAL_TEXT(0, authority.handle(LeaseRead{2, value}, at(51)).size(), "loans of the ended term may run until second 70");
+    CHECK(std::holds_alternative<ReadLease>(authority.handle(LeaseTick(), at(69)).at(0)));
+    const auto next = authority.handle(LeaseRead{2, value}, at(70));
     LONGS_EQUAL(3, std::get<WriteLease>(next[0]).value.term);
 }
 
+// Guards against a successor that waits out a lease which its holder has released, and one whose wait starts again at every read.
+TEST(LimitDivisionTest, SuccessorFollowsRelease)
+{
+    const LeaseSettings settings = settingsForTests().authority;
+    const auto takesOver = [&](bool released) {
+        StoreLease successor(nameOf(1), 1, limitAuthorityKey(0), settings);
+        TimePoint now{seconds(100)};
+        const TimePoint start = now;
+        const LeaseValue held{nameOf(0), 1, 1, seconds(60)};
+        auto actions = successor.handle(LeaseWanted{true, TimePoint()}, now);
+        while (now - start < seconds(200) && (actions.empty() || !std::holds_alternative<WriteLease>(actions[0]))) {
+            const bool late = released && now - start > seconds(7);
+            const LeaseRead answer = late ? LeaseRead{2, {HostId(), 0, 1, seconds(3)}} : LeaseRead{1, held};
+            actions = actions.empty() ? successor.handle(LeaseTick(), now) : successor.handle(answer, now);
+            now += milliseconds(100);
+        }
+        return now - start;
+    };
+    CHECK(takesOver(false) > seconds(60) && takesOver(false) < seconds(62));
+    CHECK(takesOver(true) > seconds(10) && takesOver(true) < seconds(16));
+}
+
 // Guards against loans that are lent again while their borrower may still use them, and against grants that overtake each other.
 TEST(LimitDivisionTest, LenderKeepsWhatBorrowerMayUse)
 {
