--- a/Source/Base/AttemptId.h
+++ b/Source/Base/AttemptId.h
@@ -1,12 +1,12 @@
 #pragma once
 
-#include <compare>
 #include <cstddef>
 #include <cstdint>
 #include <functional>
 #include <optional>
 #include <string>
 #include <string_view>
+#include <tuple>
 
 namespace Mangofall {
 
@@ -19,7 +19,13 @@
     std::uint64_t incarnation = 0; ///< Incarnation of the entry host's process.
     std::uint64_t sequence = 0; ///< Counter within the process.
 
-    friend auto operator<=>(const AttemptId &, const AttemptId &) = default;
+    friend bool operator==(const AttemptId &, const AttemptId &) = default;
+
+    // Not defaulted <=>, for the reason given in StrongId.
+    friend bool operator<(const AttemptId &left, const AttemptId &right)
+    {
+        return std::tie(left.host, left.incarnation, left.sequence) < std::tie(right.host, right.incarnation, right.sequence);
+    }
 };
 
 /// Formats \p id as three hexadecimal numbers joined by dashes.
--- a/Source/Base/StrongId.h
+++ b/Source/Base/StrongId.h
@@ -1,6 +1,5 @@
 #pragma once
 
-#include <compare>
 #include <functional>
 #include <ostream>
 #include <string>
@@ -34,7 +33,13 @@
         return m_value.empty();
     }
 
-    friend auto operator<=>(const StrongId &, const StrongId &) = default;
+    friend bool operator==(const StrongId &, const StrongId &) = default;
+
+    // Not defaulted <=>: clang-tidy 14 reports modernize-use-nullptr wherever an ordered container uses that.
+    friend bool operator<(const StrongId &left, const StrongId &right)
+    {
+        return left.m_value < right.m_value;
+    }
 
     friend std::ostream &operator<<(std::ostream &stream, const StrongId &id)
     {
--- a/Source/Daemon/CallerHandler.cpp
+++ b/Source/Daemon/CallerHandler.cpp
@@ -14,7 +14,10 @@
 
 #include <nlohmann/json.hpp>
 
+#include <array>
+#include <cctype>
 #include <charconv>
+#include <cstdio>
 
 namespace Mangofall {
 
@@ -31,6 +34,7 @@
 constexpr std::string_view jsonType = "application/json";
 constexpr std::string_view eventType = "text/event-stream";
 constexpr std::size_t maxRequestIdLength = 128;
+constexpr std::size_t maxIdempotencyKeyLength = 256;
 
 std::string errorBody(ErrorKind kind, bool notRun, const RequestId &id, std::string message)
 {
@@ -68,6 +72,24 @@
     return valid ? std::min(preset, std::chrono::milliseconds(value)) : preset;
 }
 
+// Organisations choose their keys independently, so the organisation is part of the key. The status call carries the
+// result in its path, so other characters than letters, digits, '_', '.' and '-' are percent-encoded.
+OrderKey qualifiedOrderKey(const OrganisationId &organisation, std::string_view key)
+{
+    std::string text = organisation.value() + ":";
+    for (const char character : key) {
+        const auto byte = static_cast<unsigned char>(character);
+        if (std::isalnum(byte) != 0 || character == '_' || character == '.' || character == '-') {
+            text += character;
+        } else {
+            std::array<char, 4> encoded{};
+            std::snprintf(encoded.data(), encoded.size(), "%%%02X", static_cast<unsigned>(byte));
+            text += encoded.data();
+        }
+    }
+    return OrderKey(text);
+}
+
 const char *nameOf(LengthClass lengthClass)
 {
     switch (lengthClass) {
@@ -303,6 +325,10 @@
         co_await refuse(exchange, ErrorKind::MissingIdempotencyKey, true, admitted.id);
         co_return;
     }
+    if (key.size() > maxIdempotencyKeyLength) {
+        co_await refuse(exchange, ErrorKind::MalformedRequest, true, admitted.id, "the Idempotency-Key has more than 256 characters");
+        co_return;
+    }
     RequestProfile profile;
     profile.service = route.service;
     profile.idempotent = false;
@@ -313,14 +339,14 @@
     }
     OrderSubmission order;
     order.caller = RequestId(toString(m_worker.newAttempt()));
-    order.key = OrderKey(admitted.organisation->id.value() + "/" + route.pathPrefix + "/" + key);
+    order.key = qualifiedOrderKey(admitted.organisation->id, key);
     order.organisation = admitted.organisation->id;
     order.route = route;
     order.upstream = choice->upstream;
     order.method = std::string(exchange.request().method_string());
     order.target = std::string(exchange.request().target());
     order.body = std::move(exchange.request().body());
-    order.headers = {{"content-type", std::string(exchange.header("content-type"))}, {"idempotency-key", key}};
+    order.headers = {{"content-type", std::string(exchange.header("content-type"))}, {"idempotency-key", order.key.value()}};
     order.traceParent = toHeader(admitted.trace);
     order.deadline = std::chrono::steady_clock::now() + deadlineOf(exchange, route.deadline);
     const TrafficWorker::SessionGuard guard(m_worker, order.deadline);
--- a/Source/Daemon/OrderRuntime.cpp
+++ b/Source/Daemon/OrderRuntime.cpp
@@ -364,8 +364,8 @@
 
 void OrderRuntime::on(std::uint32_t, const DecisionAnswered &action)
 {
-    const bool accepted = action.result == DecisionResult::Accepted;
-    m_log.info("The operator's decision on order " + action.key.value() + (accepted ? " is recorded." : " has no effect: the order is not unknown."));
+    const bool recorded = action.result == DecisionResult::Recorded;
+    m_log.info("The operator's decision on order " + action.key.value() + (recorded ? " is recorded." : " is not recorded."));
 }
 
 void OrderRuntime::on(std::uint32_t shard, const OwnershipConfirmed &action)
