--- a/Source/Admission/LimitDivision.h
+++ b/Source/Admission/LimitDivision.h
@@ -44,10 +44,10 @@
     std::chrono::seconds urgentInterval{10}; ///< Least time between reports caused by new demand or by a missing answer.
     /// Lease on each group's authority. Store outages shorter than validity less renewal have no effect.
     Membership::LeaseSettings authority{.validity = std::chrono::seconds(900),
-                            .renewal = std::chrono::seconds(300),
-                            .successorWait = std::chrono::seconds(900),
-                            .retry = std::chrono::seconds(10),
-                            .poll = std::chrono::seconds(30)};
+                                        .renewal = std::chrono::seconds(300),
+                                        .successorWait = std::chrono::seconds(900),
+                                        .retry = std::chrono::seconds(10),
+                                        .poll = std::chrono::seconds(30)};
     std::uint32_t groups = 1024; ///< About one per host at 810 hosts, so that no host serves many.
     std::uint32_t maxHosts = 1024; ///< Hosts that may run at the same time; 810 plus replacements.
     std::uint32_t floorPercent = 20; ///< Part of each limit that is divided equally without loans.
--- a/Source/Daemon/CallerHandler.cpp
+++ b/Source/Daemon/CallerHandler.cpp
@@ -215,6 +215,13 @@
     answer.makeBody = [request](std::string_view continuation) {
         return engineBody(*request, continuation);
     };
+    const std::uint64_t promptTokens = answer.profile.promptTokens;
+    const ErrorKind limited = m_worker.host().limits.admit(arrival, admitted.organisation->id, promptTokens);
+    if (limited != ErrorKind::None) {
+        co_await refuse(exchange, limited, true, admitted.id);
+        co_return;
+    }
+    const HostLimits::Admission admission(m_worker.host().limits, admitted.organisation->id, promptTokens);
     const std::string lengthClass = nameOf(answer.profile.lengthClass);
     AnswerSession session(m_worker, std::move(answer));
     exchange.watchForClose([&session] {
--- a/Source/Daemon/ConfigurationRuntime.cpp
+++ b/Source/Daemon/ConfigurationRuntime.cpp
@@ -238,10 +238,9 @@
                 feed(id, done);
             });
         } else if (const auto *write = std::get_if<WriteConfigurationKey>(&action)) {
-            m_store.compareAndSwap(
-                write->key, write->value, write->expectedVersion, StorePriority::Configuration, [this, id](const StoreWriteDone &done) {
-                    feed(id, done);
-                });
+            m_store.compareAndSwap(write->key, write->value, write->expectedVersion, StorePriority::Configuration, [this, id](const StoreWriteDone &done) {
+                feed(id, done);
+            });
         } else if (const auto *wake = std::get_if<WakeChangerAt>(&action)) {
             m_changes.at(id).wakeAt = wake->time;
         } else if (const auto *finished = std::get_if<ChangeFinished>(&action)) {
--- a/Source/Daemon/ControlPlane.cpp
+++ b/Source/Daemon/ControlPlane.cpp
@@ -2,6 +2,8 @@
 
 #include "Base/Hash.h"
 #include "Config/FleetJson.h"
+#include "Config/OperatorLists.h"
+#include "Config/OperatorStatus.h"
 #include "Daemon/TrafficWorker.h"
 #include "Daemon/WireAttempt.h"
 #include "Daemon/WireLoad.h"
@@ -95,16 +97,6 @@
     return host;
 }
 
-Json loadJson(const LoadSummary &load)
-{
-    return {{"upstream", load.upstream.value()},
-            {"state", nameOf(load.state)},
-            {"request_cap", load.caps.requests},
-            {"prefill_cap_tokens", load.caps.prefillTokens},
-            {"in_flight_requests", load.inFlightRequests},
-            {"queued_requests", load.queuedRequests}};
-}
-
 Wire::HandOverT toWireHandOver(const HandOverMessage &message)
 {
     Wire::HandOverT wire;
@@ -222,80 +214,67 @@
 
 Json ControlPlane::statusJson() const
 {
-    Json hosts = Json::array();
-    const auto self = m_membership.table().self();
-    const char *state = m_leaving ? "leaving" : "alive";
-    hosts.push_back(
-        {{"id", self.host.value()}, {"data_centre", self.dataCentre.value()}, {"state", state}, {"revision", m_configuration.replica().revision()}});
+    OperatorStatus status;
+    status.hostId = m_host.settings.hostId;
+    status.revision = m_configuration.replica().revision();
+    status.admitting = m_admitting && !m_leaving && !isOutOfService();
+    status.hosts.push_back({m_host.settings.hostId, m_host.settings.dataCentre, m_leaving ? "leaving" : "alive", status.revision});
     for (const auto &[id, record] : m_membership.table().hosts()) {
-        Json host = {{"id", id.value()}, {"data_centre", record.status.dataCentre.value()}, {"state", nameOf(record.status.state)}};
-        host["revision"] = record.status.revision;
-        hosts.push_back(std::move(host));
+        if (record.status.state != Membership::HostState::Listed) {
+            status.hosts.push_back({id, record.status.dataCentre, nameOf(record.status.state), record.status.revision});
+        }
     }
-    Json upstreams = Json::array();
-    for (const auto &[worker, loads] : m_loads) {
-        for (const LoadSummary &load : loads) {
-            upstreams.push_back(loadJson(load));
+    if (m_routing) {
+        const FleetConfiguration &configuration = m_routing->configuration();
+        status.presetInForce = configuration.presetInForce;
+        status.outOfService = configuration.outOfService;
+        for (const auto &[upstream, load] : m_knownLoads) {
+            const auto spec = configuration.upstreams.find(upstream);
+            if (spec != configuration.upstreams.end()) {
+                status.upstreams.push_back({upstream, spec->second.dataCentre, nameOf(load.state), load.inFlightRequests, load.caps.requests});
+            }
         }
     }
-    Json json;
-    json["host"] = self.host.value();
-    json["revision"] = m_configuration.replica().revision();
-    json["preset_in_force"] = m_routing ? m_routing->configuration().presetInForce.value() : "";
-    json["admitting"] = m_admitting && !m_leaving;
-    json["dispatching"] = m_membership.mayDispatch();
-    json["leaving"] = m_leaving;
-    json["hosts"] = std::move(hosts);
-    json["upstreams"] = std::move(upstreams);
-    return json;
+    return encodeOperatorStatus(status);
 }
 
 Json ControlPlane::configurationJson() const
 {
-    return m_routing ? encodeFleetConfiguration(m_routing->configuration()) : Json(nullptr);
+    return encodeFleetConfiguration(m_routing ? m_routing->configuration() : FleetConfiguration());
 }
 
 Json ControlPlane::historyJson() const
 {
-    Json changes = Json::array();
-    if (m_routing) {
-        const Json configuration = encodeFleetConfiguration(m_routing->configuration());
-        changes = configuration.value("recentChanges", Json::array());
-    }
-    Json json;
-    json["changes"] = std::move(changes);
-    return json;
+    return encodeHistory(m_routing ? m_routing->configuration().recentChanges : std::vector<RecentChange>());
 }
 
 Json ControlPlane::limitsJson() const
 {
-    Json limits = Json::array();
+    std::vector<OperatorLimit> limits;
     if (m_routing) {
+        const std::size_t hosts = m_host.limits.hosts();
         for (const auto &[id, organisation] : m_routing->configuration().organisations) {
-            Json limit = {{"organisation", id.value()}, {"weight", organisation.weight}};
-            limit["requests_per_second"] = organisation.requestsPerSecond;
-            limit["tokens_in_flight"] = organisation.tokensInFlight;
-            limits.push_back(std::move(limit));
+            OperatorLimit limit;
+            limit.organisation = id;
+            limit.requestsPerSecond = organisation.requestsPerSecond;
+            limit.requestsPerSecondHere = organisation.requestsPerSecond / static_cast<double>(hosts);
+            limit.tokensInFlight = organisation.tokensInFlight;
+            limit.tokensInFlightHere = organisation.tokensInFlight / hosts;
+            limit.tokensUsedHere = m_host.limits.tokensInFlight(id);
+            limit.refused = m_host.limits.refused(id);
+            limits.push_back(limit);
         }
     }
-    Json json;
-    json["limits"] = std::move(limits);
-    return json;
+    return encodeOperatorLimits(limits);
 }
 
 Json ControlPlane::ordersJson() const
 {
-    Json orders = Json::array();
+    std::vector<OperatorOrder> orders;
     for (const Orders::OrderRecord &record : m_orders.unresolved()) {
-        Json order = {{"key", record.claim.key.value()}, {"organisation", record.claim.organisation.value()}};
-        order["service"] = record.claim.service.value();
-        order["upstream"] = record.claim.upstream.value();
-        order["claimed_at_ms"] = record.claim.claimedAt.time_since_epoch().count();
-        orders.push_back(std::move(order));
+        orders.push_back({record.claim.key.value(), "unknown", m_host.settings.hostId, record.claim.claimedAt});
     }
-    Json json;
-    json["orders"] = std::move(orders);
-    return json;
+    return encodeOperatorOrders(orders);
 }
 
 void ControlPlane::submitOrder(OrderSubmission &&order, std::function<void(OrderAnswer)> answered)
@@ -321,7 +300,7 @@
 {
     Asio::post(m_context, [this, worker, loads = std::move(loads)] {
         for (const LoadSummary &load : loads) {
-            m_dataCentreLoads[load.upstream] = load;
+            m_knownLoads[load.upstream] = load;
         }
         m_loads[worker] = loads;
     });
@@ -349,6 +328,10 @@
 
 void ControlPlane::viewChanged(const std::vector<Membership::OwnershipMoved> &moves)
 {
+    if (m_membership.mayDispatch() && !m_dispatching) {
+        m_orders.confirmOwnership();
+    }
+    m_dispatching = m_membership.mayDispatch();
     noteMoves(moves);
     m_orders.ownershipMoved(moves);
     chooseWatchers();
@@ -377,9 +360,7 @@
     }
     const std::vector<LoadSummary> loads = decodeLoadReport(report);
     for (const LoadSummary &load : loads) {
-        if (isOfDataCentre(load.upstream)) {
-            m_dataCentreLoads[load.upstream] = load;
-        }
+        m_knownLoads[load.upstream] = load;
     }
     m_pool.updateLoads(loads);
 }
@@ -559,6 +540,9 @@
     snapshot->leaving = m_leaving && !m_accepting;
     snapshot->ready = snapshot->admitting && !m_leaving;
     snapshot->dispatching = m_membership.mayDispatch();
+    if (m_routing) {
+        m_host.limits.setShares(std::chrono::steady_clock::now(), m_routing->configuration(), snapshot->peers.size() + 1);
+    }
     m_pool.publish(snapshot);
 }
 
@@ -661,14 +645,13 @@
 std::string ControlPlane::dataCentreLoadReport() const
 {
     // A larger data centre's loads exceed the budget of the links; its upstreams' answers carry them instead.
-    if (m_dataCentreLoads.empty() || m_dataCentreLoads.size() > maxDigestLoads) {
-        return {};
-    }
     std::vector<LoadSummary> all;
-    for (const auto &[upstream, load] : m_dataCentreLoads) {
-        all.push_back(load);
+    for (const auto &[upstream, load] : m_knownLoads) {
+        if (isOfDataCentre(upstream)) {
+            all.push_back(load);
+        }
     }
-    return encodeLoadReport(all);
+    return all.empty() || all.size() > maxDigestLoads ? std::string() : encodeLoadReport(all);
 }
 
 bool ControlPlane::isOfDataCentre(const UpstreamId &upstream) const
--- a/Source/Daemon/ControlPlane.h
+++ b/Source/Daemon/ControlPlane.h
@@ -5,10 +5,10 @@
 #include "Daemon/ControlGateway.h"
 #include "Daemon/ControlLinks.h"
 #include "Daemon/HostContext.h"
-#include "Daemon/ScheduledStore.h"
 #include "Daemon/MembershipRuntime.h"
 #include "Daemon/OperatorHandler.h"
 #include "Daemon/OrderRuntime.h"
+#include "Daemon/ScheduledStore.h"
 #include "Daemon/TrafficPool.h"
 #include "Http/HttpListener.h"
 #include "Peer/PeerMessageHandler.h"
@@ -133,13 +133,14 @@
     TcpListener m_peerListener;
     std::map<std::shared_ptr<PeerConnection>, HostId> m_inbound;
     std::map<std::size_t, std::vector<LoadSummary>> m_loads;
-    std::map<UpstreamId, LoadSummary> m_dataCentreLoads;
+    std::map<UpstreamId, LoadSummary> m_knownLoads; ///< Latest load of every upstream that this host heard of.
     std::map<std::size_t, Activity> m_activity;
     std::map<UpstreamId, Takeover> m_takeovers;
     std::shared_ptr<const RoutingIndex> m_routing;
     bool m_admitting = false;
     bool m_leaving = false;
     bool m_accepting = true;
+    bool m_dispatching = true;
     TimePoint m_leavingSince;
     std::uint32_t m_ticks = 0;
 };
--- a/Source/Daemon/HostContext.h
+++ b/Source/Daemon/HostContext.h
@@ -2,6 +2,7 @@
 
 #include "Base/Ids.h"
 #include "Config/Settings.h"
+#include "Daemon/HostLimits.h"
 #include "Telemetry/Metrics.h"
 #include "Telemetry/SpanRecorder.h"
 
@@ -18,6 +19,7 @@
     std::uint64_t incarnation = 0; ///< Start time in microseconds, so that a restart has a higher one.
     Metrics metrics;
     SpanRecorder spans;
+    HostLimits limits;
 };
 
 }
--- a/Source/Daemon/Main.cpp
+++ b/Source/Daemon/Main.cpp
@@ -27,7 +27,8 @@
     TCLAP::CmdLine commandLine("Serves language model requests between callers and upstreams", ' ', MANGOFALL_VERSION);
     commandLine.setExceptionHandling(false);
     TCLAP::ValueArg<std::string> config("c", "config", "Settings file (JSON with comments)", false, "", "FILE", commandLine);
-    TCLAP::ValueArg<std::string> hashKey("", "hash-key", "Print the hash of the key in FILE, for an organisation's apiKeyHash, and exit", false, "", "FILE", commandLine);
+    TCLAP::ValueArg<std::string> hashKey(
+        "", "hash-key", "Print the hash of the key in FILE, for an organisation's apiKeyHash, and exit", false, "", "FILE", commandLine);
     TCLAP::SwitchArg check("", "check", "Validate the settings and exit", commandLine);
     try {
         commandLine.parse(argc, argv);
@@ -69,7 +70,7 @@
         return exitFailure;
     }
     const std::string spansFile = settings.spansFile ? settings.spansFile->string() : std::string();
-    HostContext host{settings, newIncarnation(), Metrics(), SpanRecorder(spansFile, "mangofalld", settings.hostId.value())};
+    HostContext host{settings, newIncarnation(), Metrics(), SpanRecorder(spansFile, "mangofalld", settings.hostId.value()), HostLimits()};
     ControlPlane control(host, key);
     if (const std::error_code error = control.listen()) {
         std::cerr << "mangofalld: cannot listen: " << error.message() << '\n';
--- a/Source/Daemon/OrderRuntime.cpp
+++ b/Source/Daemon/OrderRuntime.cpp
@@ -23,6 +23,7 @@
 using namespace Orders;
 
 constexpr std::chrono::milliseconds forwardInterval{1000};
+constexpr std::chrono::milliseconds notReadyDelay{100};
 constexpr std::chrono::milliseconds statusTimeout{2000};
 constexpr std::size_t maxStatusBytes = 1024UL * 1024;
 constexpr unsigned statusOk = 200;
@@ -186,6 +187,7 @@
     for (const std::uint32_t shard : shards) {
         feed(shard, OrderTick{});
     }
+    reclaim();
     std::vector<RequestId> waiting;
     for (const auto &[caller, pending] : m_calls) {
         if (!pending.submitted && pending.nextForward <= now) {
@@ -376,6 +378,7 @@
 
 void OrderRuntime::on(std::uint32_t shard, const OwnershipLost &)
 {
+    m_reclaim.insert(shard);
     m_log.warning("No longer owns ledger shard " + std::to_string(shard) + ".");
 }
 
@@ -408,6 +411,26 @@
     feed(shard, request);
 }
 
+void OrderRuntime::reclaim()
+{
+    // A shard that another host fenced while this one is still named its owner is taken again; views differ for a while only.
+    const std::set<std::uint32_t> shards = std::move(m_reclaim);
+    m_reclaim.clear();
+    for (const std::uint32_t shard : shards) {
+        const Membership::Owner *owner = m_environment.ownerOfShard(shard);
+        if (owner != nullptr && owner->host == m_host.settings.hostId) {
+            feed(shard, BecomeOwner{});
+        }
+    }
+}
+
+void OrderRuntime::confirmOwnership()
+{
+    for (const auto &[shard, service] : m_services) {
+        m_reclaim.insert(shard);
+    }
+}
+
 void OrderRuntime::forward(const HostId &owner, const RequestId &caller, Pending &pending)
 {
     const OrderSubmission &order = pending.order;
@@ -485,6 +508,14 @@
 
 void OrderRuntime::answer(const RequestId &caller, OrderAnswer result)
 {
+    const auto pending = m_calls.find(caller);
+    const TimePoint retryAt = std::chrono::steady_clock::now() + notReadyDelay;
+    if (result.error == ErrorKind::NotReady && pending != m_calls.end() && retryAt < pending->second.order.deadline) {
+        // The shard changes its owner; the ledger recognises the repeat.
+        pending->second.submitted = false;
+        pending->second.nextForward = retryAt;
+        return;
+    }
     const auto call = m_calls.extract(caller);
     if (call.empty()) {
         return;
--- a/Source/Daemon/OrderRuntime.h
+++ b/Source/Daemon/OrderRuntime.h
@@ -15,6 +15,7 @@
 #include <cstdint>
 #include <map>
 #include <memory>
+#include <set>
 #include <vector>
 
 namespace Mangofall {
@@ -53,6 +54,8 @@
     bool handle(const HostId &peer, const Wire::PeerMessageT &message);
     /// Periodic, every 100 ms.
     void tick(TimePoint now);
+    /// After a pause of this host: confirms the ownership of its shards in the store.
+    void confirmOwnership();
 
     /// Unknown orders of the shards that this host owns.
     std::vector<Orders::OrderRecord> unresolved() const;
@@ -93,6 +96,7 @@
     void answerOutcome(const RequestId &caller, const Orders::OrderOutcome &outcome);
     void handleOrder(const HostId &peer, const Wire::LedgerOrderT &message);
     void expire(TimePoint now);
+    void reclaim();
 
     boost::asio::io_context &m_context;
     HostContext &m_host;
@@ -104,6 +108,7 @@
     std::map<std::uint32_t, std::unique_ptr<Orders::OrderService>> m_services;
     Calls m_calls;
     std::map<std::uint64_t, RequestId> m_remoteCalls; ///< Calls to other owners by the number on the wire.
+    std::set<std::uint32_t> m_reclaim; ///< Shards whose ownership is confirmed with the next tick if it is still named here.
     std::uint64_t m_lastCall = 0;
     std::uint64_t m_lastCaller = 0;
 };
--- a/Source/Engines/EngineCommander.cpp
+++ b/Source/Engines/EngineCommander.cpp
@@ -6,9 +6,9 @@
 
 namespace {
 
-LeaseSettings leaseSettings(const EngineCommanderSettings &settings)
+Membership::LeaseSettings leaseSettings(const EngineCommanderSettings &settings)
 {
-    LeaseSettings lease = settings.lease;
+    Membership::LeaseSettings lease = settings.lease;
     // The engine itself keeps out the former owner's commands if it checks the token.
     lease.successorWait = settings.checksFencing ? std::chrono::milliseconds(0) : std::max(lease.successorWait, lease.validity);
     return lease;
@@ -80,19 +80,19 @@
             m_phase = Phase::ReadDue;
             m_notBefore = now + m_settings.readRetry;
         }
-    } else if (const auto *lease = std::get_if<LeaseEvent>(&event)) {
+    } else if (const auto *lease = std::get_if<Membership::LeaseEvent>(&event)) {
         applyLease(*lease, now, actions);
     } else {
-        applyLease(LeaseTick(), now, actions);
+        applyLease(Membership::LeaseTick(), now, actions);
     }
     next(now, actions);
     return actions;
 }
 
-void EngineCommander::applyLease(const LeaseEvent &event, TimePoint now, Actions &actions)
+void EngineCommander::applyLease(const Membership::LeaseEvent &event, TimePoint now, Actions &actions)
 {
-    for (const LeaseAction &action : m_lease.handle(event, now)) {
-        if (const auto *granted = std::get_if<LeaseGranted>(&action)) {
+    for (const Membership::LeaseAction &action : m_lease.handle(event, now)) {
+        if (const auto *granted = std::get_if<Membership::LeaseGranted>(&action)) {
             const bool sameTerm = m_phase != Phase::NoLease && granted->term == m_token;
             m_token = granted->term;
             m_until = granted->until;
@@ -100,7 +100,7 @@
                 m_phase = Phase::ReadDue;
                 m_notBefore = std::max(now, m_lastArrival);
             }
-        } else if (std::holds_alternative<LeaseEnded>(action)) {
+        } else if (std::holds_alternative<Membership::LeaseEnded>(action)) {
             m_phase = Phase::NoLease;
         } else {
             actions.emplace_back(action);
@@ -126,7 +126,7 @@
     const bool wanted = m_owner && !m_queue.empty();
     if (wanted != m_wanted) {
         m_wanted = wanted;
-        applyLease(LeaseWanted{wanted, m_lastArrival}, now, actions);
+        applyLease(Membership::LeaseWanted{wanted, m_lastArrival}, now, actions);
     }
     if (!wanted || now >= m_until) {
         return;
--- a/Source/Engines/EngineCommander.h
+++ b/Source/Engines/EngineCommander.h
@@ -54,7 +54,7 @@
                                     CommandLost,
                                     EngineStateRead,
                                     EngineStateLost,
-                                    LeaseEvent,
+                                    Membership::LeaseEvent,
                                     CommanderTick>;
 
 /// Send the command unless it is later than \c notAfter when the first byte would be written.
@@ -78,7 +78,7 @@
     CommandOutcome outcome = CommandOutcome::Done;
 };
 
-using CommanderAction = std::variant<LeaseAction, SendEngineCommand, ReadEngineState, CommandSettled>;
+using CommanderAction = std::variant<Membership::LeaseAction, SendEngineCommand, ReadEngineState, CommandSettled>;
 
 /**
  * \class EngineCommanderSettings
@@ -89,7 +89,7 @@
     std::chrono::milliseconds sendLimit{1000}; ///< From the decision to send a command until its first byte; later it is not sent.
     std::chrono::milliseconds commandLifetime{6000}; ///< From the decision until the command has arrived or never will; the connection is closed by then.
     std::chrono::milliseconds readRetry{1000};
-    LeaseSettings lease; ///< For an engine that checks the fencing token the successor's wait is not used.
+    Membership::LeaseSettings lease; ///< For an engine that checks the fencing token the successor's wait is not used.
 };
 
 /// Store key of the lease on the commands to \p engine.
@@ -121,14 +121,14 @@
         Sent,
     };
 
-    void applyLease(const LeaseEvent &event, TimePoint now, Actions &actions);
+    void applyLease(const Membership::LeaseEvent &event, TimePoint now, Actions &actions);
     void settleFirst(CommandOutcome outcome, Actions &actions);
     void abandon(Actions &actions);
     void next(TimePoint now, Actions &actions);
     bool isSent(std::uint64_t id) const;
 
     EngineCommanderSettings m_settings;
-    StoreLease m_lease;
+    Membership::StoreLease m_lease;
     Phase m_phase = Phase::NoLease;
     bool m_owner = false;
     bool m_wanted = false;
--- a/Tests/Engines/CommandsTestCommander.cpp
+++ b/Tests/Engines/CommandsTestCommander.cpp
@@ -12,6 +12,7 @@
 #include <map>
 
 using namespace Mangofall;
+using namespace Mangofall::Membership;
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
