Run prompts larger than one engine's memory over several engines

Cause: the daemon sent a prompt that exceeds the memory of every engine to one of them, which refused it. The planner, coordinator, reservation table and orphan collector existed as state machines without a runtime. While wiring them in, the watch for a caller's close was found to keep a pointer to the answer session for as long as the connection lived: a caller that closed after a refusal made the daemon call a destroyed session. With the session behind a virtual interface this was a segmentation fault.

Change: CallerHandler plans such a prompt and runs it through LongPromptSession, which drives the coordinator, sends ReservationCall to the dispatchers and dispatches each chain step as an attempt, so that it counts in the caps. EngineKvKeeper decides on one engine's memory for its dispatcher (reservations, orphans, restart of the engine, change of dispatcher, pause of the process); EngineKvRuntime makes its calls. Block ids name their owner, because engines list ids only. Cancelling an export names the attempt as the engine does. CallerHandler takes answers through AnswerSource, and the watch ends with the session.

Still open: a request of which only prompt plus max_tokens exceeds an engine is refused by the engine, and entry hosts do not know the engines' free memory.

--- a/Source/Daemon/AnswerSession.h
+++ b/Source/Daemon/AnswerSession.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "Daemon/AnswerSource.h"
 #include "Daemon/AttemptListener.h"
 #include "Daemon/EntryRouter.h"
 #include "Daemon/TrafficWorker.h"
@@ -41,7 +42,7 @@
  *
  * The caller's coroutine takes the pieces of the answer with next().
  */
-class AnswerSession : private AttemptListener
+class AnswerSession : public AnswerSource, private AttemptListener
 {
 public:
     /// \p worker must outlive the session.
@@ -50,21 +51,16 @@
     AnswerSession(const AnswerSession &) = delete;
     AnswerSession &operator=(const AnswerSession &) = delete;
 
-    /// The next piece of the answer; empty once it ended.
-    boost::asio::awaitable<std::optional<std::string>> next();
-
-    /// The caller is gone: cancels what runs.
-    void callerLeft();
-
-    /// Set once next() returned nothing.
-    ErrorKind error() const;
-    bool notRun() const;
+    boost::asio::awaitable<std::optional<std::string>> next() override;
+    void callerLeft() override;
+    ErrorKind error() const override;
+    bool notRun() const override;
 
     /// Status and content type that the upstream answered with; 0 before the answer began.
     unsigned upstreamStatus() const;
     const std::string &contentType() const;
-    std::uint64_t promptTokens() const;
-    std::uint32_t tokens() const;
+    std::uint64_t promptTokens() const override;
+    std::uint32_t tokens() const override;
 
 private:
     void handleAnswer(const Wire::PeerMessageT &message) override;
--- a/Source/Daemon/CallerHandler.cpp
+++ b/Source/Daemon/CallerHandler.cpp
@@ -3,6 +3,8 @@
 #include "Base/ErrorAnswer.h"
 #include "Base/Hash.h"
 #include "Daemon/AnswerSession.h"
+#include "Daemon/LongPromptRouting.h"
+#include "Daemon/LongPromptSession.h"
 #include "Daemon/TrafficWorker.h"
 #include "Http/HttpExchange.h"
 #include "Http/SseParser.h"
@@ -90,6 +92,18 @@
     return OrderKey(text);
 }
 
+// Tells the session when the caller closes the connection. The connection outlives the session, so the watch ends with the returned owner.
+std::shared_ptr<AnswerSource *> watchCaller(HttpExchange &exchange, AnswerSource &session)
+{
+    auto watched = std::make_shared<AnswerSource *>(&session);
+    exchange.watchForClose([weak = std::weak_ptr(watched)] {
+        if (const auto held = weak.lock()) {
+            (*held)->callerLeft();
+        }
+    });
+    return watched;
+}
+
 const char *nameOf(LengthClass lengthClass)
 {
     switch (lengthClass) {
@@ -222,20 +236,41 @@
         co_return;
     }
     const HostLimits::Admission admission(m_worker.host().limits, admitted.organisation->id, promptTokens);
+    if (exceedsEveryEngine(answer.profile.promptTokens, routing.upstreamsOf(request->model))) {
+        co_await handleLongPrompt(exchange, admitted, *request, std::move(answer));
+        co_return;
+    }
     const std::string lengthClass = nameOf(answer.profile.lengthClass);
     AnswerSession session(m_worker, std::move(answer));
-    exchange.watchForClose([&session] {
-        session.callerLeft();
-    });
-    if (request->stream) {
-        co_await streamAnswer(exchange, session, *request, admitted.id);
+    const auto watched = watchCaller(exchange, session);
+    co_await writeAnswer(exchange, session, *request, admitted.id);
+    recordSpan(admitted, "completion " + lengthClass, session.error());
+}
+
+Asio::awaitable<void> CallerHandler::handleLongPrompt(HttpExchange &exchange, const Admitted &admitted, const CompletionRequest &request, AnswerRequest answer)
+{
+    const std::vector<EngineMemory> engines = engineMemories(m_worker.snapshot(), request.model);
+    const LongPromptPlanResult result = LongPromptPlanner::plan(answer.profile.promptTokens, request.maxTokens, engines);
+    if (const auto *refusal = std::get_if<ErrorKind>(&result)) {
+        co_await refuse(exchange, *refusal, saysNotRun(*refusal, false), admitted.id);
+        co_return;
+    }
+    LongPromptSession session(m_worker, std::move(answer), std::get<LongPromptPlan>(result));
+    const auto watched = watchCaller(exchange, session);
+    co_await writeAnswer(exchange, session, request, admitted.id);
+    recordSpan(admitted, "completion on several engines", session.error());
+}
+
+Asio::awaitable<void> CallerHandler::writeAnswer(HttpExchange &exchange, AnswerSource &session, const CompletionRequest &request, const RequestId &id)
+{
+    if (request.stream) {
+        co_await streamAnswer(exchange, session, request, id);
     } else {
-        co_await collectAnswer(exchange, session, *request, admitted.id);
+        co_await collectAnswer(exchange, session, request, id);
     }
-    recordSpan(admitted, "completion " + lengthClass, session.error());
 }
 
-Asio::awaitable<void> CallerHandler::streamAnswer(HttpExchange &exchange, AnswerSession &session, const CompletionRequest &request, const RequestId &id)
+Asio::awaitable<void> CallerHandler::streamAnswer(HttpExchange &exchange, AnswerSource &session, const CompletionRequest &request, const RequestId &id)
 {
     std::uint64_t piece = 0;
     while (const std::optional<std::string> text = co_await session.next()) {
@@ -264,7 +299,7 @@
     }
 }
 
-Asio::awaitable<void> CallerHandler::collectAnswer(HttpExchange &exchange, AnswerSession &session, const CompletionRequest &request, const RequestId &id)
+Asio::awaitable<void> CallerHandler::collectAnswer(HttpExchange &exchange, AnswerSource &session, const CompletionRequest &request, const RequestId &id)
 {
     std::string text;
     while (const std::optional<std::string> piece = co_await session.next()) {
@@ -308,9 +343,7 @@
         return body;
     };
     AnswerSession session(m_worker, std::move(answer));
-    exchange.watchForClose([&session] {
-        session.callerLeft();
-    });
+    const auto watched = watchCaller(exchange, session);
     std::string body;
     while (const std::optional<std::string> piece = co_await session.next()) {
         body += *piece;
--- a/Source/Daemon/CallerHandler.h
+++ b/Source/Daemon/CallerHandler.h
@@ -12,7 +12,8 @@
 
 namespace Mangofall {
 
-class AnswerSession;
+class AnswerSource;
+struct AnswerRequest;
 class HttpExchange;
 class TrafficWorker;
 
@@ -41,8 +42,11 @@
 
     boost::asio::awaitable<void> route(HttpExchange &exchange, Admitted admitted);
     boost::asio::awaitable<void> handleCompletion(HttpExchange &exchange, const Admitted &admitted, CompletionKind kind);
-    boost::asio::awaitable<void> streamAnswer(HttpExchange &exchange, AnswerSession &session, const CompletionRequest &request, const RequestId &id);
-    boost::asio::awaitable<void> collectAnswer(HttpExchange &exchange, AnswerSession &session, const CompletionRequest &request, const RequestId &id);
+    /// Runs a prompt that is larger than the memory of each engine.
+    boost::asio::awaitable<void> handleLongPrompt(HttpExchange &exchange, const Admitted &admitted, const CompletionRequest &request, AnswerRequest answer);
+    boost::asio::awaitable<void> writeAnswer(HttpExchange &exchange, AnswerSource &session, const CompletionRequest &request, const RequestId &id);
+    boost::asio::awaitable<void> streamAnswer(HttpExchange &exchange, AnswerSource &session, const CompletionRequest &request, const RequestId &id);
+    boost::asio::awaitable<void> collectAnswer(HttpExchange &exchange, AnswerSource &session, const CompletionRequest &request, const RequestId &id);
     boost::asio::awaitable<void> handleModels(HttpExchange &exchange);
     boost::asio::awaitable<void> handlePlain(HttpExchange &exchange, const Admitted &admitted, const RouteSpec &route);
     boost::asio::awaitable<void> handleOrder(HttpExchange &exchange, const Admitted &admitted, const RouteSpec &route);
--- a/Source/Daemon/DispatcherRuntime.cpp
+++ b/Source/Daemon/DispatcherRuntime.cpp
@@ -70,9 +70,13 @@
     , m_environment(environment)
     , m_dispatcher(spec, preset)
     , m_pool(std::make_shared<UpstreamConnectionPool>(context, spec.address, spec.port))
-    , m_monitor(std::make_shared<UpstreamMonitor>(context, spec.address, spec.port, [this](const std::optional<DispatcherEvent::LoadReported> &report) {
-        reportLoad(report);
-    }))
+    , m_monitor(std::make_shared<UpstreamMonitor>(context,
+                                                  spec.address,
+                                                  spec.port,
+                                                  [this](const std::optional<DispatcherEvent::LoadReported> &report) {
+                                                      reportLoad(report);
+                                                  }))
+    , m_kv(spec.kind == UpstreamKind::Engine ? std::make_shared<EngineKvRuntime>(context, spec) : nullptr)
 {
     m_monitor->start();
 }
@@ -81,6 +85,9 @@
 {
     *m_alive = false;
     m_monitor->stop();
+    if (m_kv) {
+        m_kv->stop();
+    }
     for (auto &[attempt, leg] : m_legs) {
         if (leg.run) {
             leg.run->cancel();
@@ -157,9 +164,19 @@
     });
 }
 
+void DispatcherRuntime::handleReservation(const Wire::ReservationCallT &call, ReplyTarget &reply)
+{
+    if (m_kv) {
+        m_kv->handleReservation(call, reply, Clock::now());
+    }
+}
+
 void DispatcherRuntime::handle(const DispatcherInput &event)
 {
     const TimePoint now = Clock::now();
+    if (m_kv) {
+        m_kv->handle(event, now);
+    }
     process(m_dispatcher.handle(now, event));
     if (std::holds_alternative<DispatcherEvent::Tick>(event)) {
         cancelAbandoned(now);
@@ -204,6 +221,9 @@
     if (position == m_legs.end()) {
         return;
     }
+    if (m_kv) {
+        m_kv->stepAnswered(*position->second.dispatch, status, Clock::now());
+    }
     Wire::StreamStartT start;
     start.attempt = toWire(attempt);
     start.connection = connection;
@@ -285,13 +305,15 @@
 void DispatcherRuntime::on(const DispatcherAction::CancelUpstream &action)
 {
     const auto position = m_legs.find(action.attempt);
+    std::string name = toString(action.attempt);
     if (position != m_legs.end()) {
         if (position->second.run) {
             position->second.run->cancel();
         }
+        name = EngineKvRuntime::engineAttempt(*position->second.dispatch);
         m_legs.erase(position);
     }
-    stopAtUpstream(action.attempt);
+    stopAtUpstream(action.attempt, name);
 }
 
 void DispatcherRuntime::on(const DispatcherAction::StateChanged &action)
@@ -353,6 +375,9 @@
         return;
     }
     m_failedPolls = 0;
+    if (m_kv) {
+        m_kv->engineReported(report->epoch);
+    }
     if (!m_responsive) {
         m_responsive = true;
         handle(DispatcherEvent::ProbeSucceeded{});
@@ -376,17 +401,17 @@
     }
 }
 
-void DispatcherRuntime::stopAtUpstream(const AttemptId &attempt)
+void DispatcherRuntime::stopAtUpstream(const AttemptId &attempt, const std::string &name)
 {
     if (m_spec.kind == UpstreamKind::Service) {
         // Plain services have no cancel call; closing the connection is all that can be done.
         handle(DispatcherEvent::Finished{attempt});
         return;
     }
-    const auto stop = [this, attempt, pool = m_pool, alive = m_alive]() -> Asio::awaitable<void> {
+    const auto stop = [this, attempt, name, pool = m_pool, alive = m_alive]() -> Asio::awaitable<void> {
         constexpr unsigned httpVersion = 11;
         UpstreamCall call(pool, cancelTimeout);
-        UpstreamCall::Request request(BeastHttp::verb::delete_, std::string(attemptsPath) + toString(attempt), httpVersion);
+        UpstreamCall::Request request(BeastHttp::verb::delete_, std::string(attemptsPath) + name, httpVersion);
         std::string body;
         const bool confirmed = !co_await call.start(std::move(request)) && !co_await call.readAll(body, 64UL * 1024);
         if (*alive && confirmed) {
--- a/Source/Daemon/DispatcherRuntime.h
+++ b/Source/Daemon/DispatcherRuntime.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "Admission/UpstreamDispatcher.h"
+#include "Daemon/EngineKvRuntime.h"
 #include "Daemon/ReplyTarget.h"
 #include "Daemon/UpstreamMonitor.h"
 #include "Daemon/UpstreamRun.h"
@@ -35,6 +36,8 @@
     void handleFlow(const Wire::FlowT &flow);
     void handleProbe(std::uint64_t call, const std::shared_ptr<ReplyTarget> &reply);
 
+    void handleReservation(const Wire::ReservationCallT &call, ReplyTarget &reply);
+
     /// Feeds an event from outside: takeover, service changes, ticks.
     void handle(const DispatcherInput &event);
     void setPreset(const Preset &preset);
@@ -76,8 +79,8 @@
     void sendEnd(const Leg &leg, const RunResult &result, ErrorKind error);
     void reportLoad(const std::optional<DispatcherEvent::LoadReported> &report);
     void cancelAbandoned(TimePoint now);
-    /// Tells the upstream to stop an attempt; its end counts once the upstream confirmed it.
-    void stopAtUpstream(const AttemptId &attempt);
+    /// Tells the upstream to stop an attempt, there called \p name; its end counts once the upstream confirmed it.
+    void stopAtUpstream(const AttemptId &attempt, const std::string &name);
 
     boost::asio::io_context &m_context;
     UpstreamSpec m_spec;
@@ -85,6 +88,7 @@
     UpstreamDispatcher m_dispatcher;
     std::shared_ptr<UpstreamConnectionPool> m_pool;
     std::shared_ptr<UpstreamMonitor> m_monitor;
+    std::shared_ptr<EngineKvRuntime> m_kv; ///< Null for plain services.
     std::unordered_map<AttemptId, Leg> m_legs;
     std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
     bool m_outOfService = false;
--- /dev/null
+++ b/Source/Daemon/EngineKvKeeper.cpp
@@ -0,0 +1,112 @@
+#include "Daemon/EngineKvKeeper.h"
+
+#include <utility>
+
+namespace Mangofall {
+
+namespace {
+
+// Ticks come every 50 ms; peers take over from a host that is silent for longer than this.
+constexpr std::chrono::seconds maxPause{2};
+
+}
+
+EngineKvKeeper::EngineKvKeeper(std::uint64_t memoryTokens, ReservationLimits limits)
+    : m_memoryTokens(memoryTokens)
+    , m_limits(limits)
+    , m_orphans(limits.grace)
+{
+}
+
+void EngineKvKeeper::begin(TimePoint now)
+{
+    m_table.emplace(m_memoryTokens, now, m_limits);
+    m_orphans = OrphanCollector(m_limits.grace);
+    m_due.clear();
+    m_lost.clear();
+    m_lastEvent = now;
+}
+
+void EngineKvKeeper::end()
+{
+    m_table.reset();
+}
+
+bool EngineKvKeeper::isActive() const
+{
+    return m_table.has_value();
+}
+
+bool EngineKvKeeper::reserve(const ReserveMemory &event, TimePoint now)
+{
+    if (!checkActive(now) || m_lost.contains(event.owner)) {
+        return false;
+    }
+    bool granted = false;
+    for (const ReservationAction &action : m_table->handle(event, now)) {
+        if (const auto *answer = std::get_if<ReservationAnswered>(&action)) {
+            granted = answer->granted;
+        } else {
+            m_due.push_back(std::get<FreeBlock>(action).block);
+        }
+    }
+    return granted;
+}
+
+std::vector<KvBlock> EngineKvKeeper::release(const ReleaseMemory &event, TimePoint now)
+{
+    m_lost.erase(event.owner);
+    return checkActive(now) ? takeDue(m_table->handle(event, now)) : std::vector<KvBlock>();
+}
+
+std::vector<KvBlock> EngineKvKeeper::held(const BlockHeld &event, TimePoint now)
+{
+    return checkActive(now) ? takeDue(m_table->handle(event, now)) : std::vector<KvBlock>();
+}
+
+std::vector<KvBlock> EngineKvKeeper::listed(const std::vector<KvBlock> &blocks, TimePoint now)
+{
+    std::vector<KvBlock> due;
+    if (!checkActive(now)) {
+        return due;
+    }
+    for (FreeBlock &orphan : m_orphans.handle(HoldingsListed{blocks, m_table->owners()}, now)) {
+        due.push_back(std::move(orphan.block));
+    }
+    return due;
+}
+
+std::vector<KvBlock> EngineKvKeeper::tick(TimePoint now)
+{
+    return checkActive(now) ? takeDue(m_table->handle(ReservationTick{}, now)) : std::vector<KvBlock>();
+}
+
+void EngineKvKeeper::engineReported(std::uint64_t epoch)
+{
+    if (m_epoch != 0 && epoch != m_epoch && m_table) {
+        m_lost.merge(m_table->owners());
+    }
+    m_epoch = epoch;
+}
+
+bool EngineKvKeeper::checkActive(TimePoint now)
+{
+    if (m_table && now - m_lastEvent > maxPause) {
+        begin(now);
+    }
+    m_lastEvent = now;
+    return isActive();
+}
+
+std::vector<KvBlock> EngineKvKeeper::takeDue(const ReservationActions &actions)
+{
+    std::vector<KvBlock> due = std::exchange(m_due, {});
+    for (const ReservationAction &action : actions) {
+        if (const auto *freed = std::get_if<FreeBlock>(&action)) {
+            due.push_back(freed->block);
+        }
+    }
+    return due;
+}
+
+}
--- /dev/null
+++ b/Source/Daemon/EngineKvRuntime.h
@@ -0,0 +1,57 @@
+#pragma once
+
+#include "Admission/DispatcherEvents.h"
+#include "Config/UpstreamSpec.h"
+#include "Daemon/EngineKvKeeper.h"
+#include "Daemon/ReplyTarget.h"
+#include "Peer/PeerMessages_generated.h"
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/beast/http/verb.hpp>
+
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace Mangofall {
+
+/**
+ * \class EngineKvRuntime
+ * \brief Drives the EngineKvKeeper of one engine: answers reservation calls, lists the engine's blocks and frees them.
+ */
+class EngineKvRuntime : public std::enable_shared_from_this<EngineKvRuntime>
+{
+public:
+    EngineKvRuntime(boost::asio::io_context &context, const UpstreamSpec &spec);
+
+    /// No call is answered or made any more.
+    void stop();
+
+    /// Takes notice of the dispatcher's takeover, release and ticks.
+    void handle(const DispatcherInput &event, TimePoint now);
+    void handleReservation(const Wire::ReservationCallT &call, ReplyTarget &reply, TimePoint now);
+    void engineReported(std::uint64_t epoch);
+
+    /// The engine answered \p dispatch; a successful export or import made it hold a block.
+    void stepAnswered(const Wire::DispatchT &dispatch, unsigned status, TimePoint now);
+
+    /// Name under which the engine runs \p dispatch, as its cancel call needs it.
+    static std::string engineAttempt(const Wire::DispatchT &dispatch);
+
+private:
+    void free(const std::vector<KvBlock> &blocks);
+    boost::asio::awaitable<void> list();
+    /// The body of the answer; empty if the call failed.
+    boost::asio::awaitable<std::optional<std::string>> call(boost::beast::http::verb verb, std::string target);
+
+    boost::asio::io_context &m_context;
+    std::string m_address;
+    std::uint16_t m_port;
+    EngineKvKeeper m_keeper;
+    TimePoint m_nextList;
+    bool m_stopped = false;
+};
+
+}
--- /dev/null
+++ b/Source/Daemon/LongPromptSession.cpp
@@ -0,0 +1,359 @@
+#include "Daemon/LongPromptSession.h"
+
+#include "Base/ErrorAnswer.h"
+#include "Daemon/EngineKvBlocks.h"
+#include "Daemon/WireAttempt.h"
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include <nlohmann/json.hpp>
+
+#include <limits>
+#include <utility>
+
+namespace Mangofall {
+
+namespace {
+
+namespace Asio = boost::asio;
+
+constexpr std::chrono::milliseconds tickInterval{100};
+constexpr unsigned statusOk = 200;
+// The engine stops generating soon after reading stops, so a slow caller costs this many pieces and what is on the way.
+constexpr std::size_t maxWaitingPieces = 64;
+constexpr std::uint64_t stepConnection = 1;
+
+TimePoint now()
+{
+    return std::chrono::steady_clock::now();
+}
+
+const char *targetOf(ChainStepKind kind)
+{
+    switch (kind) {
+    case ChainStepKind::Import:
+        return "/kv/import";
+    case ChainStepKind::Export:
+        return "/kv/export";
+    case ChainStepKind::Prefill:
+    case ChainStepKind::Decode:
+        break;
+    }
+    return "/v1/completions";
+}
+
+}
+
+LongPromptSession::LongPromptSession(TrafficWorker &worker, AnswerRequest request, const LongPromptPlan &plan)
+    : m_worker(worker)
+    , m_request(std::move(request))
+    , m_guard(worker, m_request.profile.deadline)
+    , m_coordinator(plan, {worker.newAttempt(), worker.newAttempt()}, m_request.profile.deadline, ReservationLimits())
+    , m_wake(worker.context())
+    , m_ticker(worker.context())
+{
+    for (const LongPromptAction &action : m_coordinator.start(now())) {
+        std::visit(
+            [this](const auto &typed) {
+                on(typed);
+            },
+            action);
+    }
+    scheduleTick();
+}
+
+LongPromptSession::~LongPromptSession()
+{
+    callerLeft();
+    *m_alive = false;
+    for (const auto &[call, owner] : m_calls) {
+        m_worker.forgetProbe(call);
+    }
+}
+
+Asio::awaitable<std::optional<std::string>> LongPromptSession::next()
+{
+    while (m_pieces.empty() && !m_ended) {
+        m_wake.expires_at(TimePoint::max());
+        co_await m_wake.async_wait(Asio::as_tuple(Asio::use_awaitable));
+    }
+    if (m_pieces.empty()) {
+        co_return std::nullopt;
+    }
+    std::string piece = std::move(m_pieces.front());
+    m_pieces.pop_front();
+    if (m_pieces.empty() && m_paused) {
+        setPaused(false);
+    }
+    co_return piece;
+}
+
+void LongPromptSession::callerLeft()
+{
+    if (!m_ended) {
+        apply(CancelLongPrompt{});
+    }
+}
+
+ErrorKind LongPromptSession::error() const
+{
+    return m_error;
+}
+
+bool LongPromptSession::notRun() const
+{
+    return m_notRun;
+}
+
+std::uint64_t LongPromptSession::promptTokens() const
+{
+    return m_promptTokens;
+}
+
+std::uint32_t LongPromptSession::tokens() const
+{
+    return m_tokens;
+}
+
+void LongPromptSession::handleAnswer(const Wire::PeerMessageT &message)
+{
+    if (const Wire::ReservationAnswerT *answer = message.body.AsReservationAnswer()) {
+        const auto call = m_calls.extract(answer->call);
+        if (!call.empty()) {
+            apply(MemberAnswered{UpstreamId(answer->upstream), call.mapped(), answer->granted});
+        }
+    } else if (const Wire::StreamStartT *start = message.body.AsStreamStart()) {
+        if (m_running && fromWire(*start->attempt) == m_running->attempt) {
+            m_running->status = start->status;
+        }
+    } else if (const Wire::StreamDataT *data = message.body.AsStreamData()) {
+        handleData(*data);
+    } else if (const Wire::StreamEndT *end = message.body.AsStreamEnd()) {
+        handleEnd(*end);
+    }
+}
+
+void LongPromptSession::handleLinkBroken(const HostId &host)
+{
+    if (m_running && m_running->dispatcher == host) {
+        endStep(false);
+    }
+}
+
+void LongPromptSession::handleData(const Wire::StreamDataT &data)
+{
+    const bool isAnswer
+        = m_running && fromWire(*data.attempt) == m_running->attempt && m_running->step.kind == ChainStepKind::Decode && m_running->status == statusOk;
+    if (!isAnswer || data.index < m_tokens) {
+        return;
+    }
+    if (data.index > m_tokens) {
+        endStep(false);
+        return;
+    }
+    ++m_tokens;
+    m_pieces.emplace_back(data.data.begin(), data.data.end());
+    m_wake.cancel();
+    if (m_pieces.size() >= maxWaitingPieces && !m_paused) {
+        setPaused(true);
+    }
+}
+
+void LongPromptSession::handleEnd(const Wire::StreamEndT &end)
+{
+    if (!m_running || fromWire(*end.attempt) != m_running->attempt) {
+        return;
+    }
+    bool succeeded = end.outcome == Wire::StreamOutcome::Completed && m_running->status == statusOk;
+    if (m_running->step.kind == ChainStepKind::Decode) {
+        succeeded = succeeded && end.tokens == m_tokens;
+        m_promptTokens = end.prompt_tokens;
+        m_worker.router().observePrompt(m_request.profile.model, m_request.promptBytes, end.prompt_tokens);
+    }
+    m_stepError = static_cast<ErrorKind>(end.error);
+    m_worker.forget(m_running->attempt);
+    const RunningStep ended = *std::exchange(m_running, std::nullopt);
+    apply(ChainStepEnded{ended.step.segment.upstream, ended.step.owner, ended.step.kind, succeeded, ended.block});
+}
+
+void LongPromptSession::endStep(bool succeeded)
+{
+    const RunChainStep step = m_running->step;
+    cancelStep();
+    apply(ChainStepEnded{step.segment.upstream, step.owner, step.kind, succeeded, {}});
+}
+
+void LongPromptSession::apply(const Event &event)
+{
+    m_events.push_back(event);
+    if (m_applying) {
+        return;
+    }
+    m_applying = true;
+    while (!m_events.empty()) {
+        const Event next = std::move(m_events.front());
+        m_events.pop_front();
+        for (const LongPromptAction &action : decide(next)) {
+            std::visit(
+                [this](const auto &typed) {
+                    on(typed);
+                },
+                action);
+        }
+    }
+    m_applying = false;
+}
+
+LongPromptActions LongPromptSession::decide(const Event &event)
+{
+    if (const auto *answered = std::get_if<MemberAnswered>(&event)) {
+        return m_coordinator.handle(*answered, now(), m_worker.router().random());
+    }
+    if (const auto *ended = std::get_if<ChainStepEnded>(&event)) {
+        return m_coordinator.handle(*ended, now());
+    }
+    if (const auto *cancelled = std::get_if<CancelLongPrompt>(&event)) {
+        return m_coordinator.handle(*cancelled, now());
+    }
+    return m_coordinator.handle(LongPromptTick{}, now(), m_worker.router().random());
+}
+
+void LongPromptSession::on(const ReserveAt &action)
+{
+    Wire::ReservationCallT call;
+    call.operation = action.isRenewal ? Wire::ReservationOperation::Renew : Wire::ReservationOperation::Reserve;
+    call.upstream = action.upstream.value();
+    call.owner = toWire(action.owner);
+    call.tokens = action.tokens;
+    m_calls[m_worker.callReservation(std::move(call), *this)] = action.owner;
+}
+
+void LongPromptSession::on(const ReleaseAt &action)
+{
+    Wire::ReservationCallT call;
+    call.operation = Wire::ReservationOperation::Release;
+    call.upstream = action.upstream.value();
+    call.owner = toWire(action.owner);
+    m_worker.releaseReservation(std::move(call));
+}
+
+void LongPromptSession::on(const RunChainStep &action)
+{
+    if (action.kind == ChainStepKind::Prefill) {
+        // The engine prefills the segment as part of the export or of the last call.
+        apply(ChainStepEnded{action.segment.upstream, action.owner, action.kind, true, {}});
+        return;
+    }
+    RunningStep running;
+    running.step = action;
+    running.attempt = m_worker.newAttempt();
+    const auto &dispatchers = m_worker.snapshot().dispatchers;
+    const auto dispatcher = dispatchers.find(action.segment.upstream);
+    running.dispatcher = dispatcher == dispatchers.end() ? HostId() : dispatcher->second;
+    if (action.kind == ChainStepKind::Export) {
+        running.block = kvBlockId(action.owner, m_exports++);
+    }
+    m_running = std::move(running);
+    m_worker.dispatch(makeDispatch(action), *this);
+}
+
+void LongPromptSession::on(const LongPromptEnded &action)
+{
+    cancelStep();
+    const bool knowsReason = action.error == ErrorKind::UpstreamFailed && m_stepError != ErrorKind::None;
+    m_error = knowsReason ? m_stepError : action.error;
+    m_notRun = m_error != ErrorKind::None && saysNotRun(m_error, action.anyStepSent);
+    m_ended = true;
+    m_ticker.cancel();
+    m_wake.cancel();
+}
+
+Wire::DispatchT LongPromptSession::makeDispatch(const RunChainStep &step) const
+{
+    const bool prefills = step.kind != ChainStepKind::Import;
+    Wire::DispatchT dispatch;
+    dispatch.attempt = toWire(m_running->attempt);
+    dispatch.connection = stepConnection;
+    dispatch.request = m_request.id.value();
+    dispatch.organisation = m_request.profile.organisation.value();
+    dispatch.weight = m_request.weight;
+    dispatch.upstream = step.segment.upstream.value();
+    dispatch.prompt_tokens = prefills ? step.segment.promptTokens : 0;
+    dispatch.uncached_tokens = dispatch.prompt_tokens;
+    dispatch.length_class = static_cast<std::uint8_t>(prefills ? m_request.profile.lengthClass : LengthClass::Short);
+    dispatch.remaining_us = std::chrono::duration_cast<std::chrono::microseconds>(m_request.profile.deadline - now()).count();
+    dispatch.idempotent = true;
+    dispatch.token_stream = step.kind == ChainStepKind::Decode;
+    dispatch.method = m_request.method;
+    dispatch.target = targetOf(step.kind);
+    for (const auto &[name, value] : m_request.headers) {
+        auto header = std::make_unique<Wire::HeaderT>();
+        header->name = name;
+        header->value = value;
+        dispatch.headers.push_back(std::move(header));
+    }
+    const std::string body = stepBody(step);
+    dispatch.body.assign(body.begin(), body.end());
+    dispatch.trace_parent = m_request.traceParent;
+    return dispatch;
+}
+
+std::string LongPromptSession::stepBody(const RunChainStep &step) const
+{
+    if (step.kind == ChainStepKind::Export) {
+        return nlohmann::json{{"id", m_running->block.value()}, {"tokens", step.segment.promptTokens}}.dump();
+    }
+    if (step.kind == ChainStepKind::Import) {
+        // The block's memory stays with the engine that exported it, so the import takes none.
+        return nlohmann::json{{"id", step.block.value()}, {"tokens", 0}}.dump();
+    }
+    nlohmann::json body = nlohmann::json::parse(m_request.makeBody({}));
+    body["remote_tokens"] = step.segment.firstToken;
+    return body.dump();
+}
+
+void LongPromptSession::cancelStep()
+{
+    if (!m_running) {
+        return;
+    }
+    Wire::CancelT cancel;
+    cancel.attempt = toWire(m_running->attempt);
+    cancel.connection = std::numeric_limits<std::uint64_t>::max();
+    cancel.upstream = m_running->step.segment.upstream.value();
+    cancel.stop = true;
+    m_worker.forget(m_running->attempt);
+    m_running.reset();
+    m_worker.cancel(std::move(cancel));
+}
+
+void LongPromptSession::setPaused(bool paused)
+{
+    m_paused = paused;
+    if (!m_running) {
+        return;
+    }
+    Wire::FlowT flow;
+    flow.attempt = toWire(m_running->attempt);
+    flow.connection = stepConnection;
+    flow.upstream = m_running->step.segment.upstream.value();
+    flow.paused = paused;
+    m_worker.setFlow(std::move(flow));
+}
+
+void LongPromptSession::scheduleTick()
+{
+    m_ticker.expires_after(tickInterval);
+    m_ticker.async_wait([this, alive = m_alive](const boost::system::error_code &error) {
+        if (error || !*alive || m_ended) {
+            return;
+        }
+        apply(LongPromptTick{});
+        if (!m_ended) {
+            scheduleTick();
+        }
+    });
+}
+
+}
--- /dev/null
+++ b/Source/Daemon/LongPromptSession.h
@@ -0,0 +1,97 @@
+#pragma once
+
+#include "Daemon/AnswerSession.h"
+#include "Daemon/AnswerSource.h"
+#include "Daemon/AttemptListener.h"
+#include "Daemon/TrafficWorker.h"
+#include "Engines/LongPromptCoordinator.h"
+#include "Peer/PeerMessages_generated.h"
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include <deque>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <variant>
+
+namespace Mangofall {
+
+/**
+ * \class LongPromptSession
+ * \brief Drives the LongPromptCoordinator of one request whose prompt needs several engines.
+ *
+ * Reservations and chain steps go to the engines' dispatchers. A broken answer is not resumed: the request fails and
+ * everything is released.
+ */
+class LongPromptSession : public AnswerSource, private AttemptListener
+{
+public:
+    /// \p worker must outlive the session.
+    LongPromptSession(TrafficWorker &worker, AnswerRequest request, const LongPromptPlan &plan);
+    ~LongPromptSession() override;
+    LongPromptSession(const LongPromptSession &) = delete;
+    LongPromptSession &operator=(const LongPromptSession &) = delete;
+
+    boost::asio::awaitable<std::optional<std::string>> next() override;
+    void callerLeft() override;
+    ErrorKind error() const override;
+    bool notRun() const override;
+    std::uint64_t promptTokens() const override;
+    std::uint32_t tokens() const override;
+
+private:
+    using Event = std::variant<MemberAnswered, ChainStepEnded, CancelLongPrompt, LongPromptTick>;
+
+    /// The step whose call to the engine has no end yet.
+    struct RunningStep {
+        RunChainStep step;
+        AttemptId attempt;
+        HostId dispatcher;
+        KvBlockId block; ///< Export: the block it makes.
+        unsigned status = 0; ///< HTTP status of the engine's answer.
+    };
+
+    void handleAnswer(const Wire::PeerMessageT &message) override;
+    void handleLinkBroken(const HostId &host) override;
+
+    void apply(const Event &event);
+    LongPromptActions decide(const Event &event);
+    void on(const ReserveAt &action);
+    void on(const ReleaseAt &action);
+    void on(const RunChainStep &action);
+    void on(const LongPromptEnded &action);
+    Wire::DispatchT makeDispatch(const RunChainStep &step) const;
+    std::string stepBody(const RunChainStep &step) const;
+    void handleData(const Wire::StreamDataT &data);
+    void handleEnd(const Wire::StreamEndT &end);
+    void endStep(bool succeeded);
+    void cancelStep();
+    void setPaused(bool paused);
+    void scheduleTick();
+
+    TrafficWorker &m_worker;
+    AnswerRequest m_request;
+    TrafficWorker::SessionGuard m_guard;
+    LongPromptCoordinator m_coordinator;
+    boost::asio::steady_timer m_wake; ///< Cancelled when next() has something to return.
+    boost::asio::steady_timer m_ticker;
+    std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
+    std::deque<Event> m_events;
+    bool m_applying = false;
+    std::map<std::uint64_t, AttemptId> m_calls; ///< Reservation calls without answer, with their owners.
+    std::optional<RunningStep> m_running;
+    std::size_t m_exports = 0;
+    std::deque<std::string> m_pieces;
+    bool m_paused = false;
+    bool m_ended = false;
+    ErrorKind m_error = ErrorKind::None;
+    bool m_notRun = false;
+    ErrorKind m_stepError = ErrorKind::None; ///< Why the dispatcher says that a step failed.
+    std::uint64_t m_promptTokens = 0;
+    std::uint32_t m_tokens = 0;
+};
+
+}
--- a/Source/Daemon/TrafficWorker.cpp
+++ b/Source/Daemon/TrafficWorker.cpp
@@ -224,6 +224,22 @@
     return call;
 }
 
+std::uint64_t TrafficWorker::callReservation(Wire::ReservationCallT &&call, AttemptListener &listener)
+{
+    const std::uint64_t number = (static_cast<std::uint64_t>(m_index) << workerShift) + ++m_lastProbe;
+    m_probes[number] = Target{&listener, HostId()};
+    call.call = number;
+    const UpstreamId upstream(call.upstream);
+    sendToDispatcher(upstream, toMessage(std::move(call)));
+    return number;
+}
+
+void TrafficWorker::releaseReservation(Wire::ReservationCallT &&call)
+{
+    const UpstreamId upstream(call.upstream);
+    sendToDispatcher(upstream, toMessage(std::move(call)));
+}
+
 void TrafficWorker::forget(const AttemptId &attempt)
 {
     m_attempts.erase(attempt);
@@ -275,6 +291,14 @@
     }
 }
 
+void TrafficWorker::handleReservation(const Wire::ReservationCallT &call, ReplyTarget &reply)
+{
+    DispatcherRuntime *dispatcher = m_snapshot->dispatching ? dispatcherOf(UpstreamId(call.upstream)) : nullptr;
+    if (dispatcher != nullptr && call.owner) {
+        dispatcher->handleReservation(call, reply);
+    }
+}
+
 void TrafficWorker::handleEntryLost(const ReplyTarget *reply)
 {
     for (auto &[upstream, dispatcher] : m_dispatchers) {
@@ -291,8 +315,10 @@
 
 void TrafficWorker::handleAnswer(const Wire::PeerMessageT &message)
 {
-    if (const Wire::ProbeAnswerT *answer = message.body.AsProbeAnswer()) {
-        const auto probe = m_probes.find(answer->call);
+    const Wire::ProbeAnswerT *probeAnswer = message.body.AsProbeAnswer();
+    const Wire::ReservationAnswerT *reservation = message.body.AsReservationAnswer();
+    if (probeAnswer != nullptr || reservation != nullptr) {
+        const auto probe = m_probes.find(probeAnswer != nullptr ? probeAnswer->call : reservation->call);
         if (probe != m_probes.end()) {
             AttemptListener *listener = probe->second.listener;
             m_probes.erase(probe);
@@ -343,6 +369,8 @@
         upstream = UpstreamId(flow->upstream);
     } else if (const Wire::ProbeCallT *probe = message.body.AsProbeCall()) {
         upstream = UpstreamId(probe->upstream);
+    } else if (const Wire::ReservationCallT *call = message.body.AsReservationCall()) {
+        upstream = UpstreamId(call->upstream);
     } else {
         return;
     }
@@ -420,6 +448,8 @@
             worker.handleFlow(*flow);
         } else if (const Wire::ProbeCallT *probe = shared->body.AsProbeCall()) {
             worker.handleProbe(*probe, reply);
+        } else if (const Wire::ReservationCallT *call = shared->body.AsReservationCall()) {
+            worker.handleReservation(*call, *reply);
         }
     });
 }
--- a/Source/Daemon/TrafficWorker.h
+++ b/Source/Daemon/TrafficWorker.h
@@ -68,6 +68,10 @@
     void setFlow(Wire::FlowT &&flow);
     /// Asks for a probe over a new connection to the dispatcher; returns the number that the answer carries.
     std::uint64_t probe(const UpstreamId &upstream, AttemptListener &listener);
+    /// Sends \p call to the upstream's dispatcher; the answer carries the returned number. forgetProbe() ends the waiting.
+    std::uint64_t callReservation(Wire::ReservationCallT &&call, AttemptListener &listener);
+    /// Sends a release, which gets no answer.
+    void releaseReservation(Wire::ReservationCallT &&call);
     void forget(const AttemptId &attempt);
     void forgetProbe(std::uint64_t call);
 
@@ -79,6 +83,7 @@
     void handleCancel(const Wire::CancelT &cancel);
     void handleFlow(const Wire::FlowT &flow);
     void handleProbe(const Wire::ProbeCallT &probe, const std::shared_ptr<ReplyTarget> &reply);
+    void handleReservation(const Wire::ReservationCallT &call, ReplyTarget &reply);
     void handleEntryLost(const ReplyTarget *reply);
     /// Feeds \p event to the dispatcher of \p upstream if it is pinned here and owned by this host.
     void handleDispatcherEvent(const UpstreamId &upstream, const DispatcherInput &event);
--- /dev/null
+++ b/Tests/Daemon/LongPrompts.cmake
@@ -0,0 +1,5 @@
+mangofall_add_test(LongPromptsDaemonTest
+  SOURCES LongPromptsDaemonTest.cpp
+  LINK MangofallDaemon
+  LABELS unit
+)
