Fix what the linter and the codec test found after the merges

Cause: the index of stream data became a 32-bit number while PeerCodecTest still sent 64-bit ones, so "stream data survives the frame" failed at (0, , []). The linter reported five places.

Change: the property draws the field's own type; no bound or assertion changed. Moves without effect, a copied parameter and two member names are mended.

Conclusion: the test guarded the right thing; its generator was out of date.

--- a/Source/Daemon/DispatcherRuntime.cpp
+++ b/Source/Daemon/DispatcherRuntime.cpp
@@ -243,7 +243,7 @@
         Wire::ProbeAnswerT answer;
         answer.call = call;
         answer.responsive = responsive;
-        reply->reply(toMessage(std::move(answer)));
+        reply->reply(toMessage(answer));
     });
 }
 
@@ -356,7 +356,7 @@
     }
 }
 
-void DispatcherRuntime::process(std::vector<DispatcherOutput> outputs)
+void DispatcherRuntime::process(const std::vector<DispatcherOutput> &outputs)
 {
     for (const DispatcherOutput &output : outputs) {
         std::visit(
--- a/Source/Daemon/DispatcherRuntime.h
+++ b/Source/Daemon/DispatcherRuntime.h
@@ -99,7 +99,7 @@
     void noteRunEnded(const Leg &leg, bool completed);
     static void refuse(const Wire::DispatchT &dispatch, ReplyTarget &reply, ErrorKind error, const HostId &runAt);
 
-    void process(std::vector<DispatcherOutput> outputs);
+    void process(const std::vector<DispatcherOutput> &outputs);
     void on(const DispatcherAction::Send &action);
     void on(const DispatcherAction::Refuse &action);
     void on(const DispatcherAction::CancelUpstream &action);
--- a/Source/Daemon/MembershipProbe.cpp
+++ b/Source/Daemon/MembershipProbe.cpp
@@ -12,7 +12,7 @@
 {
     Wire::MembershipProbeT message;
     message.probe = probe;
-    m_link->send(toMessage(std::move(message)));
+    m_link->send(toMessage(message));
 }
 
 MembershipProbe::~MembershipProbe()
--- a/Source/Http/HttpListener.cpp
+++ b/Source/Http/HttpListener.cpp
@@ -137,7 +137,7 @@
 };
 
 HttpListener::HttpListener(Asio::io_context &context, HttpHandler &handler, std::uint64_t maxBodyBytes)
-    : d(std::make_unique<Private>(context, handler, maxBodyBytes))
+    : m_d(std::make_unique<Private>(context, handler, maxBodyBytes))
 {
 }
 
@@ -145,18 +145,18 @@
 
 std::error_code HttpListener::listen(const std::string &address, std::uint16_t port)
 {
-    return d->listener.listen(address, port, true);
+    return m_d->listener.listen(address, port, true);
 }
 
 std::uint16_t HttpListener::port() const
 {
-    return d->listener.port();
+    return m_d->listener.port();
 }
 
 void HttpListener::close()
 {
-    *d->closing = true;
-    d->listener.close();
+    *m_d->closing = true;
+    m_d->listener.close();
 }
 
 }
--- a/Source/Http/HttpListener.h
+++ b/Source/Http/HttpListener.h
@@ -32,7 +32,7 @@
 
 private:
     struct Private;
-    std::unique_ptr<Private> d;
+    std::unique_ptr<Private> m_d;
 };
 
 }
--- a/Source/Telemetry/Log.cpp
+++ b/Source/Telemetry/Log.cpp
@@ -50,7 +50,7 @@
 };
 
 Log::Log(const std::string &prefix)
-    : d(std::make_unique<Private>(Private{log4cxx::Logger::getLogger(prefix)}))
+    : m_d(std::make_unique<Private>(Private{log4cxx::Logger::getLogger(prefix)}))
 {
 }
 
@@ -58,22 +58,22 @@
 
 void Log::debug(std::string_view message) const
 {
-    LOG4CXX_DEBUG(d->logger, std::string(message));
+    LOG4CXX_DEBUG(m_d->logger, std::string(message));
 }
 
 void Log::info(std::string_view message) const
 {
-    LOG4CXX_INFO(d->logger, std::string(message));
+    LOG4CXX_INFO(m_d->logger, std::string(message));
 }
 
 void Log::warning(std::string_view message) const
 {
-    LOG4CXX_WARN(d->logger, std::string(message));
+    LOG4CXX_WARN(m_d->logger, std::string(message));
 }
 
 void Log::error(std::string_view message) const
 {
-    LOG4CXX_ERROR(d->logger, std::string(message));
+    LOG4CXX_ERROR(m_d->logger, std::string(message));
 }
 
 }
--- a/Source/Telemetry/Log.h
+++ b/Source/Telemetry/Log.h
@@ -33,7 +33,7 @@
 
 private:
     struct Private;
-    std::unique_ptr<Private> d;
+    std::unique_ptr<Private> m_d;
 };
 
 }
--- a/Tests/Peer/PeerCodecTest.cpp
+++ b/Tests/Peer/PeerCodecTest.cpp
@@ -10,7 +10,7 @@
 // Guards against a token that changes or moves to another attempt on the wire.
 TEST(PeerCodecTest, StreamDataSurvivesTheFrame)
 {
-    Testing::checkProperty("stream data survives the frame", [](std::uint64_t host, std::uint64_t index, const std::vector<std::uint8_t> &data) {
+    Testing::checkProperty("stream data survives the frame", [](std::uint64_t host, std::uint32_t index, const std::vector<std::uint8_t> &data) {
         Wire::StreamDataT sent;
         sent.attempt = std::make_unique<Wire::AttemptKey>(host, 2, 3);
         sent.index = index;
