Compile and lint the test programs' main once

Cause: clang-tidy ran over Tests/TestMain.cpp once per test program, 18 times. Change: one object library for all test programs. Conclusion: none further.

--- a/Utilities/CMake/Targets.cmake
+++ b/Utilities/CMake/Targets.cmake
@@ -14,14 +14,19 @@
   target_link_libraries(Mangofall${name} PUBLIC MangofallOptions ${MODULE_LINK})
 endfunction()
 
+# One object for all test programs, so that it is compiled and linted once.
+add_library(MangofallTestMain OBJECT "${PROJECT_SOURCE_DIR}/Tests/TestMain.cpp")
+target_link_libraries(MangofallTestMain PRIVATE MangofallOptions PkgConfig::CppUTest)
+target_compile_definitions(MangofallTestMain PRIVATE CPPUTEST_MEM_LEAK_DETECTION_DISABLED)
+
 # mangofall_add_test(NAME SOURCES... LINK target... [LABELS label...]): a CppUTest program run by ctest with a fixed RapidCheck seed.
 function(mangofall_add_test name)
   cmake_parse_arguments(TEST "" "" "SOURCES;LINK;LABELS" ${ARGN})
-  add_executable(${name} "${PROJECT_SOURCE_DIR}/Tests/TestMain.cpp" ${TEST_SOURCES})
+  add_executable(${name} ${TEST_SOURCES})
   # CppUTest's leak detection redefines new, which breaks headers included after it.
   target_compile_definitions(${name} PRIVATE CPPUTEST_MEM_LEAK_DETECTION_DISABLED)
   target_include_directories(${name} PRIVATE "${PROJECT_SOURCE_DIR}/Tests")
-  target_link_libraries(${name} PRIVATE MangofallOptions ${TEST_LINK} PkgConfig::CppUTest rapidcheck)
+  target_link_libraries(${name} PRIVATE MangofallTestMain MangofallOptions ${TEST_LINK} PkgConfig::CppUTest rapidcheck)
   add_test(NAME ${name} COMMAND ${name})
   set_tests_properties(${name} PROPERTIES ENVIRONMENT "RC_PARAMS=seed=20261204" TIMEOUT 300 LABELS "${TEST_LABELS}")
 endfunction()
