--- a/Source/Daemon/AnswerSession.cpp
+++ b/Source/Daemon/AnswerSession.cpp
@@ -34,6 +34,7 @@
     , m_guard(worker, m_request.profile.deadline)
     , m_session(toStreamRequest(m_request), StreamLimits{}, worker.router().retryBudget(m_request.profile), worker.router().random())
     , m_timer(worker.context())
+    , m_startedAt(std::chrono::steady_clock::now())
 {
     m_applying = true;
     const std::vector<StreamAction> actions = m_session.start(std::chrono::steady_clock::now());
@@ -196,6 +197,9 @@
 
 void AnswerSession::on(const ChooseUpstream &action)
 {
+    if (!m_cachedTokens.empty()) {
+        m_worker.host().metrics.retries(action.firstToken > 0 ? "continue" : "fail_over").Increment();
+    }
     const std::optional<UpstreamChoice> choice = m_worker.router().choose(m_request.profile, action.excluded, m_runAt);
     if (!choice) {
         apply(UpstreamUnavailable{action.choice, ErrorKind::NoUpstream});
@@ -207,6 +211,9 @@
 
 void AnswerSession::on(const OpenAttempt &action)
 {
+    if (action.resumes) {
+        m_worker.host().metrics.retries("resume").Increment();
+    }
     if (action.attempt != m_attempt) {
         m_worker.forget(m_attempt);
         m_attempt = action.attempt;
@@ -285,6 +292,10 @@
 
 void AnswerSession::on(const Deliver &action)
 {
+    if (m_delivered.empty() && m_request.tokenStream) {
+        const Seconds elapsed = std::chrono::steady_clock::now() - m_startedAt;
+        m_worker.host().metrics.firstToken(nameOf(m_request.profile.lengthClass)).Observe(elapsed.count());
+    }
     if (m_delivered.size() < maxContinuationBytes) {
         m_delivered += action.text;
     }
--- a/Source/Daemon/AnswerSession.h
+++ b/Source/Daemon/AnswerSession.h
@@ -88,6 +88,7 @@
     TrafficWorker::SessionGuard m_guard;
     StreamSession m_session;
     boost::asio::steady_timer m_timer;
+    TimePoint m_startedAt;
     std::deque<StreamEvent> m_events;
     bool m_applying = false;
     std::deque<std::string> m_pieces;
--- a/Source/Daemon/CallerHandler.cpp
+++ b/Source/Daemon/CallerHandler.cpp
@@ -104,19 +104,6 @@
     return watched;
 }
 
-const char *nameOf(LengthClass lengthClass)
-{
-    switch (lengthClass) {
-    case LengthClass::Short:
-        return "short";
-    case LengthClass::Medium:
-        return "medium";
-    case LengthClass::Long:
-        break;
-    }
-    return "long";
-}
-
 }
 
 CallerHandler::CallerHandler(TrafficWorker &worker)
@@ -294,7 +281,9 @@
     }
     countAnswer(ErrorKind::None);
     const bool started = exchange.started() || co_await exchange.startStream(statusOk, std::string(eventType));
-    if (started && co_await exchange.writeChunk(formatSseEvent("", answerLastChunk(request, id)) + formatSseEvent("", "[DONE]"))) {
+    if (started
+        && co_await exchange.writeChunk(formatSseEvent("", answerLastChunk(request, id, session.promptTokens(), session.tokens()))
+                                        + formatSseEvent("", "[DONE]"))) {
         co_await exchange.finishStream();
     }
 }
--- a/Source/Daemon/CompletionRequest.cpp
+++ b/Source/Daemon/CompletionRequest.cpp
@@ -68,6 +68,11 @@
     return choice;
 }
 
+Json usage(std::uint64_t promptTokens, std::uint32_t tokens)
+{
+    return {{"prompt_tokens", promptTokens}, {"completion_tokens", tokens}, {"total_tokens", promptTokens + tokens}};
+}
+
 Json answer(const CompletionRequest &request, const RequestId &id, Json choice, bool streamed)
 {
     std::string object = request.kind == CompletionKind::Chat ? "chat.completion" : "text_completion";
@@ -127,11 +132,13 @@
     return answer(request, id, choiceOf(request, text, true), true).dump(-1, ' ', false, Json::error_handler_t::replace);
 }
 
-std::string answerLastChunk(const CompletionRequest &request, const RequestId &id)
+std::string answerLastChunk(const CompletionRequest &request, const RequestId &id, std::uint64_t promptTokens, std::uint32_t tokens)
 {
     Json choice = choiceOf(request, "", true);
     choice["finish_reason"] = "stop";
-    return answer(request, id, std::move(choice), true).dump();
+    Json json = answer(request, id, std::move(choice), true);
+    json["usage"] = usage(promptTokens, tokens);
+    return json.dump();
 }
 
 std::string wholeAnswer(const CompletionRequest &request, const RequestId &id, std::string_view text, std::uint64_t promptTokens, std::uint32_t tokens)
@@ -139,7 +146,7 @@
     Json choice = choiceOf(request, text, false);
     choice["finish_reason"] = "stop";
     Json json = answer(request, id, std::move(choice), false);
-    json["usage"] = {{"prompt_tokens", promptTokens}, {"completion_tokens", tokens}, {"total_tokens", promptTokens + tokens}};
+    json["usage"] = usage(promptTokens, tokens);
     return json.dump(-1, ' ', false, Json::error_handler_t::replace);
 }
 
--- a/Source/Daemon/CompletionRequest.h
+++ b/Source/Daemon/CompletionRequest.h
@@ -46,7 +46,7 @@
 std::string answerChunk(const CompletionRequest &request, const RequestId &id, std::string_view text);
 
 /// The last event before the end marker.
-std::string answerLastChunk(const CompletionRequest &request, const RequestId &id);
+std::string answerLastChunk(const CompletionRequest &request, const RequestId &id, std::uint64_t promptTokens, std::uint32_t tokens);
 
 /// The whole answer.
 std::string wholeAnswer(const CompletionRequest &request, const RequestId &id, std::string_view text, std::uint64_t promptTokens, std::uint32_t tokens);
--- a/Source/Daemon/OrderRuntime.cpp
+++ b/Source/Daemon/OrderRuntime.cpp
@@ -213,7 +213,8 @@
 bool OrderRuntime::settle(const OrderKey &key, bool ran)
 {
     const std::uint32_t shard = m_shards.shardOf(key);
-    if (!m_services.contains(shard)) {
+    const Membership::Owner *owner = m_environment.ownerOfShard(shard);
+    if (owner == nullptr || owner->host != m_host.settings.hostId || !m_services.contains(shard)) {
         return false;
     }
     OperatorDecided decision;
--- a/Source/Daemon/ScheduledStore.cpp
+++ b/Source/Daemon/ScheduledStore.cpp
@@ -8,6 +8,8 @@
 // Waiting for the budget and the call itself; callers give up or ask again after that.
 constexpr std::chrono::milliseconds queueTimeout{2000};
 constexpr std::chrono::seconds watchTimeout{30};
+constexpr std::chrono::milliseconds watchRetryDelay{500};
+constexpr std::chrono::milliseconds watchRetryJitter{1500};
 
 const char *nameOf(StoreReadStatus status)
 {
@@ -31,9 +33,11 @@
 
 }
 
-ScheduledStore::ScheduledStore(KeyValueStore &store, Metrics &metrics, RandomEngine &random)
+ScheduledStore::ScheduledStore(KeyValueStore &store, Metrics &metrics, RandomEngine &random, Clock clock)
     : m_store(store)
     , m_metrics(metrics)
+    , m_random(random)
+    , m_clock(std::move(clock))
     , m_scheduler(StoreSchedulerLimits{}, random)
 {
 }
@@ -80,32 +84,32 @@
 
 void ScheduledStore::watch(const std::string &key, std::uint64_t afterVersion, ReadHandler handler)
 {
-    const ScheduledCallId id = ++m_lastCall;
-    const auto done = [this, id, handler](const StoreReadDone &result) {
+    // Not through the scheduler: as the probe that ends an outage, a waiting watch kept all other calls back for 30 s.
+    m_store.watch(key, afterVersion, watchTimeout, [this, handler](const StoreReadDone &result) {
         m_metrics.storeCalls("watch", nameOf(result.status)).Increment();
-        finished(id, result.status != StoreReadStatus::Failed);
-        handler(result);
-    };
-    const auto start = [this, key, afterVersion, done] {
-        m_store.watch(key, afterVersion, watchTimeout, done);
-    };
-    const auto refuse = [key, handler] {
-        StoreReadDone result;
-        result.key = key;
-        result.status = StoreReadStatus::Failed;
-        handler(result);
-    };
-    submit(StorePriority::Configuration, {start, refuse});
+        if (result.status != StoreReadStatus::Failed) {
+            handler(result);
+            return;
+        }
+        const auto jitter = std::chrono::milliseconds(m_random(static_cast<std::uint32_t>(watchRetryJitter.count())));
+        m_failedWatches.emplace(m_clock() + watchRetryDelay + jitter, [handler, result] {
+            handler(result);
+        });
+    });
 }
 
 void ScheduledStore::tick(TimePoint now)
 {
+    while (!m_failedWatches.empty() && m_failedWatches.begin()->first <= now) {
+        const auto due = m_failedWatches.extract(m_failedWatches.begin());
+        due.mapped()();
+    }
     process(m_scheduler.tick(now));
 }
 
 void ScheduledStore::submit(StorePriority priority, Call call)
 {
-    const TimePoint now = std::chrono::steady_clock::now();
+    const TimePoint now = m_clock();
     const ScheduledCallId id = m_lastCall;
     m_calls[id] = std::move(call);
     process(m_scheduler.submit(id, priority, now + queueTimeout, now));
@@ -126,7 +130,7 @@
 
 void ScheduledStore::finished(ScheduledCallId id, bool answered)
 {
-    process(m_scheduler.finished(id, answered, std::chrono::steady_clock::now()));
+    process(m_scheduler.finished(id, answered, m_clock()));
 }
 
 }
--- a/Source/Daemon/ScheduledStore.h
+++ b/Source/Daemon/ScheduledStore.h
@@ -16,8 +16,10 @@
 class ScheduledStore : public StoreAccess
 {
 public:
-    /// All arguments must outlive the store.
-    ScheduledStore(KeyValueStore &store, Metrics &metrics, RandomEngine &random);
+    using Clock = std::function<TimePoint()>;
+
+    /// All references must outlive the store.
+    ScheduledStore(KeyValueStore &store, Metrics &metrics, RandomEngine &random, Clock clock = std::chrono::steady_clock::now);
 
     void read(const std::string &key, StorePriority priority, ReadHandler handler) override;
     void compareAndSwap(const std::string &key, std::string value, std::uint64_t expectedVersion, StorePriority priority, WriteHandler handler) override;
@@ -38,7 +40,10 @@
 
     KeyValueStore &m_store;
     Metrics &m_metrics;
+    RandomEngine &m_random;
+    Clock m_clock;
     StoreCallScheduler m_scheduler;
+    std::multimap<TimePoint, std::function<void()>> m_failedWatches; ///< Handlers by the time at which they are told.
     std::map<ScheduledCallId, Call> m_calls;
     ScheduledCallId m_lastCall = 0;
 };
--- a/Source/Routing/LengthClass.h
+++ b/Source/Routing/LengthClass.h
@@ -24,4 +24,18 @@
     return static_cast<std::size_t>(lengthClass);
 }
 
+/// Name in metrics and spans.
+constexpr const char *nameOf(LengthClass lengthClass)
+{
+    switch (lengthClass) {
+    case LengthClass::Short:
+        return "short";
+    case LengthClass::Medium:
+        return "medium";
+    case LengthClass::Long:
+        break;
+    }
+    return "long";
+}
+
 }
