--- a/Source/Daemon/CallerHandler.cpp
+++ b/Source/Daemon/CallerHandler.cpp
@@ -177,8 +177,12 @@
     if (!authorization.starts_with(bearerPrefix)) {
         return ErrorKind::UnknownOrganisation;
     }
-    admitted.organisation = snapshot.routing->organisationOfKey(std::string(authorization.substr(bearerPrefix.size())));
-    return admitted.organisation == nullptr ? ErrorKind::UnknownOrganisation : ErrorKind::None;
+    const OrganisationSpec *organisation = snapshot.routing->organisationOfKey(std::string(authorization.substr(bearerPrefix.size())));
+    if (organisation == nullptr) {
+        return ErrorKind::UnknownOrganisation;
+    }
+    admitted.organisation = *organisation;
+    return ErrorKind::None;
 }
 
 Asio::awaitable<void> CallerHandler::handleCompletion(HttpExchange &exchange, const Admitted &admitted, CompletionKind kind)
@@ -203,10 +207,10 @@
     }
     AnswerRequest answer;
     answer.profile = m_worker.router().profile(request->model, request->prompt, request->prompt.size(), arrival);
-    answer.profile.organisation = admitted.organisation->id;
+    answer.profile.organisation = admitted.organisation.id;
     const bool isShort = answer.profile.lengthClass == LengthClass::Short;
     answer.profile.deadline = arrival + deadlineOf(exchange, isShort ? preset.shortDeadline : preset.longDeadline);
-    answer.weight = admitted.organisation->weight;
+    answer.weight = admitted.organisation.weight;
     answer.id = admitted.id;
     answer.method = "POST";
     answer.target = "/v1/completions";
@@ -217,12 +221,12 @@
         return engineBody(*request, continuation);
     };
     const std::uint64_t promptTokens = answer.profile.promptTokens;
-    const ErrorKind limited = m_worker.host().limits.admit(arrival, admitted.organisation->id, promptTokens);
+    const ErrorKind limited = m_worker.host().limits.admit(arrival, admitted.organisation.id, promptTokens);
     if (limited != ErrorKind::None) {
         co_await refuse(exchange, limited, true, admitted.id);
         co_return;
     }
-    const HostLimits::Admission admission(m_worker.host().limits, admitted.organisation->id, promptTokens);
+    const HostLimits::Admission admission(m_worker.host().limits, admitted.organisation.id, promptTokens);
     if (exceedsEveryEngine(answer.profile.promptTokens, routing.upstreamsOf(request->model))) {
         co_await handleLongPrompt(exchange, admitted, *request, std::move(answer));
         co_return;
@@ -319,9 +323,9 @@
 {
     AnswerRequest answer;
     answer.profile.service = route.service;
-    answer.profile.organisation = admitted.organisation->id;
+    answer.profile.organisation = admitted.organisation.id;
     answer.profile.deadline = std::chrono::steady_clock::now() + deadlineOf(exchange, route.deadline);
-    answer.weight = admitted.organisation->weight;
+    answer.weight = admitted.organisation.weight;
     answer.id = admitted.id;
     answer.method = std::string(exchange.request().method_string());
     answer.target = std::string(exchange.request().target());
@@ -365,8 +369,8 @@
     const std::optional<UpstreamChoice> choice = m_worker.router().choose(profile, {});
     OrderSubmission order;
     order.caller = RequestId(toString(m_worker.newAttempt()));
-    order.key = qualifiedOrderKey(admitted.organisation->id, key);
-    order.organisation = admitted.organisation->id;
+    order.key = qualifiedOrderKey(admitted.organisation.id, key);
+    order.organisation = admitted.organisation.id;
     order.route = route;
     order.upstream = choice ? choice->upstream : UpstreamId();
     order.method = std::string(exchange.request().method_string());
@@ -442,7 +446,7 @@
     span.parentSpan = admitted.parentSpan;
     span.start = admitted.start;
     span.end = std::chrono::system_clock::now();
-    span.attributes = {{"request.id", admitted.id.value()}, {"organisation", admitted.organisation->id.value()}};
+    span.attributes = {{"request.id", admitted.id.value()}, {"organisation", admitted.organisation.id.value()}};
     span.attributes.emplace_back("result", std::string(errorAnswer(kind).name));
     span.failed = kind != ErrorKind::None;
     m_worker.host().spans.record(std::move(span));
--- a/Source/Daemon/CallerHandler.h
+++ b/Source/Daemon/CallerHandler.h
@@ -33,7 +33,7 @@
 private:
     /// A caller's request that passed the checks common to all routes.
     struct Admitted {
-        const OrganisationSpec *organisation = nullptr;
+        OrganisationSpec organisation; ///< A copy: the configuration may be replaced while the request waits.
         RequestId id;
         TraceContext trace;
         std::uint64_t parentSpan = 0;
--- a/Source/Daemon/CompletionRequest.cpp
+++ b/Source/Daemon/CompletionRequest.cpp
@@ -138,7 +138,7 @@
     choice["finish_reason"] = "stop";
     Json json = answer(request, id, std::move(choice), true);
     json["usage"] = usage(promptTokens, tokens);
-    return json.dump();
+    return json.dump(-1, ' ', false, Json::error_handler_t::replace);
 }
 
 std::string wholeAnswer(const CompletionRequest &request, const RequestId &id, std::string_view text, std::uint64_t promptTokens, std::uint32_t tokens)
--- a/Source/Daemon/ControlPlane.cpp
+++ b/Source/Daemon/ControlPlane.cpp
@@ -7,6 +7,7 @@
 #include "Daemon/TrafficWorker.h"
 #include "Daemon/WireAttempt.h"
 #include "Daemon/WireCrashNotice.h"
+#include "Daemon/WireHandOver.h"
 #include "Daemon/WireLoad.h"
 #include "Peer/PeerCodec.h"
 
@@ -98,37 +99,6 @@
     return host;
 }
 
-Wire::HandOverT toWireHandOver(const HandOverMessage &message)
-{
-    Wire::HandOverT wire;
-    wire.upstream = message.upstream.value();
-    wire.epoch = message.epoch;
-    wire.request_cap = message.caps.requests;
-    wire.prefill_cap = message.caps.prefillTokens;
-    for (const HandOverMessage::Item &item : message.inFlight) {
-        auto entry = std::make_unique<Wire::InFlightEntryT>();
-        entry->attempt = toWire(item.attempt);
-        entry->prefill_tokens = item.prefillTokens;
-        wire.in_flight.push_back(std::move(entry));
-    }
-    return wire;
-}
-
-HandOverMessage fromWireHandOver(const Wire::HandOverT &wire)
-{
-    HandOverMessage message;
-    message.upstream = UpstreamId(wire.upstream);
-    message.epoch = wire.epoch;
-    message.caps.requests = wire.request_cap;
-    message.caps.prefillTokens = wire.prefill_cap;
-    for (const auto &entry : wire.in_flight) {
-        if (entry->attempt) {
-            message.inFlight.push_back({fromWire(*entry->attempt), entry->prefill_tokens});
-        }
-    }
-    return message;
-}
-
 }
 
 ControlPlane::ControlPlane(HostContext &host, std::string operatorKey)
@@ -297,7 +267,7 @@
         const auto ownership = m_membership.ownership();
         const Membership::Owner *owner = ownership ? ownership->dispatcherOf(message.upstream) : nullptr;
         if (owner != nullptr && owner->host != m_host.settings.hostId) {
-            sendToPeer(owner->host, toMessage(toWireHandOver(message)));
+            sendToPeer(owner->host, toMessage(toWire(message)));
         }
     });
 }
@@ -437,7 +407,7 @@
         return;
     }
     if (const Wire::HandOverT *handOver = message.body.AsHandOver()) {
-        const HandOverMessage decoded = fromWireHandOver(*handOver);
+        const HandOverMessage decoded = fromWire(*handOver);
         m_takeovers.erase(decoded.upstream);
         TrafficWorker &worker = m_pool.pinnedWorker(decoded.upstream);
         Asio::post(worker.context(), [&worker, decoded] {
--- a/Source/Daemon/DispatcherRuntime.cpp
+++ b/Source/Daemon/DispatcherRuntime.cpp
@@ -456,7 +456,7 @@
 void DispatcherRuntime::holdFailure(const AttemptId &attempt, const RunResult &result)
 {
     const auto position = m_legs.find(attempt);
-    m_held.push_back(HeldFailure{std::move(position->second), result, Clock::now(), false});
+    m_held.push_back(HeldFailure{std::move(position->second), result, Clock::now()});
     m_legs.erase(position);
     if (m_held.size() > 1) {
         return; // The probe of the first one answers for all.
@@ -484,23 +484,25 @@
             m_environment.quarantine().handle(event, Clock::now());
         }
     }
-    for (const HeldFailure &held : m_held) {
-        noteRunEnded(held.leg, false);
+    for (HeldFailure &held : m_held) {
+        if (!held.judged) {
+            held.judged = true;
+            noteRunEnded(held.leg, false);
+        }
     }
     if (!crashed) {
-        std::vector<HeldFailure> held;
-        held.swap(m_held);
-        for (const HeldFailure &failure : held) {
-            sendEnd(failure.leg, failure.result, errorOf(failure.result));
-        }
+        releaseWhere([](const HeldFailure &held) {
+            return !held.crashed;
+        });
     }
 }
 
-void DispatcherRuntime::releaseFailure(const Fingerprint &fingerprint)
+template<class Predicate>
+void DispatcherRuntime::releaseWhere(Predicate predicate)
 {
     std::vector<HeldFailure> released;
     for (auto held = m_held.begin(); held != m_held.end();) {
-        if (held->crashed && held->leg.fingerprint == fingerprint) {
+        if (predicate(*held)) {
             released.push_back(std::move(*held));
             held = m_held.erase(held);
         } else {
@@ -512,20 +514,18 @@
     }
 }
 
+void DispatcherRuntime::releaseFailure(const Fingerprint &fingerprint)
+{
+    releaseWhere([&fingerprint](const HeldFailure &held) {
+        return held.crashed && held.leg.fingerprint == fingerprint;
+    });
+}
+
 void DispatcherRuntime::releaseHeld(TimePoint now)
 {
-    std::vector<HeldFailure> released;
-    for (auto held = m_held.begin(); held != m_held.end();) {
-        if (now - held->since > holdTimeout) {
-            released.push_back(std::move(*held));
-            held = m_held.erase(held);
-        } else {
-            ++held;
-        }
-    }
-    for (const HeldFailure &failure : released) {
-        sendEnd(failure.leg, failure.result, errorOf(failure.result));
-    }
+    releaseWhere([now](const HeldFailure &held) {
+        return now - held.since > holdTimeout;
+    });
 }
 
 void DispatcherRuntime::stopCopy(const Fingerprint &fingerprint)
--- a/Source/Daemon/DispatcherRuntime.h
+++ b/Source/Daemon/DispatcherRuntime.h
@@ -79,6 +79,7 @@
         Leg leg;
         RunResult result;
         TimePoint since;
+        bool judged = false; ///< The quarantine knows that the run has ended.
         bool crashed = false;
     };
 
@@ -96,6 +97,9 @@
     void holdFailure(const AttemptId &attempt, const RunResult &result);
     void judgeHeldFailures(bool crashed);
     void releaseHeld(TimePoint now);
+    /// Tells the entry hosts of the held failures that match.
+    template<class Predicate>
+    void releaseWhere(Predicate predicate);
     void noteRunEnded(const Leg &leg, bool completed);
     static void refuse(const Wire::DispatchT &dispatch, ReplyTarget &reply, ErrorKind error, const HostId &runAt);
 
--- a/Source/Telemetry/SpanRecorder.cpp
+++ b/Source/Telemetry/SpanRecorder.cpp
@@ -108,7 +108,8 @@
     }
     const nlohmann::json resource = {{"attributes", {attribute("service.name", serviceName), attribute("host.name", hostName)}}};
     const nlohmann::json scopeSpans = {{{"scope", {{"name", "mangofall"}}}, {"spans", std::move(list)}}};
-    return nlohmann::json{{"resourceSpans", {{{"resource", resource}, {"scopeSpans", scopeSpans}}}}}.dump();
+    return nlohmann::json{{"resourceSpans", {{{"resource", resource}, {"scopeSpans", scopeSpans}}}}}.dump(
+        -1, ' ', false, nlohmann::json::error_handler_t::replace);
 }
 
 }
--- a/Tests/Telemetry/SpanRecorderTest.cpp
+++ b/Tests/Telemetry/SpanRecorderTest.cpp
@@ -24,3 +24,12 @@
     CHECK(exported["attributes"][0]["value"]["stringValue"] == "engine-1");
     CHECK(json["resourceSpans"][0]["resource"]["attributes"][1]["value"]["stringValue"] == "host-1");
 }
+
+// Guards against a caller whose request id is not valid UTF-8 and ends the process through an exception in the export.
+TEST(SpanRecorderTest, ReplacesInvalidUtf8)
+{
+    Span span;
+    span.attributes = {{"request.id", "\x8d\xe3"}};
+    const auto json = nlohmann::json::parse(toOtlpJson({span}, "mangofalld", "host-1"));
+    CHECK(json["resourceSpans"][0]["scopeSpans"][0]["spans"].size() == 1);
+}
