--- a/Source/Daemon/AnswerSession.cpp
+++ b/Source/Daemon/AnswerSession.cpp
@@ -1,6 +1,7 @@
 #include "Daemon/AnswerSession.h"
 
 #include "Daemon/WireAttempt.h"
+#include "Daemon/WireDispatch.h"
 
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/use_awaitable.hpp>
@@ -236,12 +237,7 @@
     dispatch.token_stream = m_request.tokenStream;
     dispatch.method = m_request.method;
     dispatch.target = m_request.target;
-    for (const auto &[name, value] : m_request.headers) {
-        auto header = std::make_unique<Wire::HeaderT>();
-        header->name = name;
-        header->value = value;
-        dispatch.headers.push_back(std::move(header));
-    }
+    dispatch.headers = toWire(m_request.headers);
     const bool continues = action.firstToken > 0 && !action.resumes;
     const std::string body = m_request.makeBody(continues ? std::string_view(m_delivered) : std::string_view());
     dispatch.body.assign(body.begin(), body.end());
--- a/Source/Daemon/ControlLinks.cpp
+++ b/Source/Daemon/ControlLinks.cpp
@@ -1,28 +1,14 @@
 #include "Daemon/ControlLinks.h"
 
-#include "Peer/PeerMessages_generated.h"
+#include "Daemon/WireHello.h"
 
 namespace Mangofall {
 
-namespace {
-
-std::shared_ptr<const Wire::HelloT> makeHello(const HostContext &host)
-{
-    auto hello = std::make_shared<Wire::HelloT>();
-    hello->host = host.settings.hostId.value();
-    hello->incarnation = host.incarnation;
-    hello->data_centre = host.settings.dataCentre.value();
-    hello->purpose = Wire::Purpose::Control;
-    return hello;
-}
-
-}
-
 ControlLinks::ControlLinks(boost::asio::io_context &context, HostContext &host, PeerMessageHandler &handler)
     : m_context(context)
     , m_host(host)
     , m_handler(handler)
-    , m_hello(makeHello(host))
+    , m_hello(makeHello(host, Wire::Purpose::Control))
 {
 }
 
--- a/Source/Daemon/DispatcherRuntime.cpp
+++ b/Source/Daemon/DispatcherRuntime.cpp
@@ -4,6 +4,7 @@
 #include "Daemon/DispatcherEnvironment.h"
 #include "Daemon/SharedQuarantine.h"
 #include "Daemon/WireAttempt.h"
+#include "Daemon/WireDispatch.h"
 #include "Daemon/WireLoad.h"
 #include "Http/UpstreamCall.h"
 
@@ -128,13 +129,13 @@
     switch (decision.rule) {
     case RunRule::Run:
         if (occupied) {
-            refuse(dispatch, *reply, ErrorKind::NoUpstream, {});
+            refuseDispatch(dispatch, *reply, ErrorKind::NoUpstream);
             return false;
         }
         return true;
     case RunRule::RunAlone:
         if (occupied) {
-            refuse(dispatch, *reply, ErrorKind::NoUpstream, {});
+            refuseDispatch(dispatch, *reply, ErrorKind::NoUpstream);
             return false;
         }
         if (!m_legs.empty()) {
@@ -144,15 +145,15 @@
         m_alone = fromWire(*dispatch.attempt);
         return true;
     case RunRule::Wait:
-        refuse(dispatch, *reply, ErrorKind::NoUpstream, {});
+        refuseDispatch(dispatch, *reply, ErrorKind::NoUpstream);
         return false;
     case RunRule::RunElsewhere:
-        refuse(dispatch, *reply, ErrorKind::NoUpstream, decision.host);
+        refuseDispatch(dispatch, *reply, ErrorKind::NoUpstream, decision.host);
         return false;
     case RunRule::Refuse:
         break;
     }
-    refuse(dispatch, *reply, ErrorKind::Quarantined, {});
+    refuseDispatch(dispatch, *reply, ErrorKind::Quarantined);
     return false;
 }
 
@@ -164,7 +165,7 @@
     PendingAlone pending = std::move(*m_pendingAlone);
     m_pendingAlone.reset();
     if (!m_legs.empty()) {
-        refuse(pending.dispatch, *pending.reply, ErrorKind::NoUpstream, {});
+        refuseDispatch(pending.dispatch, *pending.reply, ErrorKind::NoUpstream);
         return;
     }
     // Decided anew: the request may have been quarantined or acquitted meanwhile.
@@ -172,17 +173,6 @@
     handleDispatch(std::move(pending.dispatch), std::move(pending.reply));
 }
 
-void DispatcherRuntime::refuse(const Wire::DispatchT &dispatch, ReplyTarget &reply, ErrorKind error, const HostId &runAt)
-{
-    Wire::StreamEndT end;
-    end.attempt = std::make_unique<Wire::AttemptKey>(*dispatch.attempt);
-    end.connection = dispatch.connection;
-    end.outcome = Wire::StreamOutcome::Refused;
-    end.error = static_cast<std::uint16_t>(error);
-    end.run_at = runAt.value();
-    reply.reply(toMessage(std::move(end)));
-}
-
 void DispatcherRuntime::admit(Wire::DispatchT &&message, const Fingerprint &fingerprint, std::shared_ptr<ReplyTarget> reply)
 {
     const auto dispatch = std::make_shared<const Wire::DispatchT>(std::move(message));
--- a/Source/Daemon/DispatcherRuntime.h
+++ b/Source/Daemon/DispatcherRuntime.h
@@ -101,7 +101,6 @@
     template<class Predicate>
     void releaseWhere(Predicate predicate);
     void noteRunEnded(const Leg &leg, bool completed);
-    static void refuse(const Wire::DispatchT &dispatch, ReplyTarget &reply, ErrorKind error, const HostId &runAt);
 
     void process(const std::vector<DispatcherOutput> &outputs);
     void on(const DispatcherAction::Send &action);
--- a/Source/Daemon/LongPromptSession.cpp
+++ b/Source/Daemon/LongPromptSession.cpp
@@ -3,6 +3,7 @@
 #include "Base/ErrorAnswer.h"
 #include "Daemon/EngineKvBlocks.h"
 #include "Daemon/WireAttempt.h"
+#include "Daemon/WireDispatch.h"
 
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/use_awaitable.hpp>
@@ -287,12 +288,7 @@
     dispatch.token_stream = step.kind == ChainStepKind::Decode;
     dispatch.method = m_request.method;
     dispatch.target = targetOf(step.kind);
-    for (const auto &[name, value] : m_request.headers) {
-        auto header = std::make_unique<Wire::HeaderT>();
-        header->name = name;
-        header->value = value;
-        dispatch.headers.push_back(std::move(header));
-    }
+    dispatch.headers = toWire(m_request.headers);
     const std::string body = stepBody(step);
     dispatch.body.assign(body.begin(), body.end());
     dispatch.trace_parent = m_request.traceParent;
--- a/Source/Daemon/OrderRuntime.cpp
+++ b/Source/Daemon/OrderRuntime.cpp
@@ -5,6 +5,7 @@
 #include "Daemon/TrafficPool.h"
 #include "Daemon/TrafficWorker.h"
 #include "Daemon/WireAttempt.h"
+#include "Daemon/WireDispatch.h"
 #include "Http/UpstreamCall.h"
 #include "Http/UpstreamConnectionPool.h"
 #include "Orders/OrderLedgerShard.h"
@@ -59,17 +60,6 @@
     return StoreStatus::NoAnswer;
 }
 
-template<class Headers>
-void copyHeaders(const std::vector<std::pair<std::string, std::string>> &from, Headers &to)
-{
-    for (const auto &[name, value] : from) {
-        auto header = std::make_unique<Wire::HeaderT>();
-        header->name = name;
-        header->value = value;
-        to.push_back(std::move(header));
-    }
-}
-
 std::int64_t microsecondsUntil(TimePoint deadline)
 {
     return std::chrono::duration_cast<std::chrono::microseconds>(deadline - std::chrono::steady_clock::now()).count();
@@ -305,7 +295,7 @@
     dispatch->remaining_us = microsecondsUntil(order.deadline);
     dispatch->method = order.method;
     dispatch->target = order.target;
-    copyHeaders(order.headers, dispatch->headers);
+    dispatch->headers = toWire(order.headers);
     dispatch->body.assign(order.body.begin(), order.body.end());
     dispatch->trace_parent = order.traceParent;
     TrafficWorker &worker = m_pool.worker(shard % m_pool.size());
@@ -446,7 +436,7 @@
     message.remaining_us = microsecondsUntil(order.deadline);
     message.method = order.method;
     message.target = order.target;
-    copyHeaders(order.headers, message.headers);
+    message.headers = toWire(order.headers);
     message.body.assign(order.body.begin(), order.body.end());
     message.trace_parent = order.traceParent;
     m_environment.sendToPeer(owner, toMessage(std::move(message)));
--- a/Source/Daemon/TrafficWorker.cpp
+++ b/Source/Daemon/TrafficWorker.cpp
@@ -4,6 +4,8 @@
 #include "Daemon/CallerHandler.h"
 #include "Daemon/TrafficPool.h"
 #include "Daemon/WireAttempt.h"
+#include "Daemon/WireDispatch.h"
+#include "Daemon/WireHello.h"
 #include "Daemon/WireLoad.h"
 
 #include <boost/asio/dispatch.hpp>
@@ -66,16 +68,6 @@
     std::weak_ptr<PeerConnection> m_connection;
 };
 
-std::shared_ptr<const Wire::HelloT> makeHello(const HostContext &host)
-{
-    auto hello = std::make_shared<Wire::HelloT>();
-    hello->host = host.settings.hostId.value();
-    hello->incarnation = host.incarnation;
-    hello->data_centre = host.settings.dataCentre.value();
-    hello->purpose = Wire::Purpose::Traffic;
-    return hello;
-}
-
 }
 
 TrafficWorker::SessionGuard::SessionGuard(TrafficWorker &worker, TimePoint deadline)
@@ -264,7 +256,7 @@
 {
     DispatcherRuntime *dispatcher = m_snapshot->dispatching ? dispatcherOf(UpstreamId(dispatch.upstream)) : nullptr;
     if (dispatcher == nullptr) {
-        refuseDispatch(dispatch, *reply);
+        refuseDispatch(dispatch, *reply, ErrorKind::NoUpstream);
         return;
     }
     dispatcher->handleDispatch(std::move(dispatch), std::move(reply));
@@ -447,7 +439,7 @@
     }
     if (owner == m_snapshot->dispatchers.end() || !m_snapshot->peers.contains(owner->second)) {
         if (const Wire::DispatchT *dispatch = message.body.AsDispatch()) {
-            refuseDispatch(*dispatch, *m_localReply);
+            refuseDispatch(*dispatch, *m_localReply, ErrorKind::NoUpstream);
         }
         return;
     }
@@ -481,7 +473,7 @@
         const auto countBytes = [this](std::size_t bytes) {
             m_host.metrics.peerBytes("traffic").Increment(static_cast<double>(bytes));
         };
-        link = std::make_shared<PeerLink>(m_context, address.address, address.port, makeHello(m_host), *this, countBytes);
+        link = std::make_shared<PeerLink>(m_context, address.address, address.port, makeHello(m_host, Wire::Purpose::Traffic), *this, countBytes);
     }
     return *link;
 }
@@ -532,16 +524,6 @@
     return position == m_dispatchers.end() ? nullptr : position->second.get();
 }
 
-void TrafficWorker::refuseDispatch(const Wire::DispatchT &dispatch, ReplyTarget &reply)
-{
-    Wire::StreamEndT end;
-    end.attempt = std::make_unique<Wire::AttemptKey>(*dispatch.attempt);
-    end.connection = dispatch.connection;
-    end.outcome = Wire::StreamOutcome::Refused;
-    end.error = static_cast<std::uint16_t>(ErrorKind::NoUpstream);
-    reply.reply(toMessage(std::move(end)));
-}
-
 void TrafficWorker::scheduleTick()
 {
     m_timer.expires_after(tickInterval);
--- a/Source/Daemon/TrafficWorker.h
+++ b/Source/Daemon/TrafficWorker.h
@@ -126,7 +126,6 @@
     void reportLinkBroken(const HostId &host);
     void updateDispatchers();
     DispatcherRuntime *dispatcherOf(const UpstreamId &upstream);
-    void refuseDispatch(const Wire::DispatchT &dispatch, ReplyTarget &reply);
     void scheduleTick();
     void tick();
 
