--- a/Source/Forwarding/FleetPlacement.cpp
+++ b/Source/Forwarding/FleetPlacement.cpp
@@ -149,7 +149,7 @@
     }
     open->second.reading = false;
     if (open->second.owner == m_self) {
-        m_table.firstPiece(id, Clock::now());
+        m_table.firstPiece(id);
         return;
     }
     Wire::PlacementReportT report;
@@ -324,15 +324,14 @@
 
 void FleetPlacement::onReport(const HostId &from, const Wire::PlacementReportT &report)
 {
-    const TimePoint now = Clock::now();
     const Placement::DemandId id{from, report.number};
     if (!report.ended) {
-        m_table.firstPiece(id, now);
+        m_table.firstPiece(id);
         return;
     }
     m_asked.erase(id);
     const std::optional<UpstreamId> faulty = report.faulty.empty() ? std::nullopt : std::optional<UpstreamId>(UpstreamId(report.faulty));
-    carryOut(m_table.ended(id, static_cast<Placement::WorkOutcome>(report.outcome), faulty, now));
+    carryOut(m_table.ended(id, static_cast<Placement::WorkOutcome>(report.outcome), faulty, Clock::now()));
 }
 
 void FleetPlacement::onAdoption(const HostId &from, const Wire::PlacementAdoptionT &adoption)
--- a/Source/Forwarding/ForwardingSession.cpp
+++ b/Source/Forwarding/ForwardingSession.cpp
@@ -70,6 +70,11 @@
     return transmission;
 }
 
+std::string milliseconds(Duration duration)
+{
+    return std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(duration).count());
+}
+
 bool isRepeatable(const RouteRule &route)
 {
     return route.kind == RequestKind::Idempotent || (route.kind == RequestKind::Stream && route.resumable);
@@ -214,6 +219,7 @@
     order.timeLeft = m_endsAt - now;
     order.helpers = place.helperAddresses;
     order.resumeAfter = m_lastEvent;
+    m_firstPieceEstimate = place.firstPieceEstimate;
     logDecision("sent", place.upstream.value() + " helpers=" + std::to_string(place.helpers.size()));
     const ConnectionReuse reuse{connectTimeout, 0};
     UpstreamCall call(std::make_shared<UpstreamConnectionPool>(m_context.io, place.address.address, place.address.port, reuse), answerTimeout(place, now));
@@ -325,8 +331,14 @@
 
 Asio::awaitable<bool> ForwardingSession::relayEvents(const std::string &events, const UpstreamAnswer &answer)
 {
+    const TimePoint now = Clock::now();
+    if (m_firstEventAfter) {
+        m_longestPause = std::max(m_longestPause, Duration(now - m_lastEventAt));
+    }
+    m_lastEventAt = now;
     if (!m_exchange.started()) {
-        m_context.metrics.firstEvent(m_route.name, Clock::now() - m_exchange.receivedAt());
+        m_firstEventAfter = now - m_exchange.receivedAt();
+        m_context.metrics.firstEvent(m_route.name, *m_firstEventAfter);
         std::string contentType; // Among the upstream's fields.
         HeaderFields fields = answer.fields;
         const bool started = co_await m_exchange.startStream(answer.status, std::move(contentType), std::move(fields));
@@ -436,13 +448,17 @@
 
 void ForwardingSession::logDecision(std::string_view event, std::string_view detail) const
 {
-    const auto age = std::chrono::duration_cast<std::chrono::milliseconds>(Clock::now() - m_exchange.receivedAt());
+    const std::string firstEvent = m_firstEventAfter ? milliseconds(*m_firstEventAfter) : std::string();
     m_context.log.write(event,
                         {{"request", m_request.id.value()},
                          {"route", m_route.name},
                          {"detail", std::string(detail)},
                          {"demand", std::to_string(m_demand.number)},
-                         {"age_ms", std::to_string(age.count())},
+                         {"age_ms", milliseconds(Clock::now() - m_exchange.receivedAt())},
+                         {"left_ms", milliseconds(m_endsAt - Clock::now())},
+                         {"estimate_ms", m_firstPieceEstimate > Duration::zero() ? milliseconds(m_firstPieceEstimate) : std::string()},
+                         {"first_event_ms", firstEvent},
+                         {"longest_pause_ms", firstEvent.empty() ? std::string() : milliseconds(m_longestPause)},
                          {"tokens", std::to_string(m_request.promptTokens)},
                          {"events", std::to_string(m_lastEvent)},
                          {"configuration", std::to_string(m_routes->configuration().version)}});
--- a/Source/Forwarding/ForwardingSession.h
+++ b/Source/Forwarding/ForwardingSession.h
@@ -83,6 +83,10 @@
     UpstreamCall *m_call = nullptr;
     std::unordered_set<UpstreamId> m_excluded;
     std::uint64_t m_lastEvent = 0; ///< Last event that the caller got.
+    Duration m_firstPieceEstimate{}; ///< Of the place in use.
+    std::optional<Duration> m_firstEventAfter; ///< From the request's arrival to the first event that the caller got.
+    TimePoint m_lastEventAt;
+    Duration m_longestPause{}; ///< Between events of the answer.
     bool m_callerGone = false;
     bool m_done = false;
 };
--- a/Source/Placement/EngineSelector.cpp
+++ b/Source/Placement/EngineSelector.cpp
@@ -16,6 +16,8 @@
 constexpr double pauseShare = 0.8;
 constexpr double comfortableShare = 0.6;
 constexpr double targetShare = 0.85;
+// A part of a prompt is worth sending to another engine if it takes more than two steps to read.
+constexpr std::uint32_t leastChunksPerPart = 2;
 // Connecting, sending and forwarding.
 constexpr std::chrono::milliseconds networkTime{15};
 // Memory is given out in blocks, so a little more than the tokens is taken.
@@ -39,11 +41,6 @@
     return demand.arrivedAt + demand.target - now;
 }
 
-Selection makeSelection(UpstreamLoad *primary, std::vector<UpstreamLoad *> helpers, Duration read, Duration estimate)
-{
-    return Selection{primary, std::move(helpers), read, estimate};
-}
-
 }
 
 EngineSelector::EngineSelector(const EngineSpec &spec)
@@ -56,13 +53,24 @@
     const bool late = now >= latestStart(demand);
     const Duration left = late ? Duration(demand.deadline - now) : timeToTarget(demand, now);
     const Duration comfortable = late ? left : share(left, comfortableShare);
-    if (std::optional<Selection> single = selectOne(demand, candidates, comfortable, now)) {
+    Engines engines;
+    engines.reserve(candidates.size());
+    for (UpstreamLoad *load : candidates) {
+        engines.push_back(describe(demand, *load, now));
+    }
+    if (std::optional<Selection> single = selectOne(demand, engines, comfortable)) {
         return single;
     }
+    // Engines that serve tighter pause limits come last, then those that are free soonest come first.
+    std::stable_sort(engines.begin(), engines.end(), [&](const Engine &left, const Engine &right) {
+        const bool leftTighter = left.tightestPause < demand.pauseLimit;
+        const bool rightTighter = right.tightestPause < demand.pauseLimit;
+        return leftTighter != rightTighter ? rightTighter : left.backlog < right.backlog;
+    });
     std::optional<Selection> best;
-    const auto engines = static_cast<std::uint32_t>(candidates.size());
-    for (std::uint32_t parts = 2; parts <= std::min(maxParts, engines); ++parts) {
-        std::optional<Selection> selection = selectParts(demand, candidates, parts, now);
+    const std::uint32_t mostParts = std::min(usefulParts(demand), static_cast<std::uint32_t>(engines.size()));
+    for (std::uint32_t parts = 2; parts <= mostParts; ++parts) {
+        std::optional<Selection> selection = selectParts(demand, engines, parts);
         if (selection && (!best || selection->firstPieceEstimate < best->firstPieceEstimate)) {
             best = std::move(selection);
         }
@@ -71,7 +79,7 @@
         }
     }
     const Duration acceptable = late ? left : share(left, targetShare);
-    std::optional<Selection> single = selectOne(demand, candidates, acceptable, now);
+    std::optional<Selection> single = selectOne(demand, engines, acceptable);
     if (best && (!single || best->firstPieceEstimate < single->firstPieceEstimate)) {
         single = std::move(best);
     }
@@ -83,7 +91,7 @@
 
 Duration EngineSelector::leastServiceTime(const Demand &demand) const
 {
-    return readTime(m_spec, demand.promptTokens, maxParts) + networkTime;
+    return readTime(m_spec, demand.promptTokens, usefulParts(demand)) + networkTime;
 }
 
 TimePoint EngineSelector::latestStart(const Demand &demand) const
@@ -91,95 +99,101 @@
     return demand.arrivedAt + demand.target - leastServiceTime(demand) - passTime(m_spec, 1, demand.promptTokens);
 }
 
-std::optional<Selection> EngineSelector::selectOne(const Demand &demand, const Candidates &candidates, Duration limit, TimePoint now) const
+std::uint32_t EngineSelector::usefulParts(const Demand &demand) const
+{
+    const std::uint64_t leastTokens = std::uint64_t{leastChunksPerPart} * m_spec.chunkTokens;
+    return static_cast<std::uint32_t>(std::clamp<std::uint64_t>(demand.promptTokens / leastTokens, 1, maxParts));
+}
+
+EngineSelector::Engine EngineSelector::describe(const Demand &demand, UpstreamLoad &load, TimePoint now) const
+{
+    Engine engine;
+    engine.load = &load;
+    engine.backlog = load.readBacklog(now, passTime(m_spec, load.writers(), load.contextTokens()));
+    engine.pass = passTime(m_spec, load.requests() + 1, load.contextTokens());
+    engine.tightestPause = load.tightestPause();
+    const auto memory = static_cast<double>(load.memoryTokens() + demand.promptTokens + demand.outputTokens);
+    engine.hasRoom = load.requests() < std::min(m_spec.slots, load.entry().slots) && memory <= usableMemory * static_cast<double>(m_spec.memoryTokens);
+    engine.mayHelp = load.helping() < m_spec.slots && !load.failures().avoided(now);
+    engine.cost = baseCost(demand, load, now);
+    return engine;
+}
+
+std::optional<Selection> EngineSelector::selectOne(const Demand &demand, const Engines &engines, Duration limit) const
 {
     const Duration read = readTime(m_spec, demand.promptTokens, 1);
-    UpstreamLoad *best = nullptr;
+    const Seconds unit = std::max(Seconds(demand.target), Seconds(networkTime));
+    const Engine *best = nullptr;
     double lowest = 0;
-    for (UpstreamLoad *load : candidates) {
-        const Duration estimate = firstPiece(*load, read, now);
-        if (estimate > limit || !hasRoom(*load, demand) || !bearsRead(*load, read, demand.promptTokens, now)) {
+    for (const Engine &engine : engines) {
+        const Duration estimate = firstPiece(engine, read);
+        if (estimate > limit || !engine.hasRoom || !bearsRead(engine, read, demand.promptTokens)) {
             continue;
         }
-        const double candidateCost = cost(demand, *load, estimate, now);
-        if (best == nullptr || candidateCost < lowest) {
-            best = load;
-            lowest = candidateCost;
+        const double cost = engine.cost + Seconds(estimate) / unit;
+        if (best == nullptr || cost < lowest) {
+            best = &engine;
+            lowest = cost;
         }
     }
     if (best == nullptr) {
         return std::nullopt;
     }
-    return makeSelection(best, {}, read, firstPiece(*best, read, now));
+    return Selection{best->load, {}, read, firstPiece(*best, read)};
 }
 
-std::optional<Selection> EngineSelector::selectParts(const Demand &demand, const Candidates &candidates, std::uint32_t parts, TimePoint now) const
+std::optional<Selection> EngineSelector::selectParts(const Demand &demand, const Engines &engines, std::uint32_t parts) const
 {
     const Duration read = readTime(m_spec, demand.promptTokens, parts);
-    Candidates bearing;
-    for (UpstreamLoad *load : candidates) {
-        if (load->helping() < m_spec.slots && !load->failures().avoided(now) && bearsRead(*load, read, demand.promptTokens, now)) {
-            bearing.push_back(load);
+    const Seconds unit = std::max(Seconds(demand.target), Seconds(networkTime));
+    std::vector<const Engine *> bearing;
+    const Engine *primary = nullptr;
+    double lowest = 0;
+    for (const Engine &engine : engines) {
+        if (!engine.mayHelp || !bearsRead(engine, read, demand.promptTokens)) {
+            continue;
         }
-    }
-    // Engines that serve tighter pause limits come last, then those that are free soonest come first.
-    std::stable_sort(bearing.begin(), bearing.end(), [&](const UpstreamLoad *left, const UpstreamLoad *right) {
-        const bool leftTighter = left->tightestPause() < demand.pauseLimit;
-        const bool rightTighter = right->tightestPause() < demand.pauseLimit;
-        return leftTighter != rightTighter ? rightTighter : left->readBacklog(now) < right->readBacklog(now);
-    });
-    UpstreamLoad *primary = nullptr;
-    for (UpstreamLoad *load : bearing) {
-        if (hasRoom(*load, demand)
-            && (primary == nullptr || cost(demand, *load, load->readBacklog(now), now) < cost(demand, *primary, primary->readBacklog(now), now))) {
-            primary = load;
+        bearing.push_back(&engine);
+        const double cost = engine.cost + Seconds(engine.backlog) / unit;
+        if (engine.hasRoom && (primary == nullptr || cost < lowest)) {
+            primary = &engine;
+            lowest = cost;
         }
     }
     if (primary == nullptr || bearing.size() < parts) {
         return std::nullopt;
     }
-    std::vector<UpstreamLoad *> helpers;
-    Duration estimate = firstPiece(*primary, read, now);
-    for (UpstreamLoad *load : bearing) {
-        if (load != primary && helpers.size() + 1 < parts) {
-            helpers.push_back(load);
-            estimate = std::max(estimate, firstPiece(*load, read, now));
+    Selection selection{primary->load, {}, read, firstPiece(*primary, read)};
+    for (const Engine *engine : bearing) {
+        if (engine != primary && selection.helpers.size() + 1 < parts) {
+            selection.helpers.push_back(engine->load);
+            selection.firstPieceEstimate = std::max(selection.firstPieceEstimate, firstPiece(*engine, read));
         }
     }
-    return makeSelection(primary, std::move(helpers), read, estimate);
+    return selection;
 }
 
 // Whether the writers of the engine keep their pause limits when it reads for another `read`.
-bool EngineSelector::bearsRead(const UpstreamLoad &load, Duration read, std::uint64_t promptTokens, TimePoint now) const
+bool EngineSelector::bearsRead(const Engine &engine, Duration read, std::uint64_t promptTokens) const
 {
-    const Duration tightest = load.tightestPause();
-    if (tightest == Duration::max()) {
+    if (engine.tightestPause == Duration::max()) {
         return true;
     }
-    const std::uint64_t largest = std::max(promptTokens, load.largestReading());
-    const Duration pause = passTime(m_spec, load.requests() + 1, load.contextTokens()) + longestReadInPass(m_spec, load.readBacklog(now) + read, largest);
-    return pause <= share(tightest, pauseShare);
-}
-
-bool EngineSelector::hasRoom(const UpstreamLoad &load, const Demand &demand) const
-{
-    const auto needed = static_cast<double>(load.memoryTokens() + demand.promptTokens + demand.outputTokens);
-    return load.requests() < std::min(m_spec.slots, load.entry().slots) && needed <= usableMemory * static_cast<double>(m_spec.memoryTokens);
+    const std::uint64_t largest = std::max(promptTokens, engine.load->largestReading());
+    return engine.pass + longestReadInPass(m_spec, engine.backlog + read, largest) <= share(engine.tightestPause, pauseShare);
 }
 
 // With writers the prompt is read inside their passes, and the first piece follows at the end of one.
-Duration EngineSelector::firstPiece(const UpstreamLoad &load, Duration read, TimePoint now) const
+Duration EngineSelector::firstPiece(const Engine &engine, Duration read) const
 {
-    const Duration pass = passTime(m_spec, load.requests() + 1, load.contextTokens());
-    const Duration waitForPass = load.writers() > 0 ? pass / 2 : Duration::zero();
-    return load.readBacklog(now) + read + pass + waitForPass + networkTime;
+    const Duration waitForPass = engine.load->writers() > 0 ? engine.pass / 2 : Duration::zero();
+    return engine.backlog + read + engine.pass + waitForPass + networkTime;
 }
 
-double EngineSelector::cost(const Demand &demand, const UpstreamLoad &load, Duration estimate, TimePoint now) const
+double EngineSelector::baseCost(const Demand &demand, const UpstreamLoad &load, TimePoint now) const
 {
     const Duration tightest = load.tightestPause();
-    double total = Seconds(estimate) / std::max(Seconds(demand.target), Seconds(networkTime));
-    total += tightest > demand.pauseLimit ? tightenCost : 0;
+    double total = tightest > demand.pauseLimit ? tightenCost : 0;
     total += tightest < demand.pauseLimit ? burdenCost : 0;
     total += load.entry().dataCentre == demand.dataCentre ? 0 : otherDataCentreCost;
     total -= fillBonus * load.requests() / std::max(m_spec.slots, 1U);
--- a/Source/Placement/EngineSelector.h
+++ b/Source/Placement/EngineSelector.h
@@ -4,6 +4,7 @@
 #include "Placement/UpstreamSelector.h"
 
 #include <cstdint>
+#include <vector>
 
 namespace Mangofall::Placement {
 
@@ -25,12 +26,26 @@
     TimePoint latestStart(const Demand &demand) const override;
 
 private:
-    std::optional<Selection> selectParts(const Demand &demand, const Candidates &candidates, std::uint32_t parts, TimePoint now) const;
-    std::optional<Selection> selectOne(const Demand &demand, const Candidates &candidates, Duration limit, TimePoint now) const;
-    bool bearsRead(const UpstreamLoad &load, Duration read, std::uint64_t promptTokens, TimePoint now) const;
-    bool hasRoom(const UpstreamLoad &load, const Demand &demand) const;
-    Duration firstPiece(const UpstreamLoad &load, Duration read, TimePoint now) const;
-    double cost(const Demand &demand, const UpstreamLoad &load, Duration estimate, TimePoint now) const;
+    /// What the choice needs to know of one engine, computed once per choice.
+    struct Engine {
+        UpstreamLoad *load = nullptr;
+        Duration backlog{};
+        Duration pass{}; ///< With one more writer.
+        Duration tightestPause{};
+        bool hasRoom = false;
+        bool mayHelp = false;
+        double cost = 0; ///< Without the part that depends on the estimate.
+    };
+    using Engines = std::vector<Engine>;
+
+    Engine describe(const Demand &demand, UpstreamLoad &load, TimePoint now) const;
+    std::optional<Selection> selectOne(const Demand &demand, const Engines &engines, Duration limit) const;
+    /// \p engines are in the order in which they should help.
+    std::optional<Selection> selectParts(const Demand &demand, const Engines &engines, std::uint32_t parts) const;
+    std::uint32_t usefulParts(const Demand &demand) const;
+    bool bearsRead(const Engine &engine, Duration read, std::uint64_t promptTokens) const;
+    Duration firstPiece(const Engine &engine, Duration read) const;
+    double baseCost(const Demand &demand, const UpstreamLoad &load, TimePoint now) const;
 
     EngineSpec m_spec;
 };
--- a/Source/Placement/PlacementTable.cpp
+++ b/Source/Placement/PlacementTable.cpp
@@ -43,10 +43,11 @@
         if (known != m_services.end() && known->second.spec == spec) {
             next.emplace(spec.id, std::move(known->second));
         } else {
-            next.emplace(spec.id, Service{spec, makeSelector(spec)});
+            next.emplace(spec.id, Service{spec, makeSelector(spec), {}});
         }
     }
     m_services = std::move(next);
+    indexUpstreams();
 }
 
 PlacementActions PlacementTable::setUpstreams(const std::vector<UpstreamEntry> &upstreams, TimePoint now)
@@ -69,6 +70,7 @@
     std::erase_if(m_upstreams, [&](const auto &known) {
         return !present.contains(known.first);
     });
+    indexUpstreams();
     return serveWaiting(now);
 }
 
@@ -84,22 +86,29 @@
     if (m_waiting.size() >= m_limits.maxWaiting) {
         return {Refusal{demand.id, ErrorKind::QueueFull, longestRetryAfter}};
     }
-    m_waiting.push_back({demand, service->second.selector->latestStart(demand)});
-    return serveWaiting(now);
+    if (std::optional<Grant> grant = tryGrant(demand, now)) {
+        return {std::move(*grant)};
+    }
+    const Waiting waiting{demand, service->second.selector->latestStart(demand)};
+    if (std::optional<Refusal> refused = refusal(waiting, now)) {
+        return {std::move(*refused)};
+    }
+    m_waiting.push_back(waiting);
+    return {};
 }
 
-void PlacementTable::firstPiece(const DemandId &id, TimePoint now)
+void PlacementTable::firstPiece(const DemandId &id)
 {
     const auto grant = m_grants.find(id);
     if (grant == m_grants.end()) {
         return;
     }
     if (const auto load = m_upstreams.find(grant->second.upstream); load != m_upstreams.end()) {
-        load->second.readDone(id, now);
+        load->second.readDone(id);
     }
     for (const UpstreamId &helper : grant->second.helpers) {
         if (const auto load = m_upstreams.find(helper); load != m_upstreams.end()) {
-            load->second.readDone(id, now);
+            load->second.readDone(id);
         }
     }
 }
@@ -122,8 +131,8 @@
     } else if (outcome == WorkOutcome::Completed) {
         m_crashes.completed(grant->second.fingerprint);
     }
-    release(id, now);
-    return serveWaiting(now);
+    release(id);
+    return placeFreed(now);
 }
 
 void PlacementTable::adopt(const ReportedGrant &grant, TimePoint now)
@@ -134,7 +143,7 @@
         return;
     }
     m_grants[id] = GrantRecord{grant.upstream, grant.helpers, grant.demand.fingerprint, grant.demand.deadline + m_limits.grantSlack};
-    const Work work{false, grant.reading, grant.demand.promptTokens, grant.demand.outputTokens, grant.demand.pauseLimit, {}};
+    const Work work{false, grant.reading, grant.demand.promptTokens, grant.demand.outputTokens, grant.demand.pauseLimit, {}, {}};
     if (const auto load = m_upstreams.find(grant.upstream); load != m_upstreams.end()) {
         load->second.add(id, work, now);
     }
@@ -154,14 +163,9 @@
 
 PlacementActions PlacementTable::tick(TimePoint now)
 {
-    std::vector<DemandId> over;
-    for (const auto &[id, grant] : m_grants) {
-        if (grant.endsAt <= now) {
-            over.push_back(id);
-        }
-    }
-    for (const DemandId &id : over) {
-        release(id, now);
+    if (now >= m_overdueCheckedAt + m_limits.overdueInterval) {
+        endOverdueGrants(now);
+        m_overdueCheckedAt = now;
     }
     return serveWaiting(now);
 }
@@ -182,37 +186,31 @@
     return position == m_upstreams.end() ? nullptr : &position->second;
 }
 
-UpstreamSelector::Candidates PlacementTable::candidates(const Demand &demand, TimePoint now)
+UpstreamSelector::Candidates PlacementTable::candidates(const Service &service, const Demand &demand, TimePoint now)
 {
     UpstreamSelector::Candidates result;
-    for (auto &[id, load] : m_upstreams) {
-        const UpstreamEntry &entry = load.entry();
-        if (entry.service == demand.service && entry.accepting && !demand.excluded.contains(id) && load.mayStart(now)) {
-            result.push_back(&load);
+    result.reserve(service.upstreams.size());
+    for (UpstreamLoad *load : service.upstreams) {
+        const bool excluded = !demand.excluded.empty() && demand.excluded.contains(load->entry().id);
+        if (!excluded && load->mayStart(now)) {
+            result.push_back(load);
         }
     }
     return result;
 }
 
-bool PlacementTable::hasUpstream(const ServiceId &service) const
-{
-    return std::any_of(m_upstreams.begin(), m_upstreams.end(), [&](const auto &known) {
-        return known.second.entry().service == service && known.second.entry().accepting;
-    });
-}
-
 std::optional<Grant> PlacementTable::tryGrant(const Demand &demand, TimePoint now)
 {
     const auto service = m_services.find(demand.service);
     if (service == m_services.end()) {
         return std::nullopt;
     }
-    const std::optional<Selection> selection = service->second.selector->select(demand, candidates(demand, now), now);
+    const std::optional<Selection> selection = service->second.selector->select(demand, candidates(service->second, demand, now), now);
     if (!selection) {
         return std::nullopt;
     }
     Grant grant{demand.id, {selection->primary->entry().id, selection->primary->entry().address, {}, {}, selection->firstPieceEstimate}};
-    Work work{false, true, demand.promptTokens, demand.outputTokens, demand.pauseLimit, selection->partReadTime};
+    Work work{false, true, demand.promptTokens, demand.outputTokens, demand.pauseLimit, selection->partReadTime, {}};
     selection->primary->add(demand.id, work, now);
     work.helper = true;
     for (UpstreamLoad *helper : selection->helpers) {
@@ -236,16 +234,22 @@
     if (left <= service->second.selector->leastServiceTime(demand)) {
         return Refusal{demand.id, ErrorKind::DeadlineUnreachable, retryAfter};
     }
-    if (!hasUpstream(demand.service) && now >= demand.arrivedAt + m_limits.noUpstreamWait) {
+    if (service->second.upstreams.empty() && now >= demand.arrivedAt + m_limits.noUpstreamWait) {
         return Refusal{demand.id, ErrorKind::NoUpstream, retryAfter};
     }
     return std::nullopt;
 }
 
+PlacementActions PlacementTable::placeFreed(TimePoint now)
+{
+    return now >= m_servedAt + m_limits.serveInterval ? serveWaiting(now) : PlacementActions();
+}
+
 // Demands that can still be on time go first, the one that must start soonest before the others; then those that are late, in order of arrival.
 PlacementActions PlacementTable::serveWaiting(TimePoint now)
 {
     PlacementActions actions;
+    m_servedAt = now;
     std::stable_sort(m_waiting.begin(), m_waiting.end(), [now](const Waiting &left, const Waiting &right) {
         const bool leftLate = left.latestStart <= now;
         const bool rightLate = right.latestStart <= now;
@@ -271,21 +275,47 @@
     return actions;
 }
 
-void PlacementTable::release(const DemandId &id, TimePoint now)
+void PlacementTable::release(const DemandId &id)
 {
     const auto grant = m_grants.find(id);
     if (grant == m_grants.end()) {
         return;
     }
     if (const auto load = m_upstreams.find(grant->second.upstream); load != m_upstreams.end()) {
-        load->second.remove(id, now);
+        load->second.remove(id);
     }
     for (const UpstreamId &helper : grant->second.helpers) {
         if (const auto load = m_upstreams.find(helper); load != m_upstreams.end()) {
-            load->second.remove(id, now);
+            load->second.remove(id);
         }
     }
     m_grants.erase(grant);
 }
 
+void PlacementTable::indexUpstreams()
+{
+    for (auto &[id, service] : m_services) {
+        service.upstreams.clear();
+    }
+    for (auto &[id, load] : m_upstreams) {
+        const auto service = m_services.find(load.entry().service);
+        if (service != m_services.end() && load.entry().accepting) {
+            service->second.upstreams.push_back(&load);
+        }
+    }
+}
+
+void PlacementTable::endOverdueGrants(TimePoint now)
+{
+    std::vector<DemandId> overdue;
+    for (const auto &[id, grant] : m_grants) {
+        if (grant.endsAt <= now) {
+            overdue.push_back(id);
+        }
+    }
+    for (const DemandId &id : overdue) {
+        release(id);
+    }
+}
+
 }
--- a/Source/Placement/PlacementTable.h
+++ b/Source/Placement/PlacementTable.h
@@ -23,6 +23,8 @@
     std::size_t maxWaiting = 2000; ///< Demands that wait, over all services.
     Duration grantSlack = std::chrono::seconds(1); ///< A grant whose end is not reported ends this long after its deadline.
     Duration orphanTime = std::chrono::milliseconds(1500); ///< Grants of a host that went away end after this time unless it reports them again.
+    Duration serveInterval = std::chrono::milliseconds(5); ///< The waiting demands are looked through at most this often when places become free.
+    Duration overdueInterval = std::chrono::milliseconds(250); ///< Between checks for grants whose end was not reported.
     Duration noUpstreamWait = std::chrono::milliseconds(1500); ///< How long a demand waits for a service without any upstream.
 };
 
@@ -50,7 +52,7 @@
     PlacementActions setUpstreams(const std::vector<UpstreamEntry> &upstreams, TimePoint now);
 
     PlacementActions submit(const Demand &demand, TimePoint now);
-    void firstPiece(const DemandId &id, TimePoint now);
+    void firstPiece(const DemandId &id);
     /// The work ended, or the caller left while the demand waited. \p faulty names the helper at fault if it was not the upstream itself.
     PlacementActions ended(const DemandId &id, WorkOutcome outcome, const std::optional<UpstreamId> &faulty, TimePoint now);
     /// Takes over a grant that this table did not give or has forgotten.
@@ -68,6 +70,7 @@
     struct Service {
         ServiceSpec spec;
         std::unique_ptr<UpstreamSelector> selector;
+        std::vector<UpstreamLoad *> upstreams; ///< That accept work.
     };
     struct GrantRecord {
         UpstreamId upstream;
@@ -80,18 +83,23 @@
         TimePoint latestStart;
     };
 
-    UpstreamSelector::Candidates candidates(const Demand &demand, TimePoint now);
-    bool hasUpstream(const ServiceId &service) const;
+    static UpstreamSelector::Candidates candidates(const Service &service, const Demand &demand, TimePoint now);
     std::optional<Grant> tryGrant(const Demand &demand, TimePoint now);
     std::optional<Refusal> refusal(const Waiting &waiting, TimePoint now) const;
+    /// Serves the demands that wait, unless that was done a moment ago: then the next tick does it.
+    PlacementActions placeFreed(TimePoint now);
     PlacementActions serveWaiting(TimePoint now);
-    void release(const DemandId &id, TimePoint now);
+    void indexUpstreams();
+    void endOverdueGrants(TimePoint now);
+    void release(const DemandId &id);
 
     PlacementLimits m_limits;
     std::map<ServiceId, Service> m_services;
     std::map<UpstreamId, UpstreamLoad> m_upstreams;
     std::map<DemandId, GrantRecord> m_grants;
     std::vector<Waiting> m_waiting;
+    TimePoint m_servedAt; ///< When the waiting demands were last served.
+    TimePoint m_overdueCheckedAt;
     CrashRecord m_crashes;
 };
 
--- a/Source/Placement/UpstreamLoad.cpp
+++ b/Source/Placement/UpstreamLoad.cpp
@@ -28,16 +28,17 @@
 
 void UpstreamLoad::add(const DemandId &id, const Work &work, TimePoint now)
 {
-    if (work.reading) {
-        m_readUntil = std::max(m_readUntil, now) + work.readTime;
-    }
     if (!work.helper) {
         m_coldWindow.add(now);
     }
-    m_work[id] = work;
+    const TimePoint readEnd = now + readBacklog(now, Duration::zero()) + work.readTime;
+    Work &added = m_work[id];
+    added = work;
+    added.readEnd = readEnd;
+    workChanged();
 }
 
-void UpstreamLoad::readDone(const DemandId &id, TimePoint now)
+void UpstreamLoad::readDone(const DemandId &id)
 {
     const auto position = m_work.find(id);
     if (position == m_work.end()) {
@@ -47,60 +48,44 @@
     if (position->second.helper) {
         m_work.erase(position);
     }
-    shortenBacklog(now);
+    workChanged();
 }
 
-void UpstreamLoad::remove(const DemandId &id, TimePoint now)
+void UpstreamLoad::remove(const DemandId &id)
 {
     if (m_work.erase(id) > 0) {
-        shortenBacklog(now);
+        workChanged();
     }
 }
 
 std::uint32_t UpstreamLoad::requests() const
 {
-    return static_cast<std::uint32_t>(m_work.size()) - helping();
+    return m_totals.requests;
 }
 
 std::uint32_t UpstreamLoad::writers() const
 {
-    return static_cast<std::uint32_t>(std::count_if(m_work.begin(), m_work.end(), [](const auto &entry) {
-        return !entry.second.helper && !entry.second.reading;
-    }));
+    return m_totals.writers;
 }
 
 std::uint32_t UpstreamLoad::helping() const
 {
-    return static_cast<std::uint32_t>(std::count_if(m_work.begin(), m_work.end(), [](const auto &entry) {
-        return entry.second.helper;
-    }));
+    return m_totals.helping;
 }
 
 std::uint64_t UpstreamLoad::contextTokens() const
 {
-    std::uint64_t tokens = 0;
-    for (const auto &[id, work] : m_work) {
-        tokens += work.helper ? 0 : work.promptTokens;
-    }
-    return tokens;
+    return m_totals.contextTokens;
 }
 
 std::uint64_t UpstreamLoad::memoryTokens() const
 {
-    std::uint64_t tokens = 0;
-    for (const auto &[id, work] : m_work) {
-        tokens += work.helper ? 0 : work.promptTokens + work.outputTokens;
-    }
-    return tokens;
+    return m_totals.memoryTokens;
 }
 
 std::uint64_t UpstreamLoad::largestReading() const
 {
-    std::uint64_t tokens = 0;
-    for (const auto &[id, work] : m_work) {
-        tokens = std::max(tokens, work.reading ? work.promptTokens : 0);
-    }
-    return tokens;
+    return m_totals.largestReading;
 }
 
 bool UpstreamLoad::idle() const
@@ -108,20 +93,19 @@
     return m_work.empty();
 }
 
-Duration UpstreamLoad::readBacklog(TimePoint now) const
+Duration UpstreamLoad::readBacklog(TimePoint now, Duration pass) const
 {
-    return std::max(Duration::zero(), Duration(m_readUntil - now));
+    Duration backlog = Duration::zero();
+    for (const Work &work : m_totals.reading) {
+        const Duration left = std::clamp<Duration>(work.readEnd - now, Duration::zero(), work.readTime);
+        backlog += work.readTime < pass ? work.readTime : left;
+    }
+    return backlog;
 }
 
 Duration UpstreamLoad::tightestPause() const
 {
-    Duration tightest = Duration::max();
-    for (const auto &[id, work] : m_work) {
-        if (!work.helper && work.pauseLimit > Duration::zero()) {
-            tightest = std::min(tightest, work.pauseLimit);
-        }
-    }
-    return tightest;
+    return m_totals.tightestPause;
 }
 
 bool UpstreamLoad::mayStart(TimePoint now) const
@@ -139,14 +123,26 @@
     return m_failures;
 }
 
-// Estimates drift: what is left to read is never more than what the requests still reading were given.
-void UpstreamLoad::shortenBacklog(TimePoint now)
+void UpstreamLoad::workChanged()
 {
-    Duration left = Duration::zero();
+    m_totals = Totals();
     for (const auto &[id, work] : m_work) {
-        left += work.reading ? work.readTime : Duration::zero();
+        if (work.reading) {
+            m_totals.reading.push_back(work);
+            m_totals.largestReading = std::max(m_totals.largestReading, work.promptTokens);
+        }
+        if (work.helper) {
+            ++m_totals.helping;
+            continue;
+        }
+        ++m_totals.requests;
+        m_totals.writers += work.reading ? 0 : 1;
+        m_totals.contextTokens += work.promptTokens;
+        m_totals.memoryTokens += work.promptTokens + work.outputTokens;
+        if (work.pauseLimit > Duration::zero()) {
+            m_totals.tightestPause = std::min(m_totals.tightestPause, work.pauseLimit);
+        }
     }
-    m_readUntil = std::min(m_readUntil, now + left);
 }
 
 }
--- a/Source/Placement/UpstreamLoad.h
+++ b/Source/Placement/UpstreamLoad.h
@@ -8,6 +8,7 @@
 
 #include <cstdint>
 #include <map>
+#include <vector>
 
 namespace Mangofall::Placement {
 
@@ -22,6 +23,7 @@
     std::uint64_t outputTokens = 0;
     Duration pauseLimit{};
     Duration readTime{}; ///< Of this upstream's part.
+    TimePoint readEnd; ///< When the reading should be done; set by the load.
 };
 
 /**
@@ -38,8 +40,8 @@
 
     void add(const DemandId &id, const Work &work, TimePoint now);
     /// The first piece of the answer came: nothing is left to read for \p id.
-    void readDone(const DemandId &id, TimePoint now);
-    void remove(const DemandId &id, TimePoint now);
+    void readDone(const DemandId &id);
+    void remove(const DemandId &id);
 
     std::uint32_t requests() const; ///< Whole requests, reading or writing.
     std::uint32_t writers() const;
@@ -49,8 +51,9 @@
     std::uint64_t largestReading() const;
     bool idle() const;
 
-    /// Time to read everything that was given and is not read yet.
-    Duration readBacklog(TimePoint now) const;
+    /// Time to read everything that was given and is not read yet. A part shorter than \p pass counts in full until its end is reported, because an
+    /// engine with writers begins to read it only with its next pass.
+    Duration readBacklog(TimePoint now, Duration pass) const;
 
     /// The shortest pause limit of the requests here; Duration::max() if there is none.
     Duration tightestPause() const;
@@ -62,11 +65,23 @@
     const FailureRecord &failures() const;
 
 private:
-    void shortenBacklog(TimePoint now);
+    /// Sums over the work here, made anew when it changes: choices read them far more often.
+    struct Totals {
+        std::uint32_t requests = 0;
+        std::uint32_t writers = 0;
+        std::uint32_t helping = 0;
+        std::uint64_t contextTokens = 0;
+        std::uint64_t memoryTokens = 0;
+        std::uint64_t largestReading = 0;
+        Duration tightestPause = Duration::max();
+        std::vector<Work> reading;
+    };
+
+    void workChanged();
 
     UpstreamEntry m_entry;
     std::map<DemandId, Work> m_work;
-    TimePoint m_readUntil; ///< When the reading given so far should be done.
+    Totals m_totals;
     RateWindow m_coldWindow;
     FailureRecord m_failures;
 };
--- /dev/null
+++ b/Tests/Forwarding/FakePlacement.h
@@ -0,0 +1,54 @@
+#pragma once
+
+#include "Forwarding/PlacementGateway.h"
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace Mangofall::Testing {
+
+/**
+ * \class FakePlacement
+ * \brief Hands out the upstreams on given ports in turn and refuses when none is left.
+ */
+class FakePlacement final : public Forwarding::PlacementGateway
+{
+public:
+    std::vector<std::uint16_t> ports;
+    std::vector<Placement::WorkOutcome> outcomes;
+    std::size_t submitted = 0;
+
+    Placement::DemandId nextId() override
+    {
+        return {HostId("h"), ++m_number};
+    }
+
+    void submit(const Placement::Demand &demand, Handler handler) override
+    {
+        if (submitted >= ports.size()) {
+            ++submitted;
+            handler(Placement::Refusal{demand.id, ErrorKind::NoUpstream, std::chrono::seconds(1)});
+            return;
+        }
+        Placement::Place place;
+        place.upstream = UpstreamId("u" + std::to_string(submitted));
+        place.address = {"127.0.0.1", ports[submitted]};
+        ++submitted;
+        handler(place);
+    }
+
+    void firstPiece(const Placement::DemandId &) override
+    {
+    }
+
+    void ended(const Placement::DemandId &, Placement::WorkOutcome outcome, const std::optional<UpstreamId> &) override
+    {
+        outcomes.push_back(outcome);
+    }
+
+private:
+    std::uint64_t m_number = 0;
+};
+
+}
--- /dev/null
+++ b/Tests/Forwarding/FakeTranslator.h
@@ -0,0 +1,57 @@
+#pragma once
+
+#include "Forwarding/MessageTranslator.h"
+
+#include <string>
+
+namespace Mangofall::Testing {
+
+/**
+ * \class FakeTranslator
+ * \brief A translator with headers of its own: Id, Key, Signed, Not-Run, After and Target.
+ */
+class FakeTranslator final : public Forwarding::MessageTranslator
+{
+public:
+    std::variant<Forwarding::CallerRequest, ErrorKind> decodeRequest(const HttpExchange &exchange) const override
+    {
+        Forwarding::CallerRequest request;
+        request.id = RequestId(std::string(exchange.header("Id")));
+        request.hostName = std::string(exchange.header("Host"));
+        request.path = std::string(exchange.request().target());
+        request.patience = std::chrono::seconds(5);
+        if (!exchange.header("Key").empty()) {
+            request.credential = std::string(exchange.header("Key"));
+        }
+        return request;
+    }
+
+    UpstreamCall::Request
+    encodeRequest(const HttpExchange &exchange, const Forwarding::CallerRequest &request, const Forwarding::UpstreamOrder &order) const override
+    {
+        UpstreamCall::Request message(exchange.request().method(), exchange.request().target(), 11);
+        message.set("Id", request.id.value());
+        message.set("Target", order.upstream.value());
+        message.set("After", std::to_string(order.resumeAfter));
+        message.body() = exchange.request().body();
+        return message;
+    }
+
+    Forwarding::UpstreamAnswer decodeAnswer(const UpstreamCall &call, const Forwarding::CallerRequest &request) const override
+    {
+        Forwarding::UpstreamAnswer answer;
+        answer.status = call.status();
+        answer.foreign = !call.header("Id").empty() && call.header("Id") != request.id.value();
+        answer.authentic = !call.header("Signed").empty() && !answer.foreign;
+        answer.unexecuted = !call.header("Not-Run").empty();
+        answer.fields.emplace_back("Signed", call.header("Signed"));
+        return answer;
+    }
+
+    HeaderFields ownAnswerFields(const Forwarding::CallerRequest &, Duration retryAfter) const override
+    {
+        return retryAfter > Duration::zero() ? HeaderFields{{"Retry-After", "1"}} : HeaderFields();
+    }
+};
+
+}
--- /dev/null
+++ b/Tests/Forwarding/ForwardingSessionTest.cpp
@@ -0,0 +1,289 @@
+#include "FakePlacement.h"
+#include "FakeTranslator.h"
+#include "Forwarding/Forwarder.h"
+#include "Forwarding/RetryBudgets.h"
+#include "Forwarding/RouteTable.h"
+#include "Forwarding/UpstreamDirectory.h"
+#include "Http/HttpListener.h"
+#include "ScriptedUpstream.h"
+#include "Telemetry/EventLog.h"
+#include "Telemetry/ForwardingMetrics.h"
+#include "Telemetry/LineSink.h"
+
+#include <boost/asio/read.hpp>
+
+#include "Property.h"
+
+using namespace Mangofall;
+using namespace Mangofall::Forwarding;
+using Mangofall::Testing::FakePlacement;
+using Mangofall::Testing::FakeTranslator;
+using Mangofall::Testing::ScriptedUpstream;
+using Placement::WorkOutcome;
+
+namespace {
+
+namespace Asio = boost::asio;
+
+class NoSink final : public LineSink
+{
+public:
+    bool write(std::string_view) override
+    {
+        return true;
+    }
+};
+
+RouteRule route(const std::string &prefix, RequestKind kind, bool resumable)
+{
+    RouteRule rule;
+    rule.name = prefix;
+    rule.hostName = "x";
+    rule.pathPrefix = prefix;
+    rule.kind = kind;
+    rule.timeout = std::chrono::seconds(5);
+    rule.target = std::chrono::seconds(1);
+    rule.maxRuns = 2;
+    rule.isPublic = prefix != "/private/";
+    rule.resumable = resumable;
+    rule.services = {{ServiceId("s"), 1}};
+    return rule;
+}
+
+std::shared_ptr<const RouteTable> routes()
+{
+    ForwardingConfiguration configuration;
+    configuration.routes = {route("/order/", RequestKind::AtMostOnce, false),
+                            route("/safe/", RequestKind::Idempotent, false),
+                            route("/stream/", RequestKind::Stream, true),
+                            route("/once/", RequestKind::Stream, false),
+                            route("/private/", RequestKind::Idempotent, false)};
+    configuration.requiresCredentials = true;
+    configuration.organisations = {{OrganisationId("o"), {"k"}, std::nullopt}};
+    return std::make_shared<const RouteTable>(configuration);
+}
+
+// A host that serves callers on loopback, with a caller that sends one request and reads until the connection ends.
+struct Host {
+    Asio::io_context io{1};
+    NoSink sink;
+    EventLog log{"h", 0, sink};
+    ForwardingMetrics metrics;
+    FakeTranslator translator;
+    FakePlacement placement;
+    UpstreamDirectory directory;
+    RetryBudgets budgets{1};
+    ForwardingContext context{io, translator, placement, directory, budgets, log, metrics};
+    Forwarder forwarder{context};
+    HttpListener listener{io, forwarder, 1'000'000};
+    std::vector<std::unique_ptr<ScriptedUpstream>> upstreams;
+
+    Host()
+    {
+        budgets.setLimits(1, 1000, 1);
+        forwarder.setRoutes(routes());
+        CHECK_FALSE(listener.listen("127.0.0.1", 0));
+    }
+
+    ScriptedUpstream &add(const std::string &answer)
+    {
+        upstreams.push_back(std::make_unique<ScriptedUpstream>(io, std::vector<std::string>{answer}));
+        placement.ports.push_back(upstreams.back()->port());
+        return *upstreams.back();
+    }
+
+    std::string call(const std::string &method, const std::string &path, const std::string &fields = std::string())
+    {
+        std::string answer;
+        const std::string request = method + " " + path + " HTTP/1.1\r\nHost: x\r\nId: 7\r\nConnection: close\r\n" + fields + "Content-Length: 0\r\n\r\n";
+        Asio::co_spawn(io, exchange(request, answer), [this](const std::exception_ptr &) {
+            io.stop();
+        });
+        io.run();
+        return answer;
+    }
+
+    Asio::awaitable<void> exchange(const std::string &request, std::string &answer) const
+    {
+        Asio::ip::tcp::socket socket(co_await Asio::this_coro::executor);
+        const Asio::ip::tcp::endpoint endpoint(Asio::ip::make_address("127.0.0.1"), listener.port());
+        co_await socket.async_connect(endpoint, Asio::use_awaitable);
+        co_await Asio::async_write(socket, Asio::buffer(request), Asio::use_awaitable);
+        auto buffer = Asio::dynamic_buffer(answer);
+        co_await Asio::async_read(socket, buffer, Asio::as_tuple(Asio::use_awaitable));
+    }
+};
+
+std::string whole(unsigned status, const std::string &fields, const std::string &body)
+{
+    return "HTTP/1.1 " + std::to_string(status) + " X\r\n" + fields + "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+}
+
+std::string event(int id)
+{
+    return "id: " + std::to_string(id) + "\ndata: d" + std::to_string(id) + "\n\n";
+}
+
+std::string chunk(const std::string &data)
+{
+    std::array<char, 16> size{};
+    std::snprintf(size.data(), size.size(), "%zx\r\n", data.size());
+    return size.data() + data + "\r\n";
+}
+
+const std::string streamHead = "HTTP/1.1 200 OK\r\nId: 7\r\nSigned: s\r\nTransfer-Encoding: chunked\r\n\r\n";
+
+bool contains(const std::string &text, const std::string &part)
+{
+    return text.find(part) != std::string::npos;
+}
+
+std::size_t count(const std::string &text, const std::string &part)
+{
+    std::size_t found = 0;
+    for (std::size_t position = text.find(part); position != std::string::npos; position = text.find(part, position + 1)) {
+        ++found;
+    }
+    return found;
+}
+
+}
+
+TEST_GROUP(ForwardingSessionTest){};
+
+// Guards against an answer whose status, signature or body is changed on the way.
+TEST(ForwardingSessionTest, AWholeAnswerIsHandedOnUnchanged)
+{
+    Host host;
+    host.add(whole(200, "Id: 7\r\nSigned: s\r\n", "hello"));
+    const std::string answer = host.call("POST", "/order/1");
+    CHECK(contains(answer, "200"));
+    CHECK(contains(answer, "Signed: s"));
+    CHECK(contains(answer, "hello"));
+    CHECK(host.placement.outcomes == std::vector{WorkOutcome::Completed});
+}
+
+// Guards against an order that is sent twice, or refused as "not run", after its upstream broke off without an answer.
+TEST(ForwardingSessionTest, AnOrderWithoutAnAnswerIsNotSentAgain)
+{
+    Host host;
+    host.add("");
+    ScriptedUpstream &second = host.add(whole(200, "Id: 7\r\nSigned: s\r\n", "hello"));
+    const std::string answer = host.call("POST", "/order/1");
+    CHECK(contains(answer, "502"));
+    LONGS_EQUAL(0, second.requests().size());
+}
+
+// Guards against an order that fails although its first upstream proved that it did not run it.
+TEST(ForwardingSessionTest, AnOrderThatDidNotRunGoesToAnotherUpstream)
+{
+    Host host;
+    host.add(whole(503, "Not-Run: 1\r\n", ""));
+    host.add(whole(200, "Id: 7\r\nSigned: s\r\n", "hello"));
+    CHECK(contains(host.call("POST", "/order/1"), "hello"));
+}
+
+// Guards against an upstream's bare 503, which proves nothing, reaching the caller as a promise that the order did not run.
+TEST(ForwardingSessionTest, ARefusalWithoutProofIsNotHandedOn)
+{
+    Host host;
+    host.add(whole(503, "", ""));
+    CHECK(contains(host.call("POST", "/order/1"), "502"));
+}
+
+// Guards against a refusal without advice on when to come back.
+TEST(ForwardingSessionTest, WithoutAPlaceTheCallerIsToldWhenToComeBack)
+{
+    Host host;
+    const std::string answer = host.call("POST", "/order/1");
+    CHECK(contains(answer, "503"));
+    CHECK(contains(answer, "Retry-After"));
+}
+
+// Guards against an upstream that cannot be reached failing a request that was never sent.
+TEST(ForwardingSessionTest, ARefusedConnectionIsNoTransmission)
+{
+    Host host;
+    host.add("").close();
+    host.add(whole(200, "Id: 7\r\nSigned: s\r\n", "hello"));
+    CHECK(contains(host.call("POST", "/order/1"), "hello"));
+}
+
+// Guards against bytes that are not the upstream's answer reaching a caller as a success.
+TEST(ForwardingSessionTest, AnswersThatAreNotThisRequestsAreNotHandedOn)
+{
+    Host unsigned_;
+    unsigned_.add(whole(200, "Id: 7\r\n", "hello"));
+    CHECK(contains(unsigned_.call("POST", "/order/1"), "502"));
+    Host foreign;
+    foreign.add(whole(200, "Id: 8\r\nSigned: s\r\n", "hello"));
+    CHECK(contains(foreign.call("POST", "/order/1"), "502"));
+    Host garbled;
+    garbled.add("not http at all\r\n\r\n");
+    CHECK(contains(garbled.call("POST", "/order/1"), "502"));
+    Host truncated;
+    truncated.add("HTTP/1.1 200 OK\r\nId: 7\r\nSigned: s\r\nContent-Length: 100\r\n\r\nshort");
+    CHECK(contains(truncated.call("POST", "/order/1"), "502"));
+}
+
+// Guards against an idempotent request that fails with its first upstream.
+TEST(ForwardingSessionTest, AnIdempotentRequestIsSentAgain)
+{
+    Host host;
+    host.add("");
+    host.add(whole(200, "Id: 7\r\nSigned: s\r\n", "hello"));
+    CHECK(contains(host.call("GET", "/safe/1"), "hello"));
+}
+
+// Guards against an error answer of the last upstream being replaced by one of ours.
+TEST(ForwardingSessionTest, TheLastErrorAnswerIsHandedOn)
+{
+    Host host;
+    host.add(whole(500, "Id: 7\r\nSigned: a\r\n", "first"));
+    host.add(whole(500, "Id: 7\r\nSigned: b\r\n", "second"));
+    const std::string answer = host.call("GET", "/safe/1");
+    CHECK(contains(answer, "500"));
+    CHECK(contains(answer, "second"));
+}
+
+// Guards against a stream that loses, repeats or mixes events when its upstream breaks off inside an event.
+TEST(ForwardingSessionTest, ABrokenStreamGoesOnAtAnotherUpstream)
+{
+    Host host;
+    host.add(streamHead + chunk(event(1) + event(2) + "id: 3\ndata: ha"));
+    ScriptedUpstream &second = host.add(streamHead + chunk(event(2) + event(3)) + chunk(event(4)) + "0\r\n\r\n");
+    const std::string answer = host.call("POST", "/stream/1");
+    for (int id = 1; id <= 4; ++id) {
+        LONGS_EQUAL(1, count(answer, event(id)));
+    }
+    CHECK(contains(second.requests().front(), "After: 2"));
+    CHECK(contains(answer, "0\r\n\r\n"));
+}
+
+// Guards against a stream that was broken off and looks complete.
+TEST(ForwardingSessionTest, AStreamThatCannotGoOnIsVisiblyBroken)
+{
+    Host host;
+    host.add(streamHead + chunk(event(1)));
+    const std::string answer = host.call("POST", "/once/1");
+    CHECK(contains(answer, event(1)));
+    CHECK_FALSE(contains(answer, "0\r\n\r\n"));
+}
+
+// Guards against callers without a right to a route, and against a refusal that blames them for what this host does not know yet.
+TEST(ForwardingSessionTest, AdmissionTellsUnknownFromNotReady)
+{
+    Host host;
+    host.add(whole(200, "Id: 7\r\nSigned: s\r\n", "hello"));
+    CHECK(contains(host.call("GET", "/nowhere/1"), "404"));
+    Host noKey;
+    CHECK(contains(noKey.call("GET", "/private/1"), "401"));
+    Host wrongKey;
+    CHECK(contains(wrongKey.call("GET", "/private/1", "Key: z\r\n"), "401"));
+    Host rightKey;
+    rightKey.add(whole(200, "Id: 7\r\nSigned: s\r\n", "hello"));
+    CHECK(contains(rightKey.call("GET", "/private/1", "Key: k\r\n"), "hello"));
+    Host starting;
+    starting.forwarder.setRoutes(nullptr);
+    CHECK(contains(starting.call("GET", "/safe/1"), "503"));
+}
--- /dev/null
+++ b/Tests/Forwarding/RetryPolicyTest.cpp
@@ -0,0 +1,98 @@
+#include "Forwarding/RetryPolicy.h"
+
+#include "Property.h"
+
+#include <array>
+#include <vector>
+
+using namespace Mangofall;
+using namespace Mangofall::Forwarding;
+using std::chrono::milliseconds;
+
+namespace {
+
+constexpr milliseconds plenty{10'000};
+
+TransmissionOutcome outcomeOf(std::uint8_t value)
+{
+    constexpr std::array outcomes = {TransmissionOutcome::NotSent,
+                                     TransmissionOutcome::Unexecuted,
+                                     TransmissionOutcome::MayHaveRun,
+                                     TransmissionOutcome::Failed,
+                                     TransmissionOutcome::Answered};
+    return outcomes[value % outcomes.size()];
+}
+
+}
+
+TEST_GROUP(RetryPolicyTest){};
+
+// Guards against an order that is sent again although it may have run: it would be charged twice.
+TEST(RetryPolicyTest, ARequestThatMayRunOnceIsNeverSentAgainAfterItMayHaveRun)
+{
+    Mangofall::Testing::checkProperty("no retry after a possible run", [](const std::vector<std::uint8_t> &outcomes) {
+        RetryPolicy policy(false, 5);
+        for (const std::uint8_t value : outcomes) {
+            const TransmissionOutcome outcome = outcomeOf(value);
+            const NextStep step = policy.decide(outcome, plenty);
+            const bool ran = outcome == TransmissionOutcome::MayHaveRun || outcome == TransmissionOutcome::Failed;
+            RC_ASSERT(!(ran && step == NextStep::Retry));
+            if (step != NextStep::Retry) {
+                return;
+            }
+        }
+    });
+}
+
+// Guards against a refusal that says "not run" about a request that may have run.
+TEST(RetryPolicyTest, OnlyRequestsThatDidNotRunAreRefused)
+{
+    Mangofall::Testing::checkProperty("a refusal is true", [](const std::vector<std::uint8_t> &outcomes, bool repeatable, std::uint8_t maxRuns) {
+        RetryPolicy policy(repeatable, maxRuns);
+        bool mayHaveRun = false;
+        for (const std::uint8_t value : outcomes) {
+            const TransmissionOutcome outcome = outcomeOf(value);
+            mayHaveRun = mayHaveRun || outcome == TransmissionOutcome::MayHaveRun || outcome == TransmissionOutcome::Failed;
+            const NextStep step = policy.decide(outcome, plenty);
+            RC_ASSERT(!(step == NextStep::Refuse && mayHaveRun));
+            if (step != NextStep::Retry) {
+                return;
+            }
+        }
+    });
+}
+
+// Guards against a request that runs on more upstreams than its route allows.
+TEST(RetryPolicyTest, RunsStayWithinTheRoutesLimit)
+{
+    RetryPolicy policy(true, 2);
+    CHECK(policy.mayRunAgain());
+    CHECK(policy.decide(TransmissionOutcome::MayHaveRun, plenty) == NextStep::Retry);
+    CHECK_FALSE(policy.mayRunAgain());
+    CHECK(policy.decide(TransmissionOutcome::MayHaveRun, plenty) == NextStep::Fail);
+}
+
+// Guards against an upstream's own error answer being replaced by one of ours.
+TEST(RetryPolicyTest, AnErrorAnswerIsDeliveredWhenNoRetryIsLeft)
+{
+    RetryPolicy policy(false, 1);
+    CHECK(policy.decide(TransmissionOutcome::Failed, plenty) == NextStep::Deliver);
+}
+
+// Guards against a retry that cannot be answered before the caller's deadline.
+TEST(RetryPolicyTest, NothingIsSentAgainWithoutTimeLeft)
+{
+    RetryPolicy policy(true, 3);
+    CHECK(policy.decide(TransmissionOutcome::Unexecuted, milliseconds(5)) == NextStep::Refuse);
+}
+
+// Guards against endless retries on upstreams that refuse without running the request.
+TEST(RetryPolicyTest, RefusalsWithoutARunAreBounded)
+{
+    RetryPolicy policy(false, 1);
+    int retries = 0;
+    while (policy.decide(TransmissionOutcome::Unexecuted, plenty) == NextStep::Retry) {
+        ++retries;
+        CHECK(retries < 20);
+    }
+}
--- /dev/null
+++ b/Tests/Forwarding/ScriptedUpstream.h
@@ -0,0 +1,82 @@
+#pragma once
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/read_until.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/write.hpp>
+
+#include <cstdint>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace Mangofall::Testing {
+
+/**
+ * \class ScriptedUpstream
+ * \brief An upstream on loopback that answers each connection with the next of its scripted texts and then closes it.
+ */
+class ScriptedUpstream
+{
+public:
+    ScriptedUpstream(boost::asio::io_context &io, std::vector<std::string> answers)
+        : m_acceptor(io, {boost::asio::ip::make_address("127.0.0.1"), 0})
+        , m_answers(std::move(answers))
+    {
+        boost::asio::co_spawn(io, accept(), boost::asio::detached);
+    }
+
+    std::uint16_t port() const
+    {
+        return m_acceptor.local_endpoint().port();
+    }
+
+    /// The headers of the requests that came.
+    const std::vector<std::string> &requests() const
+    {
+        return m_requests;
+    }
+
+    void close()
+    {
+        m_acceptor.close();
+    }
+
+private:
+    boost::asio::awaitable<void> accept()
+    {
+        while (m_acceptor.is_open()) {
+            auto [error, socket] = co_await m_acceptor.async_accept(boost::asio::as_tuple(boost::asio::use_awaitable));
+            if (error) {
+                co_return;
+            }
+            co_await serve(std::move(socket));
+        }
+    }
+
+    boost::asio::awaitable<void> serve(boost::asio::ip::tcp::socket socket)
+    {
+        std::string request;
+        auto buffer = boost::asio::dynamic_buffer(request);
+        const auto [readError, bytes] = co_await boost::asio::async_read_until(socket, buffer, "\r\n\r\n", boost::asio::as_tuple(boost::asio::use_awaitable));
+        if (readError) {
+            co_return;
+        }
+        m_requests.push_back(request);
+        const std::string answer = m_requests.size() <= m_answers.size() ? m_answers[m_requests.size() - 1] : std::string();
+        co_await boost::asio::async_write(socket, boost::asio::buffer(answer), boost::asio::as_tuple(boost::asio::use_awaitable));
+        boost::system::error_code ignored;
+        socket.shutdown(boost::asio::ip::tcp::socket::shutdown_both, ignored);
+    }
+
+    boost::asio::ip::tcp::acceptor m_acceptor;
+    std::vector<std::string> m_answers;
+    std::vector<std::string> m_requests;
+};
+
+}
--- /dev/null
+++ b/Tests/Forwarding/WirePlacementTest.cpp
@@ -0,0 +1,69 @@
+#include "Forwarding/WirePlacement.h"
+
+#include "Property.h"
+
+using namespace Mangofall;
+using namespace Mangofall::Forwarding;
+using std::chrono::milliseconds;
+
+namespace {
+
+Placement::Demand demand(TimePoint now)
+{
+    Placement::Demand result;
+    result.id = {HostId("h"), 7};
+    result.service = ServiceId("s");
+    result.dataCentre = DataCentreId("dc");
+    result.promptTokens = 5000;
+    result.outputTokens = 100;
+    result.target = milliseconds(300);
+    result.pauseLimit = milliseconds(250);
+    result.arrivedAt = now - milliseconds(10);
+    result.deadline = now + milliseconds(5000);
+    result.priority = 2;
+    result.fingerprint = 99;
+    result.excluded = {UpstreamId("u1")};
+    return result;
+}
+
+}
+
+TEST_GROUP(WirePlacementTest){};
+
+// Guards against a demand that loses part of its limits between two hosts, whose clocks differ.
+TEST(WirePlacementTest, ADemandArrivesWithItsTimesRelativeToTheReceiver)
+{
+    const TimePoint sender = TimePoint() + milliseconds(1'000'000);
+    const TimePoint receiver = TimePoint() + milliseconds(5000);
+    const Placement::Demand received = fromWire(toWire(demand(sender), sender), HostId("h"), receiver);
+    CHECK(received.id == demand(sender).id);
+    CHECK(received.arrivedAt == receiver - milliseconds(10));
+    CHECK(received.deadline == receiver + milliseconds(5000));
+    CHECK(received.target == milliseconds(300));
+    CHECK(received.pauseLimit == milliseconds(250));
+    CHECK(received.excluded.contains(UpstreamId("u1")));
+    LONGS_EQUAL(99, received.fingerprint);
+}
+
+// Guards against helpers that are paired with each other's addresses.
+TEST(WirePlacementTest, AGrantKeepsItsHelpersInOrder)
+{
+    Placement::Grant grant;
+    grant.id = {HostId("h"), 7};
+    grant.place.upstream = UpstreamId("u0");
+    grant.place.address = {"10.0.0.1", 80};
+    grant.place.helpers = {UpstreamId("u1"), UpstreamId("u2")};
+    grant.place.helperAddresses = {{"10.0.0.2", 81}, {"10.0.0.3", 82}};
+    const Placement::Place place = placeFromWire(toWire(grant));
+    CHECK(place.helpers == grant.place.helpers);
+    CHECK(place.helperAddresses == grant.place.helperAddresses);
+    CHECK(place.address == grant.place.address);
+}
+
+// Guards against an error kind out of range that a peer of another version sends.
+TEST(WirePlacementTest, AnUnknownErrorKindBecomesInternal)
+{
+    Wire::PlacementAnswerT answer;
+    answer.error = 9999;
+    CHECK(refusalFromWire(answer, {HostId("h"), 1}).kind == ErrorKind::Internal);
+}
--- /dev/null
+++ b/Tests/Placement/EngineSelectorTest.cpp
@@ -0,0 +1,140 @@
+#include "Placement/EngineSelector.h"
+
+#include "Placement/EngineCost.h"
+#include "Placement/UpstreamLoad.h"
+#include "PlacementFixtures.h"
+#include "Property.h"
+
+#include <list>
+#include <string>
+
+using namespace Mangofall;
+using namespace Mangofall::Placement;
+using namespace Mangofall::Placement::Testing;
+
+namespace {
+
+struct Fleet {
+    std::list<UpstreamLoad> loads;
+    UpstreamSelector::Candidates candidates;
+
+    explicit Fleet(int size)
+    {
+        for (int index = 0; index < size; ++index) {
+            loads.emplace_back(upstream("e" + std::to_string(index), engines), 0);
+            candidates.push_back(&loads.back());
+        }
+    }
+
+    void grant(const Selection &selection, const Demand &demand, TimePoint now)
+    {
+        Work work{false, true, demand.promptTokens, demand.outputTokens, demand.pauseLimit, selection.partReadTime, {}};
+        selection.primary->add(demand.id, work, now);
+        work.helper = true;
+        for (UpstreamLoad *helper : selection.helpers) {
+            helper->add(demand.id, work, now);
+        }
+    }
+};
+
+}
+
+TEST_GROUP(EngineSelectorTest){};
+
+// Guards against cost figures that are off by a unit: they decide every placement.
+TEST(EngineSelectorTest, ReadTimesFollowTheEnginesFigures)
+{
+    const auto ms = [](Duration duration) {
+        return Seconds(duration).count() * 1000;
+    };
+    DOUBLES_EQUAL(34.5, ms(readTime(engineSpec(), 5'000, 1)), 1);
+    DOUBLES_EQUAL(3865, ms(readTime(engineSpec(), 182'000, 1)), 10);
+    DOUBLES_EQUAL(3865.0 / 6, ms(readTime(engineSpec(), 182'000, 6)), 2);
+    DOUBLES_EQUAL(45, ms(passTime(engineSpec(), 1, 5'000)), 1);
+}
+
+// Guards against a long prompt that is read beside short answers and stops them for half a second and more.
+TEST(EngineSelectorTest, ALongPromptStaysOffEnginesThatWriteShortAnswers)
+{
+    const TimePoint now;
+    Fleet fleet(6);
+    const EngineSelector selector(engineSpec());
+    const auto first = selector.select(shortPrompt(1, now), fleet.candidates, now);
+    CHECK(first.has_value());
+    fleet.grant(*first, shortPrompt(1, now), now);
+    const auto second = selector.select(longPrompt(2, now), fleet.candidates, now);
+    CHECK(second.has_value());
+    CHECK(second->primary != first->primary);
+    for (const UpstreamLoad *helper : second->helpers) {
+        CHECK(helper != first->primary);
+    }
+}
+
+// Guards against a long prompt that one engine cannot read in time although several can.
+TEST(EngineSelectorTest, ALongPromptIsReadByAsManyEnginesAsItsTargetNeeds)
+{
+    const TimePoint now;
+    Fleet fleet(18);
+    const EngineSelector selector(engineSpec());
+    const auto selection = selector.select(longPrompt(1, now), fleet.candidates, now);
+    CHECK(selection.has_value());
+    CHECK(!selection->helpers.empty());
+    CHECK(selection->firstPieceEstimate < milliseconds(3000));
+}
+
+// Guards against short prompts that spread over all engines and leave none for long ones.
+TEST(EngineSelectorTest, ShortPromptsFillOneEngineBeforeTheyOpenAnother)
+{
+    TimePoint now;
+    Fleet fleet(18);
+    const EngineSelector selector(engineSpec());
+    for (std::uint64_t number = 1; number <= 10; ++number) {
+        const Demand demand = shortPrompt(number, now);
+        const auto selection = selector.select(demand, fleet.candidates, now);
+        CHECK(selection.has_value());
+        fleet.grant(*selection, demand, now);
+        selection->primary->readDone(demand.id);
+        now += milliseconds(200);
+    }
+    int used = 0;
+    for (const UpstreamLoad &load : fleet.loads) {
+        used += load.idle() ? 0 : 1;
+    }
+    LONGS_EQUAL(1, used);
+}
+
+// Guards against any mix of requests for which a choice breaks the pause limit of a writer or an engine's slots and memory.
+TEST(EngineSelectorTest, NoChoiceBreaksALimit)
+{
+    Mangofall::Testing::checkProperty("choices keep slots, memory and pauses", [](const std::vector<std::uint8_t> &kinds) {
+        Fleet fleet(5);
+        const EngineSpec spec = engineSpec();
+        const EngineSelector selector(spec);
+        TimePoint now;
+        std::uint64_t number = 0;
+        for (const std::uint8_t kind : kinds) {
+            ++number;
+            now += milliseconds(kind);
+            const std::uint64_t tokens = kind % 3 == 0 ? 5'000 : kind % 3 == 1 ? 45'000 : 182'000;
+            const milliseconds pause(kind % 3 == 0 ? 250 : kind % 3 == 1 ? 600 : 1000);
+            const Demand wanted = demand(number, tokens, milliseconds(kind % 3 == 0 ? 300 : 3000), pause, now);
+            const auto selection = selector.select(wanted, fleet.candidates, now);
+            if (!selection) {
+                continue;
+            }
+            fleet.grant(*selection, wanted, now);
+            for (const UpstreamLoad &load : fleet.loads) {
+                RC_ASSERT(load.requests() <= spec.slots);
+                RC_ASSERT(load.memoryTokens() <= spec.memoryTokens);
+            }
+            std::vector<UpstreamLoad *> reading = selection->helpers;
+            reading.push_back(selection->primary);
+            for (const UpstreamLoad *load : reading) {
+                if (load->requests() > 1) {
+                    const Duration read = longestReadInPass(spec, load->readBacklog(now, Duration::zero()), load->largestReading());
+                    RC_ASSERT(passTime(spec, load->requests(), load->contextTokens()) + read <= load->tightestPause() * 2);
+                }
+            }
+        }
+    });
+}
--- /dev/null
+++ b/Tests/Placement/PlacementTableTest.cpp
@@ -0,0 +1,179 @@
+#include "Placement/PlacementTable.h"
+
+#include "PlacementFixtures.h"
+#include "Property.h"
+
+#include <set>
+
+using namespace Mangofall;
+using namespace Mangofall::Placement;
+using namespace Mangofall::Placement::Testing;
+
+namespace {
+
+struct Table {
+    PlacementTable table{PlacementLimits()};
+    TimePoint now;
+
+    Table()
+    {
+        table.setServices({{engines, 0, engineSpec()}, {orders, 2, std::nullopt}}, now);
+        table.setUpstreams({upstream("o1", orders, 2), upstream("e1", engines), upstream("e2", engines)}, now);
+    }
+};
+
+const Grant *grantOf(const PlacementActions &actions, std::uint64_t number)
+{
+    for (const PlacementAction &action : actions) {
+        const auto *grant = std::get_if<Grant>(&action);
+        if (grant != nullptr && grant->id.number == number) {
+            return grant;
+        }
+    }
+    return nullptr;
+}
+
+const Refusal *refusalOf(const PlacementActions &actions, std::uint64_t number)
+{
+    for (const PlacementAction &action : actions) {
+        const auto *refusal = std::get_if<Refusal>(&action);
+        if (refusal != nullptr && refusal->id.number == number) {
+            return refusal;
+        }
+    }
+    return nullptr;
+}
+
+}
+
+TEST_GROUP(PlacementTableTest){};
+
+// Guards against a request that waits although the place it waits for has become free.
+TEST(PlacementTableTest, AWaitingDemandGetsThePlaceThatIsGivenBack)
+{
+    Table fixture;
+    fixture.table.submit(orderDemand(1, fixture.now), fixture.now);
+    fixture.table.submit(orderDemand(2, fixture.now), fixture.now);
+    CHECK(fixture.table.submit(orderDemand(3, fixture.now), fixture.now).empty());
+    fixture.now += PlacementLimits().serveInterval;
+    const PlacementActions actions = fixture.table.ended({HostId("entry"), 1}, WorkOutcome::Completed, std::nullopt, fixture.now);
+    CHECK(grantOf(actions, 3) != nullptr);
+}
+
+// Guards against a request that is held until its deadline although it can no longer be served.
+TEST(PlacementTableTest, ADemandThatCannotBeServedInTimeIsRefused)
+{
+    Table fixture;
+    fixture.table.submit(orderDemand(1, fixture.now), fixture.now);
+    fixture.table.submit(orderDemand(2, fixture.now), fixture.now);
+    fixture.table.submit(orderDemand(3, fixture.now), fixture.now);
+    fixture.now += milliseconds(10'000);
+    CHECK(refusalOf(fixture.table.tick(fixture.now), 3) != nullptr);
+    LONGS_EQUAL(0, fixture.table.waiting());
+}
+
+// Guards against a place that stays taken after its entry host has died.
+TEST(PlacementTableTest, GrantsOfALostHostEndUnlessReportedAgain)
+{
+    Table fixture;
+    fixture.table.submit(orderDemand(1, fixture.now), fixture.now);
+    fixture.table.submit(orderDemand(2, fixture.now), fixture.now);
+    fixture.table.hostLost(HostId("entry"), fixture.now);
+    fixture.table.adopt({orderDemand(2, fixture.now), UpstreamId("o1"), {}, false}, fixture.now);
+    fixture.now += milliseconds(2000);
+    fixture.table.tick(fixture.now);
+    LONGS_EQUAL(1, fixture.table.granted());
+}
+
+// Guards against a new owner that gives places which the former one has given already.
+TEST(PlacementTableTest, AdoptedGrantsTakeTheirPlaces)
+{
+    Table fixture;
+    fixture.table.adopt({orderDemand(1, fixture.now), UpstreamId("o1"), {}, false}, fixture.now);
+    fixture.table.adopt({orderDemand(2, fixture.now), UpstreamId("o1"), {}, false}, fixture.now);
+    CHECK(fixture.table.submit(orderDemand(3, fixture.now), fixture.now).empty());
+}
+
+// Guards against placing on an upstream that leaves or whose data centre is out of service.
+TEST(PlacementTableTest, AnUpstreamThatDoesNotAcceptGetsNothing)
+{
+    Table fixture;
+    UpstreamEntry leaving = upstream("o1", orders, 2);
+    leaving.accepting = false;
+    fixture.table.setUpstreams({leaving}, fixture.now);
+    CHECK(fixture.table.submit(orderDemand(1, fixture.now), fixture.now).empty());
+}
+
+// Guards against a request that waits for ever for a service without any upstream.
+TEST(PlacementTableTest, WithoutAnUpstreamTheDemandIsRefusedSoon)
+{
+    Table fixture;
+    fixture.table.setUpstreams({}, fixture.now);
+    CHECK(fixture.table.submit(orderDemand(1, fixture.now), fixture.now).empty());
+    fixture.now += milliseconds(1600);
+    CHECK(refusalOf(fixture.table.tick(fixture.now), 1) != nullptr);
+}
+
+// Guards against an upstream that is started again under its id and is taken to hold the work of its former start.
+TEST(PlacementTableTest, AnotherStartOfAnUpstreamIsEmpty)
+{
+    Table fixture;
+    fixture.table.submit(orderDemand(1, fixture.now), fixture.now);
+    fixture.table.submit(orderDemand(2, fixture.now), fixture.now);
+    UpstreamEntry restarted = upstream("o1", orders, 2);
+    restarted.startedAt = 5;
+    fixture.table.setUpstreams({restarted}, fixture.now);
+    CHECK(grantOf(fixture.table.submit(orderDemand(3, fixture.now), fixture.now), 3) != nullptr);
+}
+
+// Guards against more requests at a cold upstream than its limit.
+TEST(PlacementTableTest, AColdUpstreamGetsItsRateOnly)
+{
+    Table fixture;
+    UpstreamEntry cold = upstream("o1", orders, 100);
+    cold.coldUntil = fixture.now + milliseconds(5000);
+    fixture.table.setUpstreams({}, fixture.now);
+    fixture.table.setUpstreams({cold}, fixture.now);
+    int granted = 0;
+    for (std::uint64_t number = 1; number <= 10; ++number) {
+        granted += grantOf(fixture.table.submit(orderDemand(number, fixture.now), fixture.now), number) != nullptr ? 1 : 0;
+    }
+    LONGS_EQUAL(2, granted);
+}
+
+// Guards against grants that are lost or given twice in any order of arrivals, ends, losses and waits.
+TEST(PlacementTableTest, EveryDemandIsAnsweredOnceAndSlotsAreKept)
+{
+    Mangofall::Testing::checkProperty("each demand gets one answer", [](const std::vector<std::uint8_t> &steps) {
+        Table fixture;
+        std::set<std::uint64_t> answered;
+        std::set<std::uint64_t> running;
+        std::uint64_t number = 0;
+        const auto take = [&](const PlacementActions &actions) {
+            for (const PlacementAction &action : actions) {
+                const auto *grant = std::get_if<Grant>(&action);
+                const std::uint64_t id = grant != nullptr ? grant->id.number : std::get<Refusal>(action).id.number;
+                RC_ASSERT(answered.insert(id).second);
+                if (grant != nullptr) {
+                    running.insert(id);
+                }
+            }
+            RC_ASSERT(fixture.table.load(UpstreamId("o1"))->requests() <= 2U);
+        };
+        for (const std::uint8_t step : steps) {
+            fixture.now += milliseconds(step * 10);
+            if (step % 3 == 0 && !running.empty()) {
+                const std::uint64_t ended = *running.begin();
+                running.erase(ended);
+                take(fixture.table.ended({HostId("entry"), ended}, WorkOutcome::Completed, std::nullopt, fixture.now));
+            } else if (step % 3 == 1) {
+                take(fixture.table.tick(fixture.now));
+            } else {
+                take(fixture.table.submit(orderDemand(++number, fixture.now), fixture.now));
+            }
+        }
+        fixture.now += milliseconds(60'000);
+        take(fixture.table.tick(fixture.now));
+        RC_ASSERT(answered.size() == number);
+    });
+}
--- /dev/null
+++ b/Tests/Placement/RateWindowTest.cpp
@@ -0,0 +1,43 @@
+#include "Placement/RateWindow.h"
+
+#include "Property.h"
+
+#include <deque>
+
+using namespace Mangofall;
+using Placement::RateWindow;
+using std::chrono::milliseconds;
+
+TEST_GROUP(RateWindowTest){};
+
+// Guards against a cold upstream that gets more requests in some second than its limit, which makes it crash.
+TEST(RateWindowTest, AnySecondKeepsTheRate)
+{
+    Mangofall::Testing::checkProperty("events in any window stay within the rate", [](const std::vector<std::uint8_t> &gaps) {
+        RateWindow window(std::chrono::seconds(1), 5);
+        TimePoint now;
+        std::deque<TimePoint> events;
+        for (const std::uint8_t gap : gaps) {
+            now += milliseconds(gap);
+            if (!window.hasRoom(now)) {
+                continue;
+            }
+            window.add(now);
+            events.push_back(now);
+            while (events.front() + std::chrono::seconds(1) <= now) {
+                events.pop_front();
+            }
+            RC_ASSERT(events.size() <= 5U);
+        }
+    });
+}
+
+// Guards against a limit where the service has none.
+TEST(RateWindowTest, ZeroMeansNoLimit)
+{
+    RateWindow window(std::chrono::seconds(1), 0);
+    for (int count = 0; count < 1000; ++count) {
+        window.add(TimePoint());
+    }
+    CHECK(window.hasRoom(TimePoint()));
+}
--- /dev/null
+++ b/Tests/PlatformAdapter/PlatformSettingsTest.cpp
@@ -0,0 +1,70 @@
+#include "PlatformSettings.h"
+
+#include "Property.h"
+
+#include <fstream>
+#include <iterator>
+#include <string>
+
+using namespace Mangofall;
+using namespace Mangofall::Platform;
+
+namespace {
+
+const std::string valid = R"({ // a comment
+ "hostId": "front-1", "dataCentre": "a", "address": "10.0.0.1", "callerListener": "10.0.0.1:80", "readyListener": "10.0.0.1:81",
+ "peerPort": 7340, "metricsPort": 9464, "store": "10.0.0.9:8223", "retryBudget": { "ratio": 0.2, "reserve": 106 }, "stopSeconds": 8,
+ "logLinesPerSecond": 200 })";
+
+}
+
+TEST_GROUP(PlatformSettingsTest){};
+
+// Guards against a settings file that is read wrongly.
+TEST(PlatformSettingsTest, ValidSettingsAreRead)
+{
+    std::string problem;
+    const auto settings = parseSettings(valid, problem);
+    CHECK(settings.has_value());
+    STRCMP_EQUAL("front-1", settings->hostId.value().c_str());
+    LONGS_EQUAL(8223, settings->store.port);
+    DOUBLES_EQUAL(106, settings->retryReserve, 1e-9);
+    CHECK(settings->stopTime == std::chrono::seconds(8));
+}
+
+// Guards against a wrong settings file that starts a host with values that nobody set.
+TEST(PlatformSettingsTest, FaultsAreReportedWithTheirPlace)
+{
+    std::string problem;
+    std::string text = valid;
+    text.replace(text.find("7340"), 4, "\"x\"");
+    CHECK_FALSE(parseSettings(text, problem).has_value());
+    CHECK(problem.find("peerPort") != std::string::npos);
+    CHECK_FALSE(parseSettings("{", problem).has_value());
+    CHECK_FALSE(parseSettings("{}", problem).has_value());
+    CHECK_FALSE(readSettings("/nonexistent", problem).has_value());
+}
+
+// Guards against a template whose fields the program does not read, which would only show on the platform.
+TEST(PlatformSettingsTest, TheTemplateYieldsValidSettings)
+{
+    std::ifstream stream(std::string(MANGOFALL_SOURCE_DIR) + "/deploy/settings.json");
+    std::string text((std::istreambuf_iterator<char>(stream)), std::istreambuf_iterator<char>());
+    const std::pair<const char *, const char *> values[] = {{"{{node|json}}", "\"n\""},
+                                                            {"{{zone|json}}", "\"z\""},
+                                                            {"{{ip|json}}", "\"10.0.0.1\""},
+                                                            {"{{listen.front|json}}", "\"10.0.0.1:1\""},
+                                                            {"{{listen.ready|json}}", "\"10.0.0.1:2\""},
+                                                            {"{{internal_ports.0}}", "7340"},
+                                                            {"{{provider.address|json}}", "\"10.0.0.9:3\""},
+                                                            {"{{bounds.retry_budget_ratio}}", "0.2"},
+                                                            {"{{bounds.retry_budget_slack}}", "106"},
+                                                            {"{{bounds.grace_s}}", "8"}};
+    for (const auto &[name, value] : values) {
+        const std::size_t position = text.find(name);
+        CHECK_TEXT(position != std::string::npos, name);
+        text.replace(position, std::string(name).size(), value);
+    }
+    std::string problem;
+    CHECK_TEXT(parseSettings(text, problem).has_value(), problem.c_str());
+}
--- /dev/null
+++ b/Tests/PlatformAdapter/PlatformTranslatorTest.cpp
@@ -0,0 +1,127 @@
+#include "PlatformTranslator.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
+
+#include "Property.h"
+
+#include <string>
+
+using namespace Mangofall;
+using namespace Mangofall::Platform;
+using namespace Mangofall::Forwarding;
+
+namespace {
+
+namespace BeastHttp = boost::beast::http;
+
+struct Message {
+    boost::asio::io_context io;
+    boost::beast::tcp_stream stream{io};
+    HttpExchange exchange;
+
+    explicit Message(HttpExchange::Request request)
+        : exchange(stream, std::move(request), TimePoint())
+    {
+    }
+};
+
+HttpExchange::Request callerMessage()
+{
+    HttpExchange::Request request(BeastHttp::verb::post, "/a/b?q=1", 11);
+    request.set("Host", "h.example:80");
+    request.set("Attempt-Id", "9c41");
+    request.set("Deadline-Ms", "10000");
+    request.set("Authorization", "Token secret");
+    request.set("Token-Counts", "1460,80");
+    request.set("Prompt-Prefix", "5c1e:800");
+    request.set("Last-Event-Id", "12");
+    request.body() = "body";
+    return request;
+}
+
+std::string value(const UpstreamCall::Request &request, const char *name)
+{
+    const auto position = request.find(name);
+    return position == request.end() ? std::string() : std::string(position->value());
+}
+
+}
+
+TEST_GROUP(PlatformTranslatorTest){};
+
+// Guards against a header that is decoded into the wrong field.
+TEST(PlatformTranslatorTest, ACallersRequestIsDecoded)
+{
+    const Message message(callerMessage());
+    const auto decoded = PlatformTranslator().decodeRequest(message.exchange);
+    const auto &request = std::get<CallerRequest>(decoded);
+    STRCMP_EQUAL("9c41", request.id.value().c_str());
+    STRCMP_EQUAL("h.example", request.hostName.c_str());
+    STRCMP_EQUAL("/a/b", request.path.c_str());
+    CHECK(request.patience == std::chrono::milliseconds(10'000));
+    STRCMP_EQUAL("secret", request.credential->c_str());
+    LONGS_EQUAL(1460, request.promptTokens);
+    LONGS_EQUAL(80, request.outputTokens);
+    LONGS_EQUAL(12, request.lastEventId);
+}
+
+// Guards against requests that name no attempt, or two, reaching an upstream.
+TEST(PlatformTranslatorTest, RequestsWithoutOneAttemptIdAreRefused)
+{
+    HttpExchange::Request missing = callerMessage();
+    missing.erase("Attempt-Id");
+    const Message first(missing);
+    CHECK(std::holds_alternative<ErrorKind>(PlatformTranslator().decodeRequest(first.exchange)));
+    HttpExchange::Request twice = callerMessage();
+    twice.insert("Attempt-Id", "other");
+    const Message second(twice);
+    CHECK(std::holds_alternative<ErrorKind>(PlatformTranslator().decodeRequest(second.exchange)));
+}
+
+// Guards against a caller's key reaching an upstream, and against fields that a caller forges for the serving layer.
+TEST(PlatformTranslatorTest, AnUpstreamGetsNoKeyAndNoForgedField)
+{
+    HttpExchange::Request forged = callerMessage();
+    forged.set("Tenant", "forged");
+    forged.set("Target-Instance", "forged");
+    forged.set("Helpers", "1.2.3.4:5");
+    forged.set("Request-Priority", "0");
+    forged.set("Connection", "keep-alive, X-Hop");
+    forged.set("X-Hop", "1");
+    forged.set("X-Other", "2");
+    const Message message(forged);
+    UpstreamOrder order;
+    order.upstream = UpstreamId("i-1");
+    order.timeLeft = std::chrono::milliseconds(900);
+    order.resumeAfter = 20;
+    const CallerRequest request;
+    const UpstreamCall::Request sent = PlatformTranslator().encodeRequest(message.exchange, request, order);
+    STRCMP_EQUAL("", value(sent, "Authorization").c_str());
+    STRCMP_EQUAL("", value(sent, "Tenant").c_str());
+    STRCMP_EQUAL("", value(sent, "Helpers").c_str());
+    STRCMP_EQUAL("", value(sent, "Request-Priority").c_str());
+    STRCMP_EQUAL("", value(sent, "X-Hop").c_str());
+    STRCMP_EQUAL("2", value(sent, "X-Other").c_str());
+    STRCMP_EQUAL("i-1", value(sent, "Target-Instance").c_str());
+    STRCMP_EQUAL("900", value(sent, "Deadline-Ms").c_str());
+    STRCMP_EQUAL("20", value(sent, "Last-Event-Id").c_str());
+    STRCMP_EQUAL("9c41", value(sent, "Attempt-Id").c_str());
+    STRCMP_EQUAL("1460,80", value(sent, "Token-Counts").c_str());
+    STRCMP_EQUAL("h.example:80", value(sent, "Host").c_str());
+    STRCMP_EQUAL("/a/b?q=1", std::string(sent.target()).c_str());
+    STRCMP_EQUAL("body", sent.body().c_str());
+}
+
+// Guards against helpers and an organisation that do not reach the upstream.
+TEST(PlatformTranslatorTest, TheOrdersFieldsAreSet)
+{
+    const Message message(callerMessage());
+    UpstreamOrder order;
+    order.upstream = UpstreamId("i-1");
+    order.organisation = OrganisationId("acme");
+    order.helpers = {{"10.0.0.2", 80}, {"10.0.0.3", 81}};
+    const UpstreamCall::Request sent = PlatformTranslator().encodeRequest(message.exchange, CallerRequest(), order);
+    STRCMP_EQUAL("acme", value(sent, "Tenant").c_str());
+    STRCMP_EQUAL("10.0.0.2:80,10.0.0.3:81", value(sent, "Helpers").c_str());
+}
--- /dev/null
+++ b/Tests/PlatformAdapter/StoreMirrorTest.cpp
@@ -0,0 +1,192 @@
+#include "StoreMirror.h"
+#include "StoreObserver.h"
+
+#include "Base64.h"
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/read_until.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/write.hpp>
+
+#include "Property.h"
+
+#include <functional>
+#include <string>
+#include <vector>
+
+using namespace Mangofall;
+using namespace Mangofall::Platform;
+
+namespace {
+
+namespace Asio = boost::asio;
+
+// A store on loopback that answers each call with the next of its scripted bodies; an empty one closes the connection.
+class ScriptedStore
+{
+public:
+    struct Answer {
+        unsigned status = 200;
+        std::string body;
+    };
+
+    ScriptedStore(Asio::io_context &io, std::vector<Answer> answers)
+        : m_io(io)
+        , m_acceptor(io, {Asio::ip::make_address("127.0.0.1"), 0})
+        , m_answers(std::move(answers))
+    {
+        Asio::co_spawn(io, accept(), Asio::detached);
+    }
+
+    NetworkAddress address() const
+    {
+        return {"127.0.0.1", m_acceptor.local_endpoint().port()};
+    }
+
+    const std::vector<std::string> &calls() const
+    {
+        return m_calls;
+    }
+
+private:
+    Asio::awaitable<void> accept()
+    {
+        while (true) {
+            auto [error, socket] = co_await m_acceptor.async_accept(Asio::as_tuple(Asio::use_awaitable));
+            if (error) {
+                co_return;
+            }
+            Asio::co_spawn(m_io, serve(std::move(socket)), Asio::detached);
+        }
+    }
+
+    Asio::awaitable<void> serve(Asio::ip::tcp::socket socket)
+    {
+        while (true) {
+            std::string request;
+            auto buffer = Asio::dynamic_buffer(request);
+            const auto [error, bytes] = co_await Asio::async_read_until(socket, buffer, "\r\n\r\n", Asio::as_tuple(Asio::use_awaitable));
+            if (error) {
+                co_return;
+            }
+            m_calls.push_back(request.substr(0, request.find(" HTTP")));
+            if (m_calls.size() > m_answers.size()) {
+                m_io.stop();
+                co_return;
+            }
+            const Answer answer = m_answers[m_calls.size() - 1];
+            if (answer.body.empty()) {
+                co_return;
+            }
+            const std::string text
+                = "HTTP/1.1 " + std::to_string(answer.status) + " X\r\nContent-Length: " + std::to_string(answer.body.size()) + "\r\n\r\n" + answer.body;
+            co_await Asio::async_write(socket, Asio::buffer(text), Asio::as_tuple(Asio::use_awaitable));
+        }
+    }
+
+    Asio::io_context &m_io;
+    Asio::ip::tcp::acceptor m_acceptor;
+    std::vector<Answer> m_answers;
+    std::vector<std::string> m_calls;
+};
+
+class Recorder final : public StoreObserver
+{
+public:
+    std::vector<std::string> changes;
+
+    void itemChanged(const StoreItem &item) override
+    {
+        changes.push_back((item.removed ? "-" : "+") + item.key + "=" + item.value);
+    }
+
+    void changesComplete() override
+    {
+    }
+
+    void storeFailed() override
+    {
+        changes.emplace_back("failed");
+    }
+
+    void storeReturned() override
+    {
+        changes.emplace_back("returned");
+    }
+};
+
+std::string item(const std::string &key, const std::string &value, int revision)
+{
+    return R"({"key":")" + key + R"(","value":")" + encodeBase64(value) + R"(","revision":)" + std::to_string(revision) + "}";
+}
+
+std::string items(const std::string &list, int revision, bool more = false)
+{
+    return R"({"items":[)" + list + R"(],"more_pages":)" + (more ? "true" : "false") + R"(,"as_of":)" + std::to_string(revision) + "}";
+}
+
+std::string events(const std::string &list, int revision)
+{
+    return R"({"events":[)" + list + R"(],"as_of":)" + std::to_string(revision) + "}";
+}
+
+// Runs a mirror against scripted answers until they are used up; returns the changes that it saw.
+std::vector<std::string> play(std::vector<ScriptedStore::Answer> answers, std::vector<std::string> *calls = nullptr)
+{
+    Asio::io_context io(1);
+    ScriptedStore store(io, std::move(answers));
+    StoreClient client(io, store.address());
+    Recorder recorder;
+    StoreMirror mirror(io, client, "p/", recorder);
+    Asio::co_spawn(io, mirror.run(), Asio::detached);
+    io.run();
+    if (calls != nullptr) {
+        *calls = store.calls();
+    }
+    return recorder.changes;
+}
+
+using Changes = std::vector<std::string>;
+
+}
+
+TEST_GROUP(StoreMirrorTest){};
+
+// Guards against changes that are missed between the reading of all keys and the first watch, and against missing pages.
+TEST(StoreMirrorTest, ReadsAllPagesAndWatchesFromTheFirstOnesRevision)
+{
+    std::vector<std::string> calls;
+    const Changes changes
+        = play({{200, items(item("p/a", "1", 5), 10, true)}, {200, items(item("p/b", "2", 6), 11)}, {200, events(item("p/c", "3", 12), 12)}}, &calls);
+    CHECK(changes == (Changes{"+p/a=1", "+p/b=2", "+p/c=3"}));
+    CHECK(calls[1].find("after=p/a") != std::string::npos);
+    CHECK(calls[2].find("kv-watch") != std::string::npos);
+    CHECK(calls[2].find("after=10") != std::string::npos);
+}
+
+// Guards against a key that was removed while the history was gone and stays for ever.
+TEST(StoreMirrorTest, KeysThatAreMissingAfterTheHistoryWasGoneAreRemoved)
+{
+    const Changes changes = play({{200, items(item("p/a", "1", 5) + "," + item("p/b", "2", 6), 10)}, {410, "{}"}, {200, items(item("p/b", "3", 20), 30)}});
+    CHECK(changes == (Changes{"+p/a=1", "+p/b=2", "+p/b=3", "-p/a="}));
+}
+
+// Guards against an old value that follows a newer one.
+TEST(StoreMirrorTest, OlderValuesAreIgnored)
+{
+    const Changes changes = play({{200, items(item("p/a", "new", 9), 10)}, {200, events(item("p/a", "old", 8), 11)}});
+    CHECK(changes == (Changes{"+p/a=new"}));
+}
+
+// Guards against a mirror that stops, or reads everything again, when a call gets no answer.
+TEST(StoreMirrorTest, GoesOnAfterAnOutage)
+{
+    std::vector<std::string> calls;
+    const Changes changes
+        = play({{200, items(item("p/a", "1", 5), 10)}, {503, "{}"}, {200, events(R"({"key":"p/a","revision":12,"removed":true})", 12)}}, &calls);
+    CHECK(changes == (Changes{"+p/a=1", "failed", "returned", "-p/a="}));
+    CHECK(calls[2].find("kv-watch") != std::string::npos);
+}
