Let each number of parts compete by cost, and split late prompts as well

A prompt that could be read in time by one engine took that engine for seconds, although the other engines were free; late prompts always went to one engine. Streams were given up as silent at twice their estimate, and what was read was read again.

--- a/Source/Forwarding/ForwardingSession.cpp
+++ b/Source/Forwarding/ForwardingSession.cpp
@@ -31,6 +31,8 @@
 constexpr std::size_t maxWholeAnswerBytes = 64UL * 1024 * 1024;
 // An upstream that shows nothing for this multiple of what was expected is taken to be stuck, if the request can be sent elsewhere.
 constexpr int silenceFactor = 2;
+// Estimates of the first event are exceeded under load; giving up wastes what was read.
+constexpr int estimateFactor = 4;
 constexpr std::chrono::milliseconds shortestSilence{1000};
 // A repeatable request without an answer after this multiple of its target goes to another upstream.
 constexpr int answerFactor = 2;
@@ -75,6 +77,15 @@
     return std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(duration).count());
 }
 
+std::string describe(const Placement::Place &place)
+{
+    std::string text = place.upstream.value();
+    for (std::size_t index = 0; index < place.helpers.size(); ++index) {
+        text += (index == 0 ? " helpers=" : ",") + place.helpers[index].value();
+    }
+    return text;
+}
+
 bool isRepeatable(const RouteRule &route)
 {
     return route.kind == RequestKind::Idempotent || (route.kind == RequestKind::Stream && route.resumable);
@@ -220,7 +231,7 @@
     order.helpers = place.helperAddresses;
     order.resumeAfter = m_lastEvent;
     m_firstPieceEstimate = place.firstPieceEstimate;
-    logDecision("sent", place.upstream.value() + " helpers=" + std::to_string(place.helpers.size()));
+    logDecision("sent", describe(place));
     const ConnectionReuse reuse{connectTimeout, 0};
     UpstreamCall call(std::make_shared<UpstreamConnectionPool>(m_context.io, place.address.address, place.address.port, reuse), answerTimeout(place, now));
     m_call = &call;
@@ -418,8 +429,10 @@
     if (!m_policy.mayRunAgain()) {
         return left;
     }
-    Duration expected = isStream() ? place.firstPieceEstimate * silenceFactor : m_route.target * answerFactor;
-    expected += isStream() ? Duration(shortestSilence) : Duration::zero();
+    if (!isStream()) {
+        return std::min(left, m_route.target * answerFactor);
+    }
+    const Duration expected = std::max(place.firstPieceEstimate * estimateFactor, m_route.target * silenceFactor) + shortestSilence;
     return std::min(left, expected);
 }
 
--- a/Source/Placement/EngineSelector.cpp
+++ b/Source/Placement/EngineSelector.cpp
@@ -16,8 +16,8 @@
 constexpr double pauseShare = 0.8;
 constexpr double comfortableShare = 0.6;
 constexpr double targetShare = 0.85;
-// A part of a prompt is worth sending to another engine if it takes more than two steps to read.
-constexpr std::uint32_t leastChunksPerPart = 2;
+// A part of a prompt is worth sending to another engine if it takes more than a few steps to read.
+constexpr std::uint32_t leastChunksPerPart = 4;
 // Connecting, sending and forwarding.
 constexpr std::chrono::milliseconds networkTime{15};
 // Memory is given out in blocks, so a little more than the tokens is taken.
@@ -28,6 +28,8 @@
 constexpr double burdenCost = 1.5; // The engine serves a shorter pause limit than the request needs.
 constexpr double otherDataCentreCost = 0.15;
 constexpr double fillBonus = 0.4;
+constexpr double uncomfortableCost = 1.2; // Opening another engine is better than an estimate near the target.
+constexpr double helperCost = 0.01; // Each helper is one engine more whose loss ends the request.
 constexpr double failureCost = 2;
 constexpr double avoidedCost = 10;
 
@@ -36,6 +38,11 @@
     return toDuration(Seconds(duration) * part);
 }
 
+double shareOfTarget(const Demand &demand, Duration estimate)
+{
+    return Seconds(estimate) / std::max(Seconds(demand.target), Seconds(networkTime));
+}
+
 Duration timeToTarget(const Demand &demand, TimePoint now)
 {
     return demand.arrivedAt + demand.target - now;
@@ -52,41 +59,36 @@
 {
     const bool late = now >= latestStart(demand);
     const Duration left = late ? Duration(demand.deadline - now) : timeToTarget(demand, now);
-    const Duration comfortable = late ? left : share(left, comfortableShare);
     Engines engines;
     engines.reserve(candidates.size());
     for (UpstreamLoad *load : candidates) {
         engines.push_back(describe(demand, *load, now));
     }
-    if (std::optional<Selection> single = selectOne(demand, engines, comfortable)) {
-        return single;
-    }
     // Engines that serve tighter pause limits come last, then those that are free soonest come first.
     std::stable_sort(engines.begin(), engines.end(), [&](const Engine &left, const Engine &right) {
         const bool leftTighter = left.tightestPause < demand.pauseLimit;
         const bool rightTighter = right.tightestPause < demand.pauseLimit;
         return leftTighter != rightTighter ? rightTighter : left.backlog < right.backlog;
     });
-    std::optional<Selection> best;
+    const Duration acceptable = late ? left : share(left, targetShare);
+    const Duration comfortable = share(left, comfortableShare);
     const std::uint32_t mostParts = std::min(usefulParts(demand), static_cast<std::uint32_t>(engines.size()));
-    for (std::uint32_t parts = 2; parts <= mostParts; ++parts) {
-        std::optional<Selection> selection = selectParts(demand, engines, parts);
-        if (selection && (!best || selection->firstPieceEstimate < best->firstPieceEstimate)) {
-            best = std::move(selection);
+    std::optional<Choice> best;
+    for (std::uint32_t parts = 1; parts <= mostParts; ++parts) {
+        std::optional<Choice> choice = parts == 1 ? chooseOne(demand, engines, acceptable, comfortable) : chooseParts(demand, engines, parts);
+        if (!choice || choice->selection.firstPieceEstimate > acceptable) {
+            continue;
         }
-        if (best && best->firstPieceEstimate <= comfortable) {
-            return best;
+        choice->cost += choice->selection.firstPieceEstimate > comfortable ? uncomfortableCost : 0;
+        choice->cost += helperCost * (parts - 1);
+        if (!best || choice->cost < best->cost) {
+            best = std::move(choice);
         }
     }
-    const Duration acceptable = late ? left : share(left, targetShare);
-    std::optional<Selection> single = selectOne(demand, engines, acceptable);
-    if (best && (!single || best->firstPieceEstimate < single->firstPieceEstimate)) {
-        single = std::move(best);
-    }
-    if (single && single->firstPieceEstimate > acceptable) {
+    if (!best) {
         return std::nullopt;
     }
-    return single;
+    return std::move(best->selection);
 }
 
 Duration EngineSelector::leastServiceTime(const Demand &demand) const
@@ -119,33 +121,28 @@
     return engine;
 }
 
-std::optional<Selection> EngineSelector::selectOne(const Demand &demand, const Engines &engines, Duration limit) const
+std::optional<EngineSelector::Choice>
+EngineSelector::chooseOne(const Demand &demand, const Engines &engines, Duration acceptable, Duration comfortable) const
 {
     const Duration read = readTime(m_spec, demand.promptTokens, 1);
-    const Seconds unit = std::max(Seconds(demand.target), Seconds(networkTime));
-    const Engine *best = nullptr;
-    double lowest = 0;
+    std::optional<Choice> best;
     for (const Engine &engine : engines) {
         const Duration estimate = firstPiece(engine, read);
-        if (estimate > limit || !engine.hasRoom || !bearsRead(engine, read, demand.promptTokens)) {
+        if (estimate > acceptable || !engine.hasRoom || !bearsRead(engine, read, demand.promptTokens)) {
             continue;
         }
-        const double cost = engine.cost + Seconds(estimate) / unit;
-        if (best == nullptr || cost < lowest) {
-            best = &engine;
-            lowest = cost;
+        const double cost = engine.cost + shareOfTarget(demand, estimate);
+        const double ranked = cost + (estimate > comfortable ? uncomfortableCost : 0);
+        if (!best || ranked < best->rank) {
+            best = Choice{Selection{engine.load, {}, read, estimate}, cost, ranked};
         }
     }
-    if (best == nullptr) {
-        return std::nullopt;
-    }
-    return Selection{best->load, {}, read, firstPiece(*best, read)};
+    return best;
 }
 
-std::optional<Selection> EngineSelector::selectParts(const Demand &demand, const Engines &engines, std::uint32_t parts) const
+std::optional<EngineSelector::Choice> EngineSelector::chooseParts(const Demand &demand, const Engines &engines, std::uint32_t parts) const
 {
     const Duration read = readTime(m_spec, demand.promptTokens, parts);
-    const Seconds unit = std::max(Seconds(demand.target), Seconds(networkTime));
     std::vector<const Engine *> bearing;
     const Engine *primary = nullptr;
     double lowest = 0;
@@ -154,7 +151,7 @@
             continue;
         }
         bearing.push_back(&engine);
-        const double cost = engine.cost + Seconds(engine.backlog) / unit;
+        const double cost = engine.cost + shareOfTarget(demand, engine.backlog);
         if (engine.hasRoom && (primary == nullptr || cost < lowest)) {
             primary = &engine;
             lowest = cost;
@@ -170,7 +167,8 @@
             selection.firstPieceEstimate = std::max(selection.firstPieceEstimate, firstPiece(*engine, read));
         }
     }
-    return selection;
+    const double cost = primary->cost + shareOfTarget(demand, selection.firstPieceEstimate);
+    return Choice{std::move(selection), cost, cost};
 }
 
 // Whether the writers of the engine keep their pause limits when it reads for another `read`.
--- a/Source/Placement/EngineSelector.h
+++ b/Source/Placement/EngineSelector.h
@@ -38,10 +38,17 @@
     };
     using Engines = std::vector<Engine>;
 
+    struct Choice {
+        Selection selection;
+        double cost = 0;
+        double rank = 0; ///< The cost by which engines were compared.
+    };
+
     Engine describe(const Demand &demand, UpstreamLoad &load, TimePoint now) const;
-    std::optional<Selection> selectOne(const Demand &demand, const Engines &engines, Duration limit) const;
-    /// \p engines are in the order in which they should help.
-    std::optional<Selection> selectParts(const Demand &demand, const Engines &engines, std::uint32_t parts) const;
+    /// The best engine that reads the prompt alone.
+    std::optional<Choice> chooseOne(const Demand &demand, const Engines &engines, Duration acceptable, Duration comfortable) const;
+    /// The first engines that bear an even part; \p engines are in the order in which they should help.
+    std::optional<Choice> chooseParts(const Demand &demand, const Engines &engines, std::uint32_t parts) const;
     std::uint32_t usefulParts(const Demand &demand) const;
     bool bearsRead(const Engine &engine, Duration read, std::uint64_t promptTokens) const;
     Duration firstPiece(const Engine &engine, Duration read) const;
