Read prompts beyond one engine's memory, and let an engine help one prompt at a time

Cause: prompts over about 390,000 tokens fit no engine and waited until their deadline. Estimates of long prompts were far off under load (495 ms estimated, 4,378 ms measured), while later prompts on the same engines were early: an engine reads the part that came last first, so a stream of parts starves the earlier ones.

--- /dev/null
+++ b/Source/Forwarding/EngineOrders.h
@@ -0,0 +1,44 @@
+#pragma once
+
+#include "Base/Ids.h"
+#include "Base/Time.h"
+#include "Config/NetworkAddress.h"
+
+#include <boost/asio/awaitable.hpp>
+
+#include <cstdint>
+#include <string>
+
+namespace Mangofall::Forwarding {
+
+/**
+ * \class MemoryTicket
+ * \brief Memory of one engine that is set aside for one request.
+ */
+struct MemoryTicket {
+    UpstreamId upstream;
+    NetworkAddress address;
+    std::string name; ///< Unique among all tickets.
+    std::uint64_t tokens = 0;
+};
+
+/**
+ * \class EngineOrders
+ * \brief Orders to engines that concern their memory.
+ */
+class EngineOrders
+{
+public:
+    EngineOrders() = default;
+    EngineOrders(const EngineOrders &) = delete;
+    EngineOrders &operator=(const EngineOrders &) = delete;
+    virtual ~EngineOrders() = default;
+
+    /// Sets memory aside, or extends a ticket's time, for \p hold; false if the engine refused or did not answer.
+    virtual boost::asio::awaitable<bool> reserve(const MemoryTicket &ticket, std::chrono::milliseconds hold) = 0;
+
+    /// Gives the memory back; false if the engine did not confirm it.
+    virtual boost::asio::awaitable<bool> release(const MemoryTicket &ticket) = 0;
+};
+
+}
--- a/Source/Forwarding/ForwardingContext.h
+++ b/Source/Forwarding/ForwardingContext.h
@@ -9,6 +9,7 @@
 
 namespace Mangofall::Forwarding {
 
+class EngineOrders;
 class MessageTranslator;
 class PlacementGateway;
 class RetryBudgets;
@@ -22,6 +23,7 @@
     boost::asio::io_context &io;
     const MessageTranslator &translator;
     PlacementGateway &placement;
+    EngineOrders &orders;
     const UpstreamAvailability &upstreams;
     RetryBudgets &budgets;
     EventLog &log;
--- a/Source/Forwarding/ForwardingSession.cpp
+++ b/Source/Forwarding/ForwardingSession.cpp
@@ -2,6 +2,7 @@
 
 #include "Base/ErrorAnswer.h"
 #include "Base/Hash.h"
+#include "Forwarding/MemoryHold.h"
 #include "Forwarding/MessageTranslator.h"
 #include "Forwarding/RetryBudgets.h"
 #include "Forwarding/UpstreamAvailability.h"
@@ -86,6 +87,11 @@
     return text;
 }
 
+std::string ticketName(const Placement::DemandId &id)
+{
+    return id.host.value() + "-" + std::to_string(id.number);
+}
+
 bool isRepeatable(const RouteRule &route)
 {
     return route.kind == RequestKind::Idempotent || (route.kind == RequestKind::Stream && route.resumable);
@@ -149,7 +155,7 @@
             m_context.placement.ended(m_demand, WorkOutcome::Cancelled, std::nullopt);
             continue;
         }
-        Transmission transmission = co_await transmit(place);
+        Transmission transmission = co_await transmitHolding(place);
         m_context.placement.ended(m_demand, m_callerGone ? WorkOutcome::Cancelled : transmission.work, transmission.faulty);
         if (m_callerGone) {
             break;
@@ -221,6 +227,34 @@
     return demand;
 }
 
+Asio::awaitable<Transmission> ForwardingSession::transmitHolding(const Place &place)
+{
+    std::vector<MemoryTicket> tickets = ticketsFor(place);
+    if (tickets.empty()) {
+        Transmission transmission = co_await transmit(place);
+        co_return transmission;
+    }
+    const auto hold = std::make_shared<MemoryHold>(m_context.io, m_context.orders, std::move(tickets));
+    const bool held = co_await hold->acquire();
+    Transmission transmission = failedTransmission(TransmissionOutcome::NotSent, WorkOutcome::Cancelled, "no memory on the helpers");
+    if (held && !m_callerGone) {
+        transmission = co_await transmit(place);
+    }
+    hold->release();
+    co_return transmission;
+}
+
+std::vector<MemoryTicket> ForwardingSession::ticketsFor(const Place &place) const
+{
+    std::vector<MemoryTicket> tickets;
+    for (std::size_t index = 0; index < place.helperMemory.size(); ++index) {
+        if (place.helperMemory[index] > 0) {
+            tickets.push_back({place.helpers[index], place.helperAddresses[index], ticketName(m_demand), place.helperMemory[index]});
+        }
+    }
+    return tickets;
+}
+
 Asio::awaitable<Transmission> ForwardingSession::transmit(const Place &place)
 {
     const TimePoint now = Clock::now();
@@ -228,7 +262,10 @@
     order.upstream = place.upstream;
     order.organisation = m_organisation != nullptr ? m_organisation->id : OrganisationId();
     order.timeLeft = m_endsAt - now;
-    order.helpers = place.helperAddresses;
+    for (std::size_t index = 0; index < place.helperAddresses.size(); ++index) {
+        const bool stores = index < place.helperMemory.size() && place.helperMemory[index] > 0;
+        order.helpers.push_back({place.helperAddresses[index], stores ? ticketName(m_demand) : std::string()});
+    }
     order.resumeAfter = m_lastEvent;
     m_firstPieceEstimate = place.firstPieceEstimate;
     logDecision("sent", describe(place));
--- a/Source/Forwarding/ForwardingSession.h
+++ b/Source/Forwarding/ForwardingSession.h
@@ -2,6 +2,7 @@
 
 #include "Base/ErrorKind.h"
 #include "Forwarding/CallerRequest.h"
+#include "Forwarding/EngineOrders.h"
 #include "Forwarding/ForwardingContext.h"
 #include "Forwarding/PlacementGateway.h"
 #include "Forwarding/RetryPolicy.h"
@@ -16,6 +17,7 @@
 #include <optional>
 #include <string>
 #include <unordered_set>
+#include <vector>
 
 namespace Mangofall {
 class HttpExchange;
@@ -49,6 +51,8 @@
     boost::asio::awaitable<void> serve();
     boost::asio::awaitable<std::optional<PlacementGateway::Answer>> awaitPlace();
     boost::asio::awaitable<Transmission> transmit(const Place &place);
+    /// Sends the request with the memory of its helpers held, if it needs any.
+    boost::asio::awaitable<Transmission> transmitHolding(const Place &place);
     boost::asio::awaitable<Transmission> receive(UpstreamCall &call, const Place &place);
     boost::asio::awaitable<Transmission> receiveWhole(UpstreamCall &call, const UpstreamAnswer &answer);
     boost::asio::awaitable<Transmission> relayStream(UpstreamCall &call, const UpstreamAnswer &answer);
@@ -59,6 +63,7 @@
     boost::asio::awaitable<void> answerError(ErrorKind kind, Duration retryAfter);
     boost::asio::awaitable<void> endStream(ErrorKind kind);
 
+    std::vector<MemoryTicket> ticketsFor(const Place &place) const;
     Placement::Demand makeDemand();
     Transmission silentOrBroken(const boost::system::error_code &error) const;
     Duration answerTimeout(const Place &place, TimePoint now) const;
--- /dev/null
+++ b/Source/Forwarding/MemoryHold.h
@@ -0,0 +1,42 @@
+#pragma once
+
+#include "Forwarding/EngineOrders.h"
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/io_context.hpp>
+
+#include <memory>
+#include <vector>
+
+namespace Mangofall::Forwarding {
+
+/**
+ * \class MemoryHold
+ * \brief Holds the memory that one request needs on its helpers: all of it or none, renewed until it is released.
+ *
+ * Tickets are held for a few seconds only, so that the memory of a host that dies is free again soon.
+ */
+class MemoryHold : public std::enable_shared_from_this<MemoryHold>
+{
+public:
+    /// \p io and \p orders must outlive the hold.
+    MemoryHold(boost::asio::io_context &io, EngineOrders &orders, std::vector<MemoryTicket> tickets);
+
+    /// Reserves all tickets in the order of their upstreams' ids, which is the same at all hosts, so that two requests cannot block each other.
+    boost::asio::awaitable<bool> acquire();
+
+    /// Gives everything back in the background; further calls do nothing.
+    void release();
+
+private:
+    boost::asio::awaitable<void> renew();
+    boost::asio::awaitable<void> releaseAll();
+
+    boost::asio::io_context &m_io;
+    EngineOrders &m_orders;
+    std::vector<MemoryTicket> m_tickets;
+    std::size_t m_tried = 0; ///< Tickets for which an order was sent.
+    bool m_released = false;
+};
+
+}
--- a/Source/Forwarding/UpstreamOrder.h
+++ b/Source/Forwarding/UpstreamOrder.h
@@ -6,10 +6,20 @@
 
 #include <cstdint>
 #include <optional>
+#include <string>
 #include <vector>
 
 namespace Mangofall::Forwarding {
 
+/**
+ * \class EngineHelper
+ * \brief An engine that reads part of a prompt, and the memory that is set aside there.
+ */
+struct EngineHelper {
+    NetworkAddress address;
+    std::string ticket; ///< Empty if the helper stores nothing.
+};
+
 /**
  * \class UpstreamOrder
  * \brief What the serving layer adds to a request when it sends it to an upstream.
@@ -19,7 +29,7 @@
     OrganisationId organisation; ///< Empty for public routes.
     Duration timeLeft{};
     std::optional<std::uint32_t> urgency; ///< 0 is admitted first; empty for services without a model.
-    std::vector<NetworkAddress> helpers; ///< Engines that read parts of the prompt.
+    std::vector<EngineHelper> helpers; ///< Engines that read parts of the prompt.
     std::uint64_t resumeAfter = 0; ///< The stream goes on after this event; 0 starts it.
 };
 
--- a/Source/Forwarding/WirePlacement.cpp
+++ b/Source/Forwarding/WirePlacement.cpp
@@ -75,6 +75,7 @@
         answer.helper_addresses.push_back(grant.place.helperAddresses[index].address);
         answer.helper_ports.push_back(grant.place.helperAddresses[index].port);
     }
+    answer.helper_memory = grant.place.helperMemory;
     answer.first_piece_us = static_cast<std::uint64_t>(std::chrono::duration_cast<microseconds>(grant.place.firstPieceEstimate).count());
     return answer;
 }
@@ -107,6 +108,9 @@
         place.helpers.emplace_back(answer.helpers[index]);
         place.helperAddresses.push_back({answer.helper_addresses[index], answer.helper_ports[index]});
     }
+    if (answer.helper_memory.size() == helpers) {
+        place.helperMemory = answer.helper_memory;
+    }
     place.firstPieceEstimate = microseconds(answer.first_piece_us);
     return place;
 }
--- a/Source/Peer/PeerMessages_generated.h
+++ b/Source/Peer/PeerMessages_generated.h
@@ -4876,6 +4876,7 @@
   std::vector<std::string> helpers{};
   std::vector<std::string> helper_addresses{};
   std::vector<uint16_t> helper_ports{};
+  std::vector<uint64_t> helper_memory{};
   uint64_t first_piece_us = 0;
   uint16_t error = 0;
   uint32_t retry_after_ms = 0;
@@ -4893,9 +4894,10 @@
     VT_HELPERS = 14,
     VT_HELPER_ADDRESSES = 16,
     VT_HELPER_PORTS = 18,
-    VT_FIRST_PIECE_US = 20,
-    VT_ERROR = 22,
-    VT_RETRY_AFTER_MS = 24
+    VT_HELPER_MEMORY = 20,
+    VT_FIRST_PIECE_US = 22,
+    VT_ERROR = 24,
+    VT_RETRY_AFTER_MS = 26
   };
   uint64_t number() const {
     return GetField<uint64_t>(VT_NUMBER, 0);
@@ -4921,6 +4923,10 @@
   const flatbuffers::Vector<uint16_t> *helper_ports() const {
     return GetPointer<const flatbuffers::Vector<uint16_t> *>(VT_HELPER_PORTS);
   }
+  /// Prompt tokens that each helper must reserve memory for; empty if none.
+  const flatbuffers::Vector<uint64_t> *helper_memory() const {
+    return GetPointer<const flatbuffers::Vector<uint64_t> *>(VT_HELPER_MEMORY);
+  }
   uint64_t first_piece_us() const {
     return GetField<uint64_t>(VT_FIRST_PIECE_US, 0);
   }
@@ -4948,6 +4954,8 @@
            verifier.VerifyVectorOfStrings(helper_addresses()) &&
            VerifyOffset(verifier, VT_HELPER_PORTS) &&
            verifier.VerifyVector(helper_ports()) &&
+           VerifyOffset(verifier, VT_HELPER_MEMORY) &&
+           verifier.VerifyVector(helper_memory()) &&
            VerifyField<uint64_t>(verifier, VT_FIRST_PIECE_US, 8) &&
            VerifyField<uint16_t>(verifier, VT_ERROR, 2) &&
            VerifyField<uint32_t>(verifier, VT_RETRY_AFTER_MS, 4) &&
@@ -4986,6 +4994,9 @@
   void add_helper_ports(flatbuffers::Offset<flatbuffers::Vector<uint16_t>> helper_ports) {
     fbb_.AddOffset(PlacementAnswer::VT_HELPER_PORTS, helper_ports);
   }
+  void add_helper_memory(flatbuffers::Offset<flatbuffers::Vector<uint64_t>> helper_memory) {
+    fbb_.AddOffset(PlacementAnswer::VT_HELPER_MEMORY, helper_memory);
+  }
   void add_first_piece_us(uint64_t first_piece_us) {
     fbb_.AddElement<uint64_t>(PlacementAnswer::VT_FIRST_PIECE_US, first_piece_us, 0);
   }
@@ -5016,6 +5027,7 @@
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> helpers = 0,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> helper_addresses = 0,
     flatbuffers::Offset<flatbuffers::Vector<uint16_t>> helper_ports = 0,
+    flatbuffers::Offset<flatbuffers::Vector<uint64_t>> helper_memory = 0,
     uint64_t first_piece_us = 0,
     uint16_t error = 0,
     uint32_t retry_after_ms = 0) {
@@ -5023,6 +5035,7 @@
   builder_.add_first_piece_us(first_piece_us);
   builder_.add_number(number);
   builder_.add_retry_after_ms(retry_after_ms);
+  builder_.add_helper_memory(helper_memory);
   builder_.add_helper_ports(helper_ports);
   builder_.add_helper_addresses(helper_addresses);
   builder_.add_helpers(helpers);
@@ -5044,6 +5057,7 @@
     const std::vector<flatbuffers::Offset<flatbuffers::String>> *helpers = nullptr,
     const std::vector<flatbuffers::Offset<flatbuffers::String>> *helper_addresses = nullptr,
     const std::vector<uint16_t> *helper_ports = nullptr,
+    const std::vector<uint64_t> *helper_memory = nullptr,
     uint64_t first_piece_us = 0,
     uint16_t error = 0,
     uint32_t retry_after_ms = 0) {
@@ -5052,6 +5066,7 @@
   auto helpers__ = helpers ? _fbb.CreateVector<flatbuffers::Offset<flatbuffers::String>>(*helpers) : 0;
   auto helper_addresses__ = helper_addresses ? _fbb.CreateVector<flatbuffers::Offset<flatbuffers::String>>(*helper_addresses) : 0;
   auto helper_ports__ = helper_ports ? _fbb.CreateVector<uint16_t>(*helper_ports) : 0;
+  auto helper_memory__ = helper_memory ? _fbb.CreateVector<uint64_t>(*helper_memory) : 0;
   return Mangofall::Wire::CreatePlacementAnswer(
       _fbb,
       number,
@@ -5062,6 +5077,7 @@
       helpers__,
       helper_addresses__,
       helper_ports__,
+      helper_memory__,
       first_piece_us,
       error,
       retry_after_ms);
@@ -7169,6 +7185,7 @@
   { auto _e = helpers(); if (_e) { _o->helpers.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->helpers[_i] = _e->Get(_i)->str(); } } }
   { auto _e = helper_addresses(); if (_e) { _o->helper_addresses.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->helper_addresses[_i] = _e->Get(_i)->str(); } } }
   { auto _e = helper_ports(); if (_e) { _o->helper_ports.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->helper_ports[_i] = _e->Get(_i); } } }
+  { auto _e = helper_memory(); if (_e) { _o->helper_memory.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->helper_memory[_i] = _e->Get(_i); } } }
   { auto _e = first_piece_us(); _o->first_piece_us = _e; }
   { auto _e = error(); _o->error = _e; }
   { auto _e = retry_after_ms(); _o->retry_after_ms = _e; }
@@ -7190,6 +7207,7 @@
   auto _helpers = _o->helpers.size() ? _fbb.CreateVectorOfStrings(_o->helpers) : 0;
   auto _helper_addresses = _o->helper_addresses.size() ? _fbb.CreateVectorOfStrings(_o->helper_addresses) : 0;
   auto _helper_ports = _o->helper_ports.size() ? _fbb.CreateVector(_o->helper_ports) : 0;
+  auto _helper_memory = _o->helper_memory.size() ? _fbb.CreateVector(_o->helper_memory) : 0;
   auto _first_piece_us = _o->first_piece_us;
   auto _error = _o->error;
   auto _retry_after_ms = _o->retry_after_ms;
@@ -7203,6 +7221,7 @@
       _helpers,
       _helper_addresses,
       _helper_ports,
+      _helper_memory,
       _first_piece_us,
       _error,
       _retry_after_ms);
--- a/Source/Placement/EngineSelector.cpp
+++ b/Source/Placement/EngineSelector.cpp
@@ -18,6 +18,11 @@
 constexpr double targetShare = 0.85;
 // A part of a prompt is worth sending to another engine if it takes more than a few steps to read.
 constexpr std::uint32_t leastChunksPerPart = 4;
+// Mean time that engines may still read while a prompt beyond one engine's memory is begun.
+constexpr std::chrono::milliseconds calmBacklog{60};
+// An engine helps one prompt at a time, because the part that came last is read first, and none while it reads a longer part than this for an answer
+// of its own, which would wait as well.
+constexpr std::chrono::milliseconds delayableRead{100};
 // Connecting, sending and forwarding.
 constexpr std::chrono::milliseconds networkTime{15};
 // Memory is given out in blocks, so a little more than the tokens is taken.
@@ -64,6 +69,9 @@
     for (UpstreamLoad *load : candidates) {
         engines.push_back(describe(demand, *load, now));
     }
+    if (exceedsOneEngine(demand) && !isCalm(engines)) {
+        return std::nullopt;
+    }
     // Engines that serve tighter pause limits come last, then those that are free soonest come first.
     std::stable_sort(engines.begin(), engines.end(), [&](const Engine &left, const Engine &right) {
         const bool leftTighter = left.tightestPause < demand.pauseLimit;
@@ -114,27 +122,27 @@
     engine.backlog = load.readBacklog(now, passTime(m_spec, load.writers(), load.contextTokens()));
     engine.pass = passTime(m_spec, load.requests() + 1, load.contextTokens());
     engine.tightestPause = load.tightestPause();
-    const auto memory = static_cast<double>(load.memoryTokens() + demand.promptTokens + demand.outputTokens);
-    engine.hasRoom = load.requests() < std::min(m_spec.slots, load.entry().slots) && memory <= usableMemory * static_cast<double>(m_spec.memoryTokens);
-    engine.mayHelp = load.helping() < m_spec.slots && !load.failures().avoided(now);
+    const auto usable = static_cast<std::uint64_t>(usableMemory * static_cast<double>(m_spec.memoryTokens));
+    engine.freeMemory = usable - std::min(usable, load.memoryTokens());
+    engine.hasSlot = load.requests() < std::min(m_spec.slots, load.entry().slots);
+    engine.mayHelp = load.helping() == 0 && !load.failures().avoided(now) && load.longestOwnRead() <= delayableRead;
     engine.cost = baseCost(demand, load, now);
     return engine;
 }
 
-std::optional<EngineSelector::Choice>
-EngineSelector::chooseOne(const Demand &demand, const Engines &engines, Duration acceptable, Duration comfortable) const
+std::optional<EngineSelector::Choice> EngineSelector::chooseOne(const Demand &demand, const Engines &engines, Duration acceptable, Duration comfortable) const
 {
     const Duration read = readTime(m_spec, demand.promptTokens, 1);
     std::optional<Choice> best;
     for (const Engine &engine : engines) {
         const Duration estimate = firstPiece(engine, read);
-        if (estimate > acceptable || !engine.hasRoom || !bearsRead(engine, read, demand.promptTokens)) {
+        if (estimate > acceptable || !hasRoom(engine, demand) || !bearsRead(engine, read, demand.promptTokens)) {
             continue;
         }
         const double cost = engine.cost + shareOfTarget(demand, estimate);
         const double ranked = cost + (estimate > comfortable ? uncomfortableCost : 0);
         if (!best || ranked < best->rank) {
-            best = Choice{Selection{engine.load, {}, read, estimate}, cost, ranked};
+            best = Choice{Selection{engine.load, {}, {}, read, estimate}, cost, ranked};
         }
     }
     return best;
@@ -151,8 +159,10 @@
             continue;
         }
         bearing.push_back(&engine);
-        const double cost = engine.cost + shareOfTarget(demand, engine.backlog);
-        if (engine.hasRoom && (primary == nullptr || cost < lowest)) {
+        const double memoryShare = exceedsOneEngine(demand) ? static_cast<double>(engine.freeMemory) / static_cast<double>(m_spec.memoryTokens) : 0;
+        const double cost = engine.cost + shareOfTarget(demand, engine.backlog) - memoryShare;
+        const bool usable = exceedsOneEngine(demand) ? engine.hasSlot : hasRoom(engine, demand);
+        if (usable && (primary == nullptr || cost < lowest)) {
             primary = &engine;
             lowest = cost;
         }
@@ -160,17 +170,53 @@
     if (primary == nullptr || bearing.size() < parts) {
         return std::nullopt;
     }
-    Selection selection{primary->load, {}, read, firstPiece(*primary, read)};
+    Selection selection{primary->load, {}, {}, read, firstPiece(*primary, read)};
+    std::vector<const Engine *> helpers;
     for (const Engine *engine : bearing) {
-        if (engine != primary && selection.helpers.size() + 1 < parts) {
+        if (engine != primary && helpers.size() + 1 < parts) {
+            helpers.push_back(engine);
             selection.helpers.push_back(engine->load);
             selection.firstPieceEstimate = std::max(selection.firstPieceEstimate, firstPiece(*engine, read));
         }
     }
+    if (exceedsOneEngine(demand) && !divideMemory(demand, *primary, helpers, selection)) {
+        return std::nullopt;
+    }
     const double cost = primary->cost + shareOfTarget(demand, selection.firstPieceEstimate);
     return Choice{std::move(selection), cost, cost};
 }
 
+bool EngineSelector::exceedsOneEngine(const Demand &demand) const
+{
+    return static_cast<double>(demand.promptTokens + demand.outputTokens) > usableMemory * static_cast<double>(m_spec.memoryTokens);
+}
+
+bool EngineSelector::isCalm(const Engines &engines)
+{
+    Duration total = Duration::zero();
+    for (const Engine &engine : engines) {
+        total += engine.backlog;
+    }
+    return total <= calmBacklog * static_cast<Duration::rep>(engines.size());
+}
+
+bool EngineSelector::hasRoom(const Engine &engine, const Demand &demand) const
+{
+    return engine.hasSlot && demand.promptTokens + demand.outputTokens <= engine.freeMemory;
+}
+
+bool EngineSelector::divideMemory(const Demand &demand, const Engine &primary, const std::vector<const Engine *> &helpers, Selection &selection) const
+{
+    std::uint64_t left = demand.promptTokens + demand.outputTokens;
+    left -= std::min(left, primary.freeMemory);
+    for (const Engine *helper : helpers) {
+        const std::uint64_t stored = std::min({left, helper->freeMemory, demand.promptTokens});
+        selection.helperMemory.push_back(stored);
+        left -= stored;
+    }
+    return left == 0;
+}
+
 // Whether the writers of the engine keep their pause limits when it reads for another `read`.
 bool EngineSelector::bearsRead(const Engine &engine, Duration read, std::uint64_t promptTokens) const
 {
--- a/Source/Placement/EngineSelector.h
+++ b/Source/Placement/EngineSelector.h
@@ -32,7 +32,8 @@
         Duration backlog{};
         Duration pass{}; ///< With one more writer.
         Duration tightestPause{};
-        bool hasRoom = false;
+        std::uint64_t freeMemory = 0; ///< Tokens.
+        bool hasSlot = false;
         bool mayHelp = false;
         double cost = 0; ///< Without the part that depends on the estimate.
     };
@@ -50,6 +51,13 @@
     /// The first engines that bear an even part; \p engines are in the order in which they should help.
     std::optional<Choice> chooseParts(const Demand &demand, const Engines &engines, std::uint32_t parts) const;
     std::uint32_t usefulParts(const Demand &demand) const;
+    /// Whether the prompt and its answer exceed the memory of any engine, so that helpers must store a part.
+    bool exceedsOneEngine(const Demand &demand) const;
+    bool hasRoom(const Engine &engine, const Demand &demand) const;
+    /// Whether the engines have little to read, so that a prompt which takes all of them for seconds delays few others.
+    static bool isCalm(const Engines &engines);
+    /// Divides the memory of a prompt that exceeds one engine; false if the helpers cannot store enough.
+    bool divideMemory(const Demand &demand, const Engine &primary, const std::vector<const Engine *> &helpers, Selection &selection) const;
     bool bearsRead(const Engine &engine, Duration read, std::uint64_t promptTokens) const;
     Duration firstPiece(const Engine &engine, Duration read) const;
     double baseCost(const Demand &demand, const UpstreamLoad &load, TimePoint now) const;
--- a/Source/Placement/PlacementActions.h
+++ b/Source/Placement/PlacementActions.h
@@ -6,6 +6,7 @@
 #include "Config/NetworkAddress.h"
 #include "Placement/Demand.h"
 
+#include <cstdint>
 #include <variant>
 #include <vector>
 
@@ -20,6 +21,7 @@
     NetworkAddress address;
     std::vector<UpstreamId> helpers;
     std::vector<NetworkAddress> helperAddresses;
+    std::vector<std::uint64_t> helperMemory; ///< Prompt tokens that each helper must reserve memory for; empty if none.
     Duration firstPieceEstimate{}; ///< Expected time until the first piece of the answer; zero if unknown.
 };
 
--- a/Source/Placement/PlacementTable.cpp
+++ b/Source/Placement/PlacementTable.cpp
@@ -4,6 +4,7 @@
 #include "Placement/SlotSelector.h"
 
 #include <algorithm>
+#include <numeric>
 #include <set>
 
 namespace Mangofall::Placement {
@@ -143,7 +144,8 @@
         return;
     }
     m_grants[id] = GrantRecord{grant.upstream, grant.helpers, grant.demand.fingerprint, grant.demand.deadline + m_limits.grantSlack};
-    const Work work{false, grant.reading, grant.demand.promptTokens, grant.demand.outputTokens, grant.demand.pauseLimit, {}, {}};
+    const std::uint64_t tokens = grant.demand.promptTokens + grant.demand.outputTokens;
+    const Work work{false, grant.reading, grant.demand.promptTokens, tokens, grant.demand.pauseLimit, {}, {}};
     if (const auto load = m_upstreams.find(grant.upstream); load != m_upstreams.end()) {
         load->second.add(id, work, now);
     }
@@ -209,11 +211,19 @@
     if (!selection) {
         return std::nullopt;
     }
-    Grant grant{demand.id, {selection->primary->entry().id, selection->primary->entry().address, {}, {}, selection->firstPieceEstimate}};
-    Work work{false, true, demand.promptTokens, demand.outputTokens, demand.pauseLimit, selection->partReadTime, {}};
+    Grant grant;
+    grant.id = demand.id;
+    grant.place.upstream = selection->primary->entry().id;
+    grant.place.address = selection->primary->entry().address;
+    grant.place.firstPieceEstimate = selection->firstPieceEstimate;
+    grant.place.helperMemory = selection->helperMemory;
+    const std::uint64_t elsewhere = std::accumulate(selection->helperMemory.begin(), selection->helperMemory.end(), std::uint64_t{0});
+    Work work{false, true, demand.promptTokens, demand.promptTokens + demand.outputTokens - elsewhere, demand.pauseLimit, selection->partReadTime, {}};
     selection->primary->add(demand.id, work, now);
     work.helper = true;
-    for (UpstreamLoad *helper : selection->helpers) {
+    for (std::size_t index = 0; index < selection->helpers.size(); ++index) {
+        UpstreamLoad *helper = selection->helpers[index];
+        work.memoryTokens = selection->helperMemory.empty() ? 0 : selection->helperMemory[index];
         helper->add(demand.id, work, now);
         grant.place.helpers.push_back(helper->entry().id);
         grant.place.helperAddresses.push_back(helper->entry().address);
--- a/Source/Placement/SlotSelector.cpp
+++ b/Source/Placement/SlotSelector.cpp
@@ -44,7 +44,7 @@
     if (best == nullptr) {
         return std::nullopt;
     }
-    return Selection{best, {}, {}, {}};
+    return Selection{best, {}, {}, {}, {}};
 }
 
 Duration SlotSelector::leastServiceTime(const Demand &) const
--- a/Source/Placement/UpstreamLoad.cpp
+++ b/Source/Placement/UpstreamLoad.cpp
@@ -45,7 +45,7 @@
         return;
     }
     position->second.reading = false;
-    if (position->second.helper) {
+    if (position->second.helper && position->second.memoryTokens == 0) {
         m_work.erase(position);
     }
     workChanged();
@@ -88,6 +88,11 @@
     return m_totals.largestReading;
 }
 
+Duration UpstreamLoad::longestOwnRead() const
+{
+    return m_totals.longestOwnRead;
+}
+
 bool UpstreamLoad::idle() const
 {
     return m_work.empty();
@@ -131,14 +136,15 @@
             m_totals.reading.push_back(work);
             m_totals.largestReading = std::max(m_totals.largestReading, work.promptTokens);
         }
+        m_totals.memoryTokens += work.memoryTokens;
         if (work.helper) {
-            ++m_totals.helping;
+            m_totals.helping += work.reading ? 1 : 0;
             continue;
         }
+        m_totals.longestOwnRead = std::max(m_totals.longestOwnRead, work.reading ? work.readTime : Duration::zero());
         ++m_totals.requests;
         m_totals.writers += work.reading ? 0 : 1;
         m_totals.contextTokens += work.promptTokens;
-        m_totals.memoryTokens += work.promptTokens + work.outputTokens;
         if (work.pauseLimit > Duration::zero()) {
             m_totals.tightestPause = std::min(m_totals.tightestPause, work.pauseLimit);
         }
--- a/Source/Placement/UpstreamLoad.h
+++ b/Source/Placement/UpstreamLoad.h
@@ -20,7 +20,7 @@
     bool helper = false;
     bool reading = true; ///< The first piece of the answer has not come yet.
     std::uint64_t promptTokens = 0;
-    std::uint64_t outputTokens = 0;
+    std::uint64_t memoryTokens = 0; ///< Held here at the end of the answer.
     Duration pauseLimit{};
     Duration readTime{}; ///< Of this upstream's part.
     TimePoint readEnd; ///< When the reading should be done; set by the load.
@@ -49,6 +49,8 @@
     std::uint64_t contextTokens() const;
     std::uint64_t memoryTokens() const; ///< Tokens that the requests will hold at their ends.
     std::uint64_t largestReading() const;
+    /// The longest read of a request that is answered here; reads for other engines would go ahead of it.
+    Duration longestOwnRead() const;
     bool idle() const;
 
     /// Time to read everything that was given and is not read yet. A part shorter than \p pass counts in full until its end is reported, because an
@@ -73,6 +75,7 @@
         std::uint64_t contextTokens = 0;
         std::uint64_t memoryTokens = 0;
         std::uint64_t largestReading = 0;
+        Duration longestOwnRead{};
         Duration tightestPause = Duration::max();
         std::vector<Work> reading;
     };
--- a/Source/Placement/UpstreamSelector.h
+++ b/Source/Placement/UpstreamSelector.h
@@ -2,6 +2,7 @@
 
 #include "Base/Time.h"
 
+#include <cstdint>
 #include <optional>
 #include <vector>
 
@@ -17,6 +18,7 @@
 struct Selection {
     UpstreamLoad *primary = nullptr;
     std::vector<UpstreamLoad *> helpers;
+    std::vector<std::uint64_t> helperMemory; ///< Prompt tokens that each helper stores, in the order of the helpers; empty if none does.
     Duration partReadTime{}; ///< Time that each of them reads.
     Duration firstPieceEstimate{}; ///< Zero if unknown.
 };
--- /dev/null
+++ b/Tests/Forwarding/FakeOrders.h
@@ -0,0 +1,33 @@
+#pragma once
+
+#include "Forwarding/EngineOrders.h"
+
+#include <string>
+#include <vector>
+
+namespace Mangofall::Testing {
+
+/**
+ * \class FakeOrders
+ * \brief Records the orders and refuses to reserve on the upstream named in refuse.
+ */
+class FakeOrders final : public Forwarding::EngineOrders
+{
+public:
+    std::vector<std::string> sent;
+    UpstreamId refuse;
+
+    boost::asio::awaitable<bool> reserve(const Forwarding::MemoryTicket &ticket, std::chrono::milliseconds) override
+    {
+        sent.push_back("reserve " + ticket.upstream.value());
+        co_return ticket.upstream != refuse;
+    }
+
+    boost::asio::awaitable<bool> release(const Forwarding::MemoryTicket &ticket) override
+    {
+        sent.push_back("release " + ticket.upstream.value());
+        co_return true;
+    }
+};
+
+}
--- a/Tests/Forwarding/ForwardingSessionTest.cpp
+++ b/Tests/Forwarding/ForwardingSessionTest.cpp
@@ -1,3 +1,4 @@
+#include "FakeOrders.h"
 #include "FakePlacement.h"
 #include "FakeTranslator.h"
 #include "Forwarding/Forwarder.h"
@@ -16,6 +17,7 @@
 
 using namespace Mangofall;
 using namespace Mangofall::Forwarding;
+using Mangofall::Testing::FakeOrders;
 using Mangofall::Testing::FakePlacement;
 using Mangofall::Testing::FakeTranslator;
 using Mangofall::Testing::ScriptedUpstream;
@@ -70,10 +72,11 @@
     EventLog log{"h", 0, sink};
     ForwardingMetrics metrics;
     FakeTranslator translator;
+    FakeOrders orders;
     FakePlacement placement;
     UpstreamDirectory directory;
     RetryBudgets budgets{1};
-    ForwardingContext context{io, translator, placement, directory, budgets, log, metrics};
+    ForwardingContext context{io, translator, placement, orders, directory, budgets, log, metrics};
     Forwarder forwarder{context};
     HttpListener listener{io, forwarder, 1'000'000};
     std::vector<std::unique_ptr<ScriptedUpstream>> upstreams;
--- a/Tests/Placement/EngineSelectorTest.cpp
+++ b/Tests/Placement/EngineSelectorTest.cpp
@@ -28,7 +28,7 @@
 
     void grant(const Selection &selection, const Demand &demand, TimePoint now)
     {
-        Work work{false, true, demand.promptTokens, demand.outputTokens, demand.pauseLimit, selection.partReadTime, {}};
+        Work work{false, true, demand.promptTokens, demand.promptTokens + demand.outputTokens, demand.pauseLimit, selection.partReadTime, {}};
         selection.primary->add(demand.id, work, now);
         work.helper = true;
         for (UpstreamLoad *helper : selection.helpers) {
--- a/Tests/PlatformAdapter/PlatformTranslatorTest.cpp
+++ b/Tests/PlatformAdapter/PlatformTranslatorTest.cpp
@@ -120,8 +120,8 @@
     UpstreamOrder order;
     order.upstream = UpstreamId("i-1");
     order.organisation = OrganisationId("acme");
-    order.helpers = {{"10.0.0.2", 80}, {"10.0.0.3", 81}};
+    order.helpers = {{{"10.0.0.2", 80}, "t81"}, {{"10.0.0.3", 81}, ""}};
     const UpstreamCall::Request sent = PlatformTranslator().encodeRequest(message.exchange, CallerRequest(), order);
     STRCMP_EQUAL("acme", value(sent, "Tenant").c_str());
-    STRCMP_EQUAL("10.0.0.2:80,10.0.0.3:81", value(sent, "Helpers").c_str());
+    STRCMP_EQUAL("10.0.0.2:80/t81,10.0.0.3:81", value(sent, "Helpers").c_str());
 }
