--- a/Source/Ctl/CtlCommands.cpp
+++ b/Source/Ctl/CtlCommands.cpp
@@ -1,5 +1,7 @@
 #include "Ctl/CtlCommands.h"
 
+#include "Ctl/LogExplainer.h"
+
 #include "Config/ChangeAnswer.h"
 #include "Config/FleetJson.h"
 #include "Config/JsonObjectReader.h"
@@ -399,12 +401,39 @@
     return fail("revision " + std::to_string(revision) + " is accepted but not yet in force everywhere; behind:" + behind);
 }
 
+namespace {
+
+constexpr std::size_t firstFileWord = 2;
+
+CtlStatus explain(const std::vector<std::string> &words, std::ostream &output, std::ostream &errors)
+{
+    if (words.size() <= firstFileWord) {
+        errors << "mangofallctl: explain needs a request and at least one log file\n";
+        return CtlStatus::BadUse;
+    }
+    LogExplainer explainer(words[1]);
+    for (std::size_t index = firstFileWord; index < words.size(); ++index) {
+        std::ifstream file(words[index]);
+        if (!file.is_open()) {
+            errors << "mangofallctl: " << words[index] << " cannot be read\n";
+            return CtlStatus::Failure;
+        }
+        explainer.read(file);
+    }
+    return explainer.print(output) ? CtlStatus::Success : CtlStatus::Failure;
+}
+
+}
+
 CtlStatus runCtl(const std::vector<std::string> &arguments, std::ostream &output, std::ostream &errors)
 {
     const CtlParseResult parsed = parseCtlOptions(arguments, output, errors);
     if (!parsed.options.has_value()) {
         return parsed.status;
     }
+    if (!parsed.options->words.empty() && parsed.options->words.front() == "explain") {
+        return explain(parsed.options->words, output, errors);
+    }
     const std::optional<std::string> key = readSecretFile(parsed.options->keyFile);
     if (!key.has_value()) {
         errors << "mangofallctl: " << parsed.options->keyFile << " has no key\n";
--- a/Source/Ctl/CtlOptions.cpp
+++ b/Source/Ctl/CtlOptions.cpp
@@ -21,7 +21,14 @@
                           "  apply FILE\n"
                           "  orders list | orders show KEY | orders unresolved\n"
                           "  limits\n"
-                          "  config history\n";
+                          "  config history\n"
+                          "  explain REQUEST FILE...   (needs no daemon and no key)\n";
+
+// Commands that read files only.
+bool isOffline(const std::vector<std::string> &words)
+{
+    return !words.empty() && words.front() == "explain";
+}
 
 std::optional<NetworkAddress> parseServer(const std::string &text)
 {
@@ -97,7 +104,7 @@
         return badUse(errors, "--server: found \"" + server + "\", allowed: a numeric address and a port, such as 127.0.0.1:8081");
     }
     options.server = *address;
-    if (options.keyFile.empty()) {
+    if (options.keyFile.empty() && !isOffline(options.words)) {
         return badUse(errors, "--key-file is required");
     }
     if (!options.changeId.empty() && !identifierRule.accepts(options.changeId)) {
--- a/Source/Forwarding/FleetPlacement.cpp
+++ b/Source/Forwarding/FleetPlacement.cpp
@@ -1,5 +1,6 @@
 #include "Forwarding/FleetPlacement.h"
 
+#include "Base/ErrorAnswer.h"
 #include "Forwarding/WirePlacement.h"
 #include "Peer/PeerConnection.h"
 #include "Peer/PeerLink.h"
@@ -260,6 +261,10 @@
             continue;
         }
         m_asked.erase(id);
+        if (grant == nullptr) {
+            const std::string kind(errorAnswer(std::get<Placement::Refusal>(action).kind).name);
+            m_log.write("placement_refused", {{"entry", id.host.value()}, {"demand", std::to_string(id.number)}, {"kind", kind}});
+        }
         const auto caller = m_callers.find(id.host);
         if (caller != m_callers.end()) {
             caller->second->send(toPeerMessage(grant != nullptr ? toWire(*grant) : toWire(std::get<Placement::Refusal>(action))));
@@ -292,6 +297,7 @@
         carryOut(m_table.submit(demand, now));
     }
     if (m_asked.contains(demand.id)) {
+        m_log.write("placement_queued", {{"entry", from.value()}, {"demand", std::to_string(call.number)}, {"waiting", std::to_string(m_table.waiting())}});
         connection->send(toPeerMessage(queuedAnswer(demand.id)));
         scheduleTick();
     }
--- a/Source/Forwarding/Forwarder.cpp
+++ b/Source/Forwarding/Forwarder.cpp
@@ -8,10 +8,22 @@
 #include "Telemetry/EventLog.h"
 #include "Telemetry/ForwardingMetrics.h"
 
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include <algorithm>
+
 namespace Mangofall::Forwarding {
 
 namespace {
 
+// A host that has just started knows its routes within moments if the store answers. Callers wait for that, but for a part of their patience only, so
+// that a refusal still leaves them time to try another host.
+constexpr int patienceParts = 4;
+constexpr std::chrono::milliseconds longestStartWait{2500};
+constexpr std::chrono::milliseconds startPollInterval{50};
+
 // Counts a request while it is in progress, however its coroutine ends.
 class ActiveRequest
 {
@@ -107,6 +119,9 @@
     Admission admission{ErrorKind::MalformedRequest};
     if (auto *valid = std::get_if<CallerRequest>(&decoded)) {
         request = std::move(*valid);
+        if (!m_routes) {
+            co_await awaitRoutes(request, exchange.receivedAt());
+        }
         admission = admit(m_routes.get(), request);
     } else {
         admission.error = std::get<ErrorKind>(decoded);
@@ -130,6 +145,17 @@
     co_await exchange.respond(static_cast<unsigned>(answer.httpStatus), std::move(contentType), std::move(body), std::move(fields));
 }
 
+boost::asio::awaitable<void> Forwarder::awaitRoutes(const CallerRequest &request, TimePoint receivedAt)
+{
+    const Duration patience = request.patience.value_or(Duration::zero()) / patienceParts;
+    const TimePoint giveUpAt = receivedAt + std::min<Duration>(patience, longestStartWait);
+    boost::asio::steady_timer timer(m_context.io);
+    while (!m_routes && !m_leaving && std::chrono::steady_clock::now() < giveUpAt) {
+        timer.expires_after(startPollInterval);
+        co_await timer.async_wait(boost::asio::as_tuple(boost::asio::use_awaitable));
+    }
+}
+
 boost::asio::awaitable<void> Forwarder::handleUnreadable(HttpExchange &exchange, unsigned status)
 {
     m_context.log.write("unreadable_request", {{"status", std::to_string(status)}});
--- a/Source/Forwarding/Forwarder.h
+++ b/Source/Forwarding/Forwarder.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "Base/Time.h"
 #include "Forwarding/ForwardingContext.h"
 #include "Http/HttpHandler.h"
 
@@ -9,6 +10,7 @@
 namespace Mangofall::Forwarding {
 
 class RouteTable;
+struct CallerRequest;
 
 /**
  * \class Forwarder
@@ -35,6 +37,8 @@
 
 private:
     boost::asio::awaitable<void> serve(HttpExchange &exchange);
+    /// Waits for the first configuration as long as the caller's patience allows.
+    boost::asio::awaitable<void> awaitRoutes(const CallerRequest &request, TimePoint receivedAt);
 
     ForwardingContext &m_context;
     std::shared_ptr<const RouteTable> m_routes;
--- a/Tests/Forwarding/ForwardingSessionTest.cpp
+++ b/Tests/Forwarding/ForwardingSessionTest.cpp
@@ -12,6 +12,7 @@
 #include "Telemetry/LineSink.h"
 
 #include <boost/asio/read.hpp>
+#include <boost/asio/steady_timer.hpp>
 
 #include "Property.h"
 
@@ -290,3 +291,16 @@
     starting.forwarder.setRoutes(nullptr);
     CHECK(contains(starting.call("GET", "/safe/1"), "503"));
 }
+
+// Guards against refusing callers in the moment between the start of a host and its first configuration.
+TEST(ForwardingSessionTest, ACallerWaitsForTheFirstConfiguration)
+{
+    Host host;
+    host.add(whole(200, "Id: 7\r\nSigned: s\r\n", "hello"));
+    host.forwarder.setRoutes(nullptr);
+    Asio::steady_timer timer(host.io, std::chrono::milliseconds(120));
+    timer.async_wait([&](const boost::system::error_code &) {
+        host.forwarder.setRoutes(routes());
+    });
+    CHECK(contains(host.call("GET", "/safe/1"), "hello"));
+}
