Let a new owner wait for the grants in use before it places

The owner had started 0.01 s before and knew nothing of the grants of its predecessor.

Ruled out: a wrong pause limit (the choice kept it for what the table knew).

--- a/Source/Forwarding/FleetPlacement.cpp
+++ b/Source/Forwarding/FleetPlacement.cpp
@@ -18,6 +18,10 @@
 // A round trip between data centres takes a few milliseconds; the rest covers a host that has used up its processor quota.
 constexpr std::chrono::milliseconds answerTime{150};
 constexpr std::chrono::milliseconds askAgainInterval{400};
+// Entry hosts report their grants to a new owner as soon as they know it; the rest covers a connection and a host that waits for its quota.
+constexpr std::chrono::milliseconds takeOverTime{80};
+// A host that has not placed for a service for this long has lost it to another owner.
+constexpr std::chrono::milliseconds ownershipMemory{1000};
 constexpr std::chrono::milliseconds tickInterval{20};
 // Numbers of different starts of a host must not meet at an owner.
 constexpr int startBits = 32;
@@ -95,6 +99,7 @@
     }
     m_hosts = std::move(next);
     m_owners.setHosts(std::move(ids));
+    forgetFormerServices(now);
     checkOwners(now);
 }
 
@@ -241,12 +246,30 @@
     open.askAgainAt = now + askAgainInterval;
     if (open.owner == m_self) {
         open.queued = true;
+        placeFor(open.demand.service, now);
         carryOut(m_table.submit(open.demand, now));
         return;
     }
     link(open.owner)->send(toPeerMessage(toWire(open.demand, now)));
 }
 
+void FleetPlacement::placeFor(const ServiceId &service, TimePoint now)
+{
+    const auto known = m_placedAt.find(service);
+    if (known == m_placedAt.end() && m_hosts.size() > 1) {
+        m_log.write("placing_for_service", {{"service", service.value()}});
+        m_table.holdUntil(service, now + takeOverTime);
+    }
+    m_placedAt[service] = now;
+}
+
+void FleetPlacement::forgetFormerServices(TimePoint now)
+{
+    std::erase_if(m_placedAt, [&](const auto &placed) {
+        return now >= placed.second + ownershipMemory && m_owners.owner(placed.first, now) != m_self;
+    });
+}
+
 void FleetPlacement::carryOut(const Placement::PlacementActions &actions)
 {
     for (const Placement::PlacementAction &action : actions) {
@@ -293,6 +316,7 @@
 {
     const TimePoint now = Clock::now();
     const Placement::Demand demand = fromWire(call, from, now);
+    placeFor(demand.service, now);
     if (m_asked.insert(demand.id).second) {
         carryOut(m_table.submit(demand, now));
     }
@@ -372,6 +396,7 @@
 {
     const TimePoint now = Clock::now();
     carryOut(m_table.tick(now));
+    forgetFormerServices(now);
     checkOwners(now);
     scheduleTick();
 }
--- a/Source/Forwarding/FleetPlacement.h
+++ b/Source/Forwarding/FleetPlacement.h
@@ -76,6 +76,9 @@
     };
 
     void ask(Open &open, TimePoint now);
+    /// Records that this host places for \p service; begins with a hold, so that the grants of the former owner are known first.
+    void placeFor(const ServiceId &service, TimePoint now);
+    void forgetFormerServices(TimePoint now);
     void carryOut(const Placement::PlacementActions &actions);
     void settle(std::uint64_t number, Answer answer);
     void onCall(const std::shared_ptr<PeerConnection> &connection, const HostId &from, const Wire::PlacementCallT &call);
@@ -96,6 +99,7 @@
     OwnerChoice m_owners;
     Placement::PlacementTable m_table;
     std::map<std::uint64_t, Open> m_open;
+    std::map<ServiceId, TimePoint> m_placedAt; ///< When this host last placed for a service.
     std::set<Placement::DemandId> m_asked; ///< Demands of others that wait in the table.
     std::map<HostId, FleetHost> m_hosts;
     std::map<HostId, std::shared_ptr<PeerLink>> m_links;
--- a/Source/Placement/EngineSelector.cpp
+++ b/Source/Placement/EngineSelector.cpp
@@ -104,6 +104,11 @@
     return readTime(m_spec, demand.promptTokens, usefulParts(demand)) + networkTime;
 }
 
+Duration EngineSelector::partReadTime(const Demand &demand, std::uint32_t parts) const
+{
+    return readTime(m_spec, demand.promptTokens, parts);
+}
+
 TimePoint EngineSelector::latestStart(const Demand &demand) const
 {
     return demand.arrivedAt + demand.target - leastServiceTime(demand) - passTime(m_spec, 1, demand.promptTokens);
--- a/Source/Placement/PlacementTable.cpp
+++ b/Source/Placement/PlacementTable.cpp
@@ -44,7 +44,7 @@
         if (known != m_services.end() && known->second.spec == spec) {
             next.emplace(spec.id, std::move(known->second));
         } else {
-            next.emplace(spec.id, Service{spec, makeSelector(spec), {}});
+            next.emplace(spec.id, Service{spec, makeSelector(spec), {}, {}});
         }
     }
     m_services = std::move(next);
@@ -136,6 +136,14 @@
     return placeFreed(now);
 }
 
+void PlacementTable::holdUntil(const ServiceId &service, TimePoint time)
+{
+    const auto known = m_services.find(service);
+    if (known != m_services.end()) {
+        known->second.heldUntil = time;
+    }
+}
+
 void PlacementTable::adopt(const ReportedGrant &grant, TimePoint now)
 {
     const DemandId &id = grant.demand.id;
@@ -144,11 +152,21 @@
         return;
     }
     m_grants[id] = GrantRecord{grant.upstream, grant.helpers, grant.demand.fingerprint, grant.demand.deadline + m_limits.grantSlack};
+    const auto service = m_services.find(grant.demand.service);
+    const auto parts = static_cast<std::uint32_t>(grant.helpers.size() + 1);
+    const Duration read = service == m_services.end() ? Duration::zero() : service->second.selector->partReadTime(grant.demand, parts);
     const std::uint64_t tokens = grant.demand.promptTokens + grant.demand.outputTokens;
-    const Work work{false, grant.reading, grant.demand.promptTokens, tokens, grant.demand.pauseLimit, {}, {}};
+    Work work{false, grant.reading, grant.demand.promptTokens, tokens, grant.demand.pauseLimit, read, {}};
     if (const auto load = m_upstreams.find(grant.upstream); load != m_upstreams.end()) {
         load->second.add(id, work, now);
     }
+    work.helper = true;
+    work.memoryTokens = 0;
+    for (const UpstreamId &helper : grant.helpers) {
+        if (const auto load = m_upstreams.find(helper); load != m_upstreams.end() && grant.reading) {
+            load->second.add(id, work, now);
+        }
+    }
 }
 
 void PlacementTable::hostLost(const HostId &host, TimePoint now)
@@ -204,7 +222,7 @@
 std::optional<Grant> PlacementTable::tryGrant(const Demand &demand, TimePoint now)
 {
     const auto service = m_services.find(demand.service);
-    if (service == m_services.end()) {
+    if (service == m_services.end() || now < service->second.heldUntil) {
         return std::nullopt;
     }
     const std::optional<Selection> selection = service->second.selector->select(demand, candidates(service->second, demand, now), now);
--- a/Source/Placement/PlacementTable.h
+++ b/Source/Placement/PlacementTable.h
@@ -55,6 +55,8 @@
     void firstPiece(const DemandId &id);
     /// The work ended, or the caller left while the demand waited. \p faulty names the helper at fault if it was not the upstream itself.
     PlacementActions ended(const DemandId &id, WorkOutcome outcome, const std::optional<UpstreamId> &faulty, TimePoint now);
+    /// Grants nothing of \p service before \p time, so that grants of the former owner can be reported first.
+    void holdUntil(const ServiceId &service, TimePoint time);
     /// Takes over a grant that this table did not give or has forgotten.
     void adopt(const ReportedGrant &grant, TimePoint now);
     /// The host's grants end soon unless it reports them again.
@@ -71,6 +73,7 @@
         ServiceSpec spec;
         std::unique_ptr<UpstreamSelector> selector;
         std::vector<UpstreamLoad *> upstreams; ///< That accept work.
+        TimePoint heldUntil; ///< Nothing is granted before this time.
     };
     struct GrantRecord {
         UpstreamId upstream;
--- a/Source/Placement/SlotSelector.cpp
+++ b/Source/Placement/SlotSelector.cpp
@@ -52,6 +52,11 @@
     return leastTime;
 }
 
+Duration SlotSelector::partReadTime(const Demand &, std::uint32_t) const
+{
+    return Duration::zero();
+}
+
 TimePoint SlotSelector::latestStart(const Demand &demand) const
 {
     return demand.arrivedAt + demand.target;
--- a/Source/Placement/UpstreamSelector.h
+++ b/Source/Placement/UpstreamSelector.h
@@ -42,6 +42,9 @@
     /// The least time between a grant and the end of the answer; with less time left the demand cannot be served.
     virtual Duration leastServiceTime(const Demand &demand) const = 0;
 
+    /// Time that each of \p parts upstreams reads for the demand.
+    virtual Duration partReadTime(const Demand &demand, std::uint32_t parts) const = 0;
+
     /// Until when a grant can still bring the first piece in time.
     virtual TimePoint latestStart(const Demand &demand) const = 0;
 };
--- a/Tests/Placement/PlacementTableTest.cpp
+++ b/Tests/Placement/PlacementTableTest.cpp
@@ -94,6 +94,28 @@
     CHECK(fixture.table.submit(orderDemand(3, fixture.now), fixture.now).empty());
 }
 
+// Guards against a new owner that places on engines before it knows what the former owner has placed there.
+TEST(PlacementTableTest, NothingIsGrantedWhileAServiceIsHeld)
+{
+    Table fixture;
+    fixture.table.holdUntil(orders, fixture.now + milliseconds(80));
+    CHECK(fixture.table.submit(orderDemand(1, fixture.now), fixture.now).empty());
+    fixture.table.adopt({orderDemand(2, fixture.now), UpstreamId("o1"), {}, false}, fixture.now);
+    fixture.table.adopt({orderDemand(3, fixture.now), UpstreamId("o1"), {}, false}, fixture.now);
+    fixture.now += milliseconds(80);
+    CHECK(fixture.table.tick(fixture.now).empty());
+    LONGS_EQUAL(1, fixture.table.waiting());
+}
+
+// Guards against a long prompt in progress that a new owner takes for nothing to read.
+TEST(PlacementTableTest, AnAdoptedReadCountsAtItsUpstreamAndItsHelpers)
+{
+    Table fixture;
+    fixture.table.adopt({longPrompt(1, fixture.now), UpstreamId("e1"), {UpstreamId("e2")}, true}, fixture.now);
+    CHECK(fixture.table.load(UpstreamId("e1"))->readBacklog(fixture.now, Duration::zero()) > milliseconds(1000));
+    LONGS_EQUAL(1, fixture.table.load(UpstreamId("e2"))->helping());
+}
+
 // Guards against placing on an upstream that leaves or whose data centre is out of service.
 TEST(PlacementTableTest, AnUpstreamThatDoesNotAcceptGetsNothing)
 {
