--- a/Tests/PlatformAdapter/PlatformSettingsTest.cpp
+++ b/Tests/PlatformAdapter/PlatformSettingsTest.cpp
@@ -13,7 +13,7 @@
 
 const std::string valid = R"({ // a comment
  "hostId": "front-1", "dataCentre": "a", "address": "10.0.0.1", "callerListener": "10.0.0.1:80", "readyListener": "10.0.0.1:81",
- "peerPort": 7340, "metricsPort": 9464, "store": "10.0.0.9:8223", "retryBudget": { "ratio": 0.2, "reserve": 106 }, "stopSeconds": 8,
+ "peerPort": 7340, "metricsPort": 9464, "store": "10.0.0.9:8223", "retryBudget": { "ratio": 0.2, "reserve": 106 }, "stopSeconds": 8, "silenceLimitMs": 3000,
  "logLinesPerSecond": 200 })";
 
 }
@@ -59,6 +59,7 @@
                                                             {"{{provider.address|json}}", "\"10.0.0.9:3\""},
                                                             {"{{bounds.retry_budget_ratio}}", "0.2"},
                                                             {"{{bounds.retry_budget_slack}}", "106"},
+                                                            {"{{bounds.contact_ms}}", "3000"},
                                                             {"{{bounds.grace_s}}", "8"}};
     for (const auto &[name, value] : values) {
         const std::size_t position = text.find(name);
--- a/Tests/PlatformAdapter/StoreMirrorTest.cpp
+++ b/Tests/PlatformAdapter/StoreMirrorTest.cpp
@@ -140,7 +140,7 @@
     ScriptedStore store(io, std::move(answers));
     StoreClient client(io, store.address());
     Recorder recorder;
-    StoreMirror mirror(io, client, "p/", recorder);
+    StoreMirror mirror(io, client, "p/", std::chrono::milliseconds(50), recorder);
     Asio::co_spawn(io, mirror.run(), Asio::detached);
     io.run();
     if (calls != nullptr) {
