--- a/Source/Forwarding/FleetPlacement.cpp
+++ b/Source/Forwarding/FleetPlacement.cpp
@@ -424,10 +424,9 @@
         }
         Open &open = position->second;
         const HostId owner = m_owners.owner(open.demand.service, now);
-        if (!open.place && (open.owner.empty() || (open.owner != owner && open.owner != m_self))) {
-            open.queued = false;
-            ask(open, now);
-        } else if (!open.place && open.owner != m_self && open.queued && now >= open.askAgainAt) {
+        const bool unowned = open.owner.empty() || (open.owner != owner && open.owner != m_self);
+        const bool stale = open.owner != m_self && open.queued && now >= open.askAgainAt;
+        if (!open.place && (unowned || stale)) {
             open.queued = false;
             ask(open, now);
         } else if (open.place && open.owner != owner) {
--- a/Tests/Ctl/LogExplainerTest.cpp
+++ b/Tests/Ctl/LogExplainerTest.cpp
@@ -8,7 +8,7 @@
 
 namespace {
 
-const char *log = R"(noise
+const char *const sampleLog = R"(noise
    1.2 a {"time_ms":1000,"host":"a","event":"sent","request":"r1","detail":"i-1 helpers=i-2","demand":"7"}
 {"time_ms":900,"host":"a","event":"store_lost"}
 {"time_ms":1100,"host":"a","event":"upstream_removed","upstream":"i-2"}
@@ -29,7 +29,7 @@
 TEST(LogExplainerTest, FollowsARequestAcrossHosts)
 {
     LogExplainer explainer("r1");
-    std::istringstream input(log);
+    std::istringstream input(sampleLog);
     explainer.read(input);
     std::ostringstream output;
     CHECK(explainer.print(output));
@@ -46,7 +46,7 @@
 TEST(LogExplainerTest, SaysThatNoLineNamesTheRequest)
 {
     LogExplainer explainer("r9");
-    std::istringstream input(log);
+    std::istringstream input(sampleLog);
     explainer.read(input);
     std::ostringstream output;
     CHECK_FALSE(explainer.print(output));
