--- a/Source/Forwarding/ForwardingSession.cpp
+++ b/Source/Forwarding/ForwardingSession.cpp
@@ -163,6 +163,9 @@
         if (!transmission.faulty) {
             m_excluded.insert(place.upstream);
         }
+        if (transmission.outcome != TransmissionOutcome::Answered) {
+            logDecision("attempt_failed", transmission.cause);
+        }
         NextStep step = m_policy.decide(transmission.outcome, m_endsAt - Clock::now());
         if (step == NextStep::Retry) {
             const bool budgeted = co_await retryAfter(transmission);
@@ -400,6 +403,10 @@
 
 Asio::awaitable<bool> ForwardingSession::retryAfter(const Transmission &transmission)
 {
+    if (!m_policy.hasArrived()) {
+        logDecision("retry", transmission.cause);
+        co_return true;
+    }
     const std::optional<Duration> backoff = m_context.budgets.of(m_service).takeRetry(m_policy.transmissions(), m_context.budgets.random());
     m_context.metrics.retry(backoff ? transmission.cause : "budget spent");
     if (!backoff) {
--- a/Source/Forwarding/RetryPolicy.cpp
+++ b/Source/Forwarding/RetryPolicy.cpp
@@ -24,6 +24,7 @@
         return NextStep::Deliver;
     }
     ++m_transmissions;
+    m_arrived = m_arrived || outcome != TransmissionOutcome::NotSent;
     const bool ran = outcome == TransmissionOutcome::MayHaveRun || outcome == TransmissionOutcome::Failed;
     m_runs += ran ? 1 : 0;
     if (ran && (!m_repeatable || m_runs >= m_maxRuns)) {
@@ -45,6 +46,11 @@
     return m_runs > 0;
 }
 
+bool RetryPolicy::hasArrived() const
+{
+    return m_arrived;
+}
+
 std::uint32_t RetryPolicy::transmissions() const
 {
     return m_transmissions;
--- a/Source/Forwarding/RetryPolicy.h
+++ b/Source/Forwarding/RetryPolicy.h
@@ -41,12 +41,16 @@
     /// Whether some transmission may have run.
     bool mayHaveRun() const;
 
+    /// Whether some transmission reached an upstream, so that a further one draws on the retry budget.
+    bool hasArrived() const;
+
     std::uint32_t transmissions() const;
 
 private:
     bool m_repeatable;
     std::uint32_t m_maxRuns;
     std::uint32_t m_runs = 0;
+    bool m_arrived = false;
     std::uint32_t m_transmissions = 0;
 };
 
--- a/Tests/Forwarding/ForwardingSessionTest.cpp
+++ b/Tests/Forwarding/ForwardingSessionTest.cpp
@@ -213,6 +213,18 @@
     CHECK(contains(host.call("POST", "/order/1"), "hello"));
 }
 
+// Guards against a spent retry budget failing requests that have not reached any upstream yet: they cost upstreams nothing.
+TEST(ForwardingSessionTest, ARefusedConnectionDrawsOnNoBudget)
+{
+    Host host;
+    host.budgets.setLimits(0, 0, 1);
+    for (int count = 0; count < 3; ++count) {
+        host.add("").close();
+    }
+    host.add(whole(200, "Id: 7\r\nSigned: s\r\n", "hello"));
+    CHECK(contains(host.call("POST", "/order/1"), "hello"));
+}
+
 // Guards against bytes that are not the upstream's answer reaching a caller as a success.
 TEST(ForwardingSessionTest, AnswersThatAreNotThisRequestsAreNotHandedOn)
 {
