--- a/Source/Placement/FailureRecord.cpp
+++ b/Source/Placement/FailureRecord.cpp
@@ -12,6 +12,8 @@
 constexpr double tolerableShare = 0.3;
 constexpr std::chrono::milliseconds firstPause{500};
 constexpr std::chrono::milliseconds longestPause{4000};
+// A probe shows within this time whether the upstream is back; a stream that goes on is a success only at its end.
+constexpr std::chrono::milliseconds probeTime{600};
 // A full upstream has room again after about one answer.
 constexpr std::chrono::milliseconds rejectedPause{100};
 constexpr std::uint32_t maxDoublings = 3;
@@ -40,6 +42,7 @@
     m_failureShare += newestWeight * ((failed ? 1.0 : 0.0) - m_failureShare);
     if (!failed) {
         m_consecutive = 0;
+        m_probedUntil = TimePoint();
         return;
     }
     ++m_consecutive;
@@ -50,9 +53,21 @@
     }
 }
 
+void FailureRecord::granted(TimePoint now)
+{
+    if (m_consecutive > 0) {
+        m_probedUntil = now + probeTime;
+    }
+}
+
+void FailureRecord::answers()
+{
+    m_probedUntil = TimePoint();
+}
+
 bool FailureRecord::avoided(TimePoint now) const
 {
-    return now < m_avoidUntil;
+    return now < m_avoidUntil || now < m_probedUntil;
 }
 
 double FailureRecord::failureShare() const
--- a/Source/Placement/FailureRecord.h
+++ b/Source/Placement/FailureRecord.h
@@ -19,6 +19,12 @@
 public:
     void record(WorkOutcome outcome, TimePoint now);
 
+    /// The upstream got work. After a failure this is a probe: no more follows until its outcome is known or should be.
+    void granted(TimePoint now);
+
+    /// A request that the upstream got has its first piece: the upstream is back.
+    void answers();
+
     /// Whether the upstream gets work only if there is no other.
     bool avoided(TimePoint now) const;
 
@@ -31,6 +37,7 @@
     double m_failureShare = 0;
     std::uint32_t m_consecutive = 0;
     TimePoint m_avoidUntil;
+    TimePoint m_probedUntil; ///< A probe is under way until then.
 };
 
 }
--- a/Source/Placement/PlacementTable.cpp
+++ b/Source/Placement/PlacementTable.cpp
@@ -106,6 +106,7 @@
     }
     if (const auto load = m_upstreams.find(grant->second.upstream); load != m_upstreams.end()) {
         load->second.readDone(id);
+        load->second.failures().answers();
     }
     for (const UpstreamId &helper : grant->second.helpers) {
         if (const auto load = m_upstreams.find(helper); load != m_upstreams.end()) {
@@ -238,6 +239,7 @@
     const std::uint64_t elsewhere = std::accumulate(selection->helperMemory.begin(), selection->helperMemory.end(), std::uint64_t{0});
     Work work{false, true, demand.promptTokens, demand.promptTokens + demand.outputTokens - elsewhere, demand.pauseLimit, selection->partReadTime, {}};
     selection->primary->add(demand.id, work, now);
+    selection->primary->failures().granted(now);
     work.helper = true;
     for (std::size_t index = 0; index < selection->helpers.size(); ++index) {
         UpstreamLoad *helper = selection->helpers[index];
--- a/Tests/Placement/FailureRecordTest.cpp
+++ b/Tests/Placement/FailureRecordTest.cpp
@@ -20,6 +20,20 @@
     CHECK_FALSE(record.avoided(now));
 }
 
+// Guards against a burst of requests at an upstream that is still down, as soon as the pause after its failure is over.
+TEST(FailureRecordTest, AfterAFailureOneRequestProbes)
+{
+    FailureRecord record;
+    TimePoint now;
+    record.record(WorkOutcome::Unreachable, now);
+    now += milliseconds(600);
+    CHECK_FALSE(record.avoided(now));
+    record.granted(now);
+    CHECK(record.avoided(now));
+    record.answers();
+    CHECK_FALSE(record.avoided(now));
+}
+
 // Guards against shunning a sound upstream for a single error answer, which callers' own input may cause.
 TEST(FailureRecordTest, OneErrorAnswerDoesNotAvoid)
 {
