--- /dev/null
+++ b/Tests/Forwarding/FleetPlacementTest.cpp
@@ -0,0 +1,175 @@
+#include "Forwarding/FleetPlacement.h"
+
+#include "Base/Hash.h"
+#include "Telemetry/EventLog.h"
+#include "Telemetry/LineSink.h"
+
+#include <boost/asio/io_context.hpp>
+
+#include "Property.h"
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+
+using namespace Mangofall;
+using namespace Mangofall::Forwarding;
+using Placement::Place;
+using std::chrono::milliseconds;
+
+namespace {
+
+class NoSink final : public LineSink
+{
+public:
+    bool write(std::string_view) override
+    {
+        return true;
+    }
+};
+
+const ServiceId service("s");
+constexpr std::uint16_t firstPort = 18740;
+
+std::vector<FleetHost> fleet(int size)
+{
+    std::vector<FleetHost> hosts;
+    for (int index = 0; index < size; ++index) {
+        hosts.push_back({HostId("h" + std::to_string(index)), {"127.0.0.1", static_cast<std::uint16_t>(firstPort + index)}});
+    }
+    return hosts;
+}
+
+std::vector<Placement::UpstreamEntry> upstreams()
+{
+    Placement::UpstreamEntry entry;
+    entry.id = UpstreamId("u");
+    entry.service = service;
+    entry.address = {"127.0.0.1", 1};
+    entry.slots = 1;
+    return {entry};
+}
+
+// Hosts on loopback that run in one thread.
+struct Fleet {
+    boost::asio::io_context io{1};
+    NoSink sink;
+    EventLog log{"h", 0, sink};
+    std::map<HostId, std::unique_ptr<FleetPlacement>> hosts;
+
+    explicit Fleet(int size)
+    {
+        for (const FleetHost &host : fleet(size)) {
+            auto placement = std::make_unique<FleetPlacement>(io, host.id, DataCentreId("dc"), log);
+            CHECK_FALSE(placement->listen(host.address));
+            placement->setServices({{service, 0, std::nullopt}});
+            placement->setUpstreams(upstreams());
+            hosts[host.id] = std::move(placement);
+        }
+        for (const auto &[id, placement] : hosts) {
+            placement->setHosts(fleet(size));
+        }
+    }
+
+    HostId owner() const
+    {
+        HostId best;
+        std::uint64_t highest = 0;
+        for (const auto &[id, placement] : hosts) {
+            const std::uint64_t score = rendezvousScore(service.value(), id.value());
+            if (score >= highest) {
+                highest = score;
+                best = id;
+            }
+        }
+        return best;
+    }
+
+    HostId other() const
+    {
+        for (const auto &[id, placement] : hosts) {
+            if (!(id == owner())) {
+                return id;
+            }
+        }
+        return HostId();
+    }
+
+    Placement::DemandId submit(const HostId &host, std::function<void(PlacementGateway::Answer)> handler)
+    {
+        Placement::Demand demand;
+        demand.id = hosts[host]->nextId();
+        demand.service = service;
+        demand.target = milliseconds(300);
+        demand.arrivedAt = std::chrono::steady_clock::now();
+        demand.deadline = demand.arrivedAt + milliseconds(4000);
+        hosts[host]->submit(demand, std::move(handler));
+        return demand.id;
+    }
+
+    void runUntil(const std::function<bool()> &done)
+    {
+        for (int round = 0; round < 400 && !done(); ++round) {
+            io.run_for(milliseconds(10));
+        }
+    }
+};
+
+}
+
+TEST_GROUP(FleetPlacementTest){};
+
+// Guards against hosts that fill the same slot because each decides alone.
+TEST(FleetPlacementTest, TheOwnerGivesOneSlotOnce)
+{
+    Fleet fleet(3);
+    int granted = 0;
+    std::map<HostId, Placement::DemandId> demands;
+    std::vector<HostId> order;
+    for (const auto &[id, placement] : fleet.hosts) {
+        const HostId host = id;
+        demands[host] = fleet.submit(host, [&, host](const PlacementGateway::Answer &answer) {
+            CHECK(std::holds_alternative<Place>(answer));
+            ++granted;
+            order.push_back(host);
+        });
+    }
+    fleet.runUntil([&]() {
+        return granted == 1;
+    });
+    fleet.io.run_for(milliseconds(150));
+    LONGS_EQUAL(1, granted);
+    fleet.hosts[order[0]]->ended(demands[order[0]], Placement::WorkOutcome::Completed, std::nullopt);
+    fleet.runUntil([&]() {
+        return granted == 2;
+    });
+    LONGS_EQUAL(2, granted);
+}
+
+// Guards against requests that wait for an owner that has died, and against a successor that gives away a place in use.
+TEST(FleetPlacementTest, ASuccessorKnowsTheGrantsInUse)
+{
+    Fleet fleet(3);
+    const HostId entry = fleet.other();
+    bool first = false;
+    const Placement::DemandId used = fleet.submit(entry, [&](const PlacementGateway::Answer &answer) {
+        first = std::holds_alternative<Place>(answer);
+    });
+    fleet.runUntil([&]() {
+        return first;
+    });
+    CHECK(first);
+    fleet.hosts.erase(fleet.owner());
+    bool second = false;
+    fleet.submit(entry, [&](const PlacementGateway::Answer &answer) {
+        second = std::holds_alternative<Place>(answer);
+    });
+    fleet.io.run_for(milliseconds(600));
+    CHECK_FALSE(second);
+    fleet.hosts[entry]->ended(used, Placement::WorkOutcome::Completed, std::nullopt);
+    fleet.runUntil([&]() {
+        return second;
+    });
+    CHECK(second);
+}
