--- /dev/null
+++ b/Source/Base/Sha256.h
@@ -0,0 +1,11 @@
+#pragma once
+
+#include <string>
+#include <string_view>
+
+namespace Mangofall {
+
+/// SHA-256 of \p data as 64 lower-case hexadecimal digits; names secrets without revealing them.
+std::string sha256Hex(std::string_view data);
+
+}
--- a/Source/Config/OrganisationSpec.h
+++ b/Source/Config/OrganisationSpec.h
@@ -13,7 +13,7 @@
  */
 struct OrganisationSpec {
     OrganisationId id;
-    std::string apiKeyHash; ///< Content hash of the bearer token; the token itself is never stored.
+    std::string apiKeyHash; ///< SHA-256 of the bearer token; the token itself is never stored.
     std::uint32_t weight = 1; ///< Share under contention, relative to other organisations.
     double requestsPerSecond = 0; ///< Fleet-wide; 0 means no limit.
     std::uint64_t tokensInFlight = 0; ///< Fleet-wide prompt tokens in flight; 0 means no limit.
--- a/Source/Config/SpecJson.cpp
+++ b/Source/Config/SpecJson.cpp
@@ -139,7 +139,7 @@
 {
     OrganisationSpec organisation;
     reader.id("id", organisation.id);
-    reader.text("apiKeyHash", organisation.apiKeyHash, contentHashRule);
+    reader.text("apiKeyHash", organisation.apiKeyHash, secretHashRule);
     reader.integer<std::uint32_t>("weight", organisation.weight, 1, maxWeight, Presence::Optional);
     reader.number("requestsPerSecond", organisation.requestsPerSecond, 0, maxRequestsPerSecond, Presence::Optional);
     reader.integer<std::uint64_t>("tokensInFlight", organisation.tokensInFlight, 0, maxTokens, Presence::Optional);
--- a/Source/Config/TextRule.cpp
+++ b/Source/Config/TextRule.cpp
@@ -14,6 +14,7 @@
 constexpr std::size_t maxPathLength = 1024;
 constexpr std::size_t maxSummaryLength = 256;
 constexpr std::size_t contentHashLength = 32;
+constexpr std::size_t secretHashLength = 64;
 
 bool isAlphanumeric(char c)
 {
@@ -53,6 +54,11 @@
     return text.size() == contentHashLength && text.find_first_not_of("0123456789abcdef") == std::string_view::npos;
 }
 
+bool isSecretHash(std::string_view text)
+{
+    return text.size() == secretHashLength && text.find_first_not_of("0123456789abcdef") == std::string_view::npos;
+}
+
 bool isFilePath(std::string_view text)
 {
     return !text.empty() && text.find('\0') == std::string_view::npos;
@@ -72,6 +78,7 @@
 const TextRule reachableAddressRule{isReachableAddress, "a numeric IPv4 or IPv6 address other than the unspecified one"};
 const TextRule urlPathRule{isUrlPath, "a path that starts with '/', without spaces, '?' or '#', at most 1024 bytes"};
 const TextRule contentHashRule{isContentHash, "32 lower-case hexadecimal digits"};
+const TextRule secretHashRule{isSecretHash, "64 lower-case hexadecimal digits"};
 const TextRule filePathRule{isFilePath, "the path of a file"};
 const TextRule summaryRule{isSummary, "at most 256 bytes without control characters"};
 
--- a/Source/Config/TextRule.h
+++ b/Source/Config/TextRule.h
@@ -21,8 +21,10 @@
 extern const TextRule reachableAddressRule;
 /// A URL path: starts with `/`, printable ASCII without spaces, `?` and `#`, at most 1,024 bytes.
 extern const TextRule urlPathRule;
-/// The content hash of a secret: 32 lower-case hexadecimal digits.
+/// A content hash: 32 lower-case hexadecimal digits.
 extern const TextRule contentHashRule;
+/// The SHA-256 of a secret: 64 lower-case hexadecimal digits.
+extern const TextRule secretHashRule;
 /// A path of a file: not empty, no NUL byte.
 extern const TextRule filePathRule;
 /// Free text of at most 256 bytes without control characters.
--- a/Source/Daemon/ControlSnapshot.cpp
+++ b/Source/Daemon/ControlSnapshot.cpp
@@ -1,6 +1,6 @@
 #include "Daemon/ControlSnapshot.h"
 
-#include "Base/Hash.h"
+#include "Base/Sha256.h"
 
 namespace Mangofall {
 
@@ -45,7 +45,7 @@
 
 const OrganisationSpec *RoutingIndex::organisationOfKey(const std::string &apiKey) const
 {
-    const auto position = m_organisationsByKeyHash.find(contentHash(apiKey));
+    const auto position = m_organisationsByKeyHash.find(sha256Hex(apiKey));
     return position == m_organisationsByKeyHash.end() ? nullptr : position->second;
 }
 
--- a/Source/Daemon/Main.cpp
+++ b/Source/Daemon/Main.cpp
@@ -1,4 +1,4 @@
-#include "Base/Hash.h"
+#include "Base/Sha256.h"
 #include "Config/SettingsReader.h"
 #include "Daemon/ControlPlane.h"
 #include "Daemon/HostContext.h"
@@ -93,7 +93,7 @@
         return exitUsage;
     }
     if (!arguments->hashKeyFile.empty()) {
-        std::cout << Mangofall::contentHash(readKey(arguments->hashKeyFile)) << '\n';
+        std::cout << Mangofall::sha256Hex(readKey(arguments->hashKeyFile)) << '\n';
         return 0;
     }
     Mangofall::SettingsReader reader(arguments->config);
--- a/Source/Forwarding/RouteTable.cpp
+++ b/Source/Forwarding/RouteTable.cpp
@@ -1,22 +1,9 @@
 #include "Forwarding/RouteTable.h"
 
-#include <openssl/sha.h>
-
-#include <array>
+#include "Base/Sha256.h"
 
 namespace Mangofall::Forwarding {
 
-namespace {
-
-std::string sha256(std::string_view text)
-{
-    std::array<unsigned char, SHA256_DIGEST_LENGTH> digest{};
-    SHA256(reinterpret_cast<const unsigned char *>(text.data()), text.size(), digest.data());
-    return {reinterpret_cast<const char *>(digest.data()), digest.size()};
-}
-
-}
-
 RouteTable::RouteTable(ForwardingConfiguration configuration)
     : m_configuration(std::move(configuration))
 {
@@ -25,7 +12,7 @@
     }
     for (const OrganisationRule &organisation : m_configuration.organisations) {
         for (const std::string &credential : organisation.credentials) {
-            m_organisations[sha256(credential)] = &organisation;
+            m_organisations[sha256Hex(credential)] = &organisation;
         }
     }
 }
@@ -55,7 +42,7 @@
 
 const OrganisationRule *RouteTable::findOrganisation(std::string_view credential) const
 {
-    const auto position = m_organisations.find(sha256(credential));
+    const auto position = m_organisations.find(sha256Hex(credential));
     return position == m_organisations.end() ? nullptr : position->second;
 }
 
--- a/Tests/Config/ConfigurationRootTest.cpp
+++ b/Tests/Config/ConfigurationRootTest.cpp
@@ -15,7 +15,7 @@
     DeclaredFleet fleet = Testing::exampleFleet();
     for (int index = 0; index < organisations; ++index) {
         const OrganisationId id("organisation-" + std::to_string(index) + std::string(40, 'x'));
-        fleet.organisations[id] = {id, contentHash(id.value()), 1, 100.5, 1'000'000};
+        fleet.organisations[id] = {id, sha256Hex(id.value()), 1, 100.5, 1'000'000};
     }
     for (int index = 0; index < upstreams; ++index) {
         UpstreamSpec upstream = fleet.upstreams.at(UpstreamId("engine-1"));
@@ -53,7 +53,7 @@
     CHECK(joinConfiguration(before.root, before.blobs, problems) == configuration);
 
     const OrganisationId added("organisation-5");
-    configuration.organisations[added] = {added, contentHash("new"), 1, 0, 0};
+    configuration.organisations[added] = {added, sha256Hex("new"), 1, 0, 0};
     CHECK(newBlobs(before, splitConfiguration(configuration)) <= 2);
 }
 
--- a/Tests/Config/FleetGenerators.h
+++ b/Tests/Config/FleetGenerators.h
@@ -2,7 +2,7 @@
 
 #include "Property.h"
 
-#include "Base/Hash.h"
+#include "Base/Sha256.h"
 #include "Config/ConfigurationChange.h"
 
 namespace Mangofall::Testing {
@@ -14,7 +14,7 @@
     for (const char *name : {"ordinary", "peak"}) {
         fleet.presets[PresetName(name)].name = PresetName(name);
     }
-    fleet.organisations[OrganisationId("kiosk")] = {OrganisationId("kiosk"), contentHash("key"), 2, 10, 100'000};
+    fleet.organisations[OrganisationId("kiosk")] = {OrganisationId("kiosk"), sha256Hex("key"), 2, 10, 100'000};
     UpstreamSpec &engine = fleet.upstreams[UpstreamId("engine-1")];
     engine.id = UpstreamId("engine-1");
     engine.dataCentre = DataCentreId("poa");
@@ -72,7 +72,7 @@
             fleet.presets[PresetName("p" + suffix)] = *anyPreset("p" + suffix);
             const OrganisationId organisation("o" + suffix);
             fleet.organisations[organisation] = {organisation,
-                                                 contentHash(suffix),
+                                                 sha256Hex(suffix),
                                                  *rc::gen::inRange<std::uint32_t>(1, 1000),
                                                  *rc::gen::inRange(0, 1'000'000) / 7.0,
                                                  *rc::gen::inRange<std::uint64_t>(0, 1'000'000'000'000)};
--- a/Tests/Telemetry/EventLogTest.cpp
+++ b/Tests/Telemetry/EventLogTest.cpp
@@ -1,5 +1,5 @@
-#include "Telemetry/DescriptorSink.h"
 #include "Telemetry/EventLog.h"
+#include "Telemetry/DescriptorSink.h"
 
 #include "Property.h"
 
--- a/Utilities/Benchmarks/CapacitySlopes.cpp
+++ b/Utilities/Benchmarks/CapacitySlopes.cpp
@@ -8,6 +8,7 @@
 #include "Admission/LimitDivision.h"
 #include "Admission/UpstreamDispatcher.h"
 #include "Base/Hash.h"
+#include "Base/Sha256.h"
 #include "Config/ConfigurationReplica.h"
 #include "Daemon/ControlSnapshot.h"
 #include "Daemon/EntryRouter.h"
@@ -538,7 +539,7 @@
     for (std::size_t index = 0; index < organisations; ++index) {
         OrganisationSpec organisation;
         organisation.id = organisationId(index);
-        organisation.apiKeyHash = contentHash(organisation.id.value());
+        organisation.apiKeyHash = sha256Hex(organisation.id.value());
         organisation.requestsPerSecond = 100;
         organisation.tokensInFlight = 1'000'000;
         configuration.organisations[organisation.id] = organisation;
