--- a/Source/Ctl/OperatorClient.cpp
+++ b/Source/Ctl/OperatorClient.cpp
@@ -1,6 +1,6 @@
 #include "Ctl/OperatorClient.h"
 
-#include "Platform/HttpConnectionPool.h"
+#include "Store/HttpConnectionPool.h"
 
 #include <boost/asio/co_spawn.hpp>
 
--- a/Source/Ctl/OperatorClient.h
+++ b/Source/Ctl/OperatorClient.h
@@ -2,7 +2,7 @@
 
 #include "Base/Time.h"
 #include "Config/NetworkAddress.h"
-#include "Platform/HttpCallResult.h"
+#include "Store/HttpCallResult.h"
 
 #include <string>
 
--- a/Source/Daemon/ControlPlane.h
+++ b/Source/Daemon/ControlPlane.h
@@ -13,8 +13,8 @@
 #include "Http/HttpListener.h"
 #include "Peer/PeerMessageHandler.h"
 #include "Peer/TcpListener.h"
-#include "Platform/HttpHostList.h"
-#include "Platform/HttpKeyValueStore.h"
+#include "Store/HttpHostList.h"
+#include "Store/HttpKeyValueStore.h"
 #include "Telemetry/Log.h"
 
 #include <boost/asio/io_context.hpp>
--- a/Source/Daemon/ScheduledStore.h
+++ b/Source/Daemon/ScheduledStore.h
@@ -2,7 +2,7 @@
 
 #include "Base/RandomEngine.h"
 #include "Daemon/StoreAccess.h"
-#include "Platform/KeyValueStore.h"
+#include "Store/KeyValueStore.h"
 #include "Telemetry/Metrics.h"
 
 #include <map>
--- a/Source/Daemon/StoreAccess.h
+++ b/Source/Daemon/StoreAccess.h
@@ -2,7 +2,7 @@
 
 #include "Base/Time.h"
 #include "Config/StoreEvents.h"
-#include "Platform/StoreCallScheduler.h"
+#include "Store/StoreCallScheduler.h"
 
 #include <cstdint>
 #include <functional>
--- a/Source/Platform/HttpConnectionPool.cpp
+++ b/Source/Store/HttpConnectionPool.cpp
@@ -1,4 +1,4 @@
-#include "Platform/HttpConnectionPool.h"
+#include "Store/HttpConnectionPool.h"
 
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/redirect_error.hpp>
--- a/Source/Platform/HttpConnectionPool.h
+++ b/Source/Store/HttpConnectionPool.h
@@ -2,7 +2,7 @@
 
 #include "Base/Time.h"
 #include "Config/NetworkAddress.h"
-#include "Platform/HttpCallResult.h"
+#include "Store/HttpCallResult.h"
 
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/io_context.hpp>
--- a/Source/Platform/HttpHostList.cpp
+++ b/Source/Store/HttpHostList.cpp
@@ -1,4 +1,4 @@
-#include "Platform/HttpHostList.h"
+#include "Store/HttpHostList.h"
 
 #include "Config/JsonObjectReader.h"
 #include "Config/JsonText.h"
--- a/Source/Platform/HttpHostList.h
+++ b/Source/Store/HttpHostList.h
@@ -1,7 +1,7 @@
 #pragma once
 
-#include "Platform/HostList.h"
-#include "Platform/HttpConnectionPool.h"
+#include "Store/HostList.h"
+#include "Store/HttpConnectionPool.h"
 
 namespace Mangofall {
 
--- a/Source/Platform/HttpKeyValueStore.cpp
+++ b/Source/Store/HttpKeyValueStore.cpp
@@ -1,4 +1,4 @@
-#include "Platform/HttpKeyValueStore.h"
+#include "Store/HttpKeyValueStore.h"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
--- a/Source/Platform/HttpKeyValueStore.h
+++ b/Source/Store/HttpKeyValueStore.h
@@ -1,7 +1,7 @@
 #pragma once
 
-#include "Platform/HttpConnectionPool.h"
-#include "Platform/KeyValueStore.h"
+#include "Store/HttpConnectionPool.h"
+#include "Store/KeyValueStore.h"
 
 namespace Mangofall {
 
--- a/Source/Platform/StoreCallScheduler.cpp
+++ b/Source/Store/StoreCallScheduler.cpp
@@ -1,4 +1,4 @@
-#include "Platform/StoreCallScheduler.h"
+#include "Store/StoreCallScheduler.h"
 
 #include <algorithm>
 #include <random>
--- a/Tests/Daemon/ScheduledStoreTest.cpp
+++ b/Tests/Daemon/ScheduledStoreTest.cpp
@@ -1,5 +1,5 @@
 #include "Daemon/ScheduledStore.h"
-#include "Platform/FakeKeyValueStore.h"
+#include "Store/FakeKeyValueStore.h"
 
 #include "Property.h"
 
--- a/Tests/Platform/FakeKeyValueStore.cpp
+++ b/Tests/Store/FakeKeyValueStore.cpp
@@ -1,4 +1,4 @@
-#include "Platform/FakeKeyValueStore.h"
+#include "Store/FakeKeyValueStore.h"
 
 #include <utility>
 
--- a/Tests/Platform/FakeKeyValueStore.h
+++ b/Tests/Store/FakeKeyValueStore.h
@@ -1,7 +1,7 @@
 #pragma once
 
-#include "Platform/KeyValueStore.h"
 #include "StandIns/StoreState.h"
+#include "Store/KeyValueStore.h"
 
 #include <deque>
 #include <functional>
--- a/Tests/Platform/HttpPlatformTest.cpp
+++ b/Tests/Store/HttpKeyValueStoreTest.cpp
@@ -1,10 +1,10 @@
 #include "Property.h"
 
-#include "Platform/FakeKeyValueStore.h"
-#include "Platform/HttpHostList.h"
-#include "Platform/HttpKeyValueStore.h"
 #include "StandIns/HostListServer.h"
 #include "StandIns/StoreServer.h"
+#include "Store/FakeKeyValueStore.h"
+#include "Store/HttpHostList.h"
+#include "Store/HttpKeyValueStore.h"
 
 #include <boost/asio/co_spawn.hpp>
 
@@ -86,10 +86,10 @@
 
 }
 
-TEST_GROUP(HttpPlatformTest){};
+TEST_GROUP(HttpKeyValueStoreTest){};
 
 // Guards against an answer of the store that is mapped to the wrong outcome, above all a lost answer that is taken for a refusal.
-TEST(HttpPlatformTest, MapsTheStoresAnswers)
+TEST(HttpKeyValueStoreTest, MapsTheStoresAnswers)
 {
     StoreFixture fixture;
     CHECK(fixture.get("a/b").status == StoreReadStatus::Missing);
@@ -112,7 +112,7 @@
 }
 
 // Guards against a watch that misses a change or never ends, and a lease that is reported held after the store ended it.
-TEST(HttpPlatformTest, WatchesAndLeases)
+TEST(HttpKeyValueStoreTest, WatchesAndLeases)
 {
     StoreFixture fixture;
     const std::uint64_t version = fixture.put("k", "one", 0).version;
@@ -137,7 +137,7 @@
 }
 
 // Guards against a write to a server that is not there being reported as perhaps applied.
-TEST(HttpPlatformTest, AWriteThatWasNeverSentIsNotApplied)
+TEST(HttpKeyValueStoreTest, AWriteThatWasNeverSentIsNotApplied)
 {
     boost::asio::io_context context;
     std::uint16_t closedPort = 0;
@@ -152,7 +152,7 @@
 }
 
 // Guards against a malformed host list that is taken for an empty one, which would remove all hosts.
-TEST(HttpPlatformTest, ListsHosts)
+TEST(HttpKeyValueStoreTest, ListsHosts)
 {
     boost::asio::io_context context;
     StandIns::HostListServer server(context, 0);
@@ -170,7 +170,7 @@
 }
 
 // Guards against a fake that answers other than the real adapter would.
-TEST(HttpPlatformTest, TheFakeFollowsTheSameRules)
+TEST(HttpKeyValueStoreTest, TheFakeFollowsTheSameRules)
 {
     Testing::FakeKeyValueStore store;
     std::vector<StoreWriteStatus> writes;
--- a/Tests/Platform/StoreCallSchedulerTest.cpp
+++ b/Tests/Store/StoreCallSchedulerTest.cpp
@@ -1,6 +1,6 @@
 #include "Property.h"
 
-#include "Platform/StoreCallScheduler.h"
+#include "Store/StoreCallScheduler.h"
 
 #include <algorithm>
 #include <map>
