--- a/Source/Forwarding/Forwarder.cpp
+++ b/Source/Forwarding/Forwarder.cpp
@@ -95,6 +95,11 @@
     m_leaving = true;
 }
 
+void Forwarder::refuseNew()
+{
+    m_refusing = true;
+}
+
 std::size_t Forwarder::active() const
 {
     return m_active;
@@ -122,7 +127,7 @@
         if (!m_routes) {
             co_await awaitRoutes(request, exchange.receivedAt());
         }
-        admission = admit(m_routes.get(), request);
+        admission = m_refusing ? Admission{ErrorKind::HostLeaving} : admit(m_routes.get(), request);
     } else {
         admission.error = std::get<ErrorKind>(decoded);
     }
--- a/Source/Forwarding/Forwarder.h
+++ b/Source/Forwarding/Forwarder.h
@@ -29,6 +29,9 @@
     /// Each further answer ends its connection.
     void startLeaving();
 
+    /// Requests that come from now on are refused, because their answers could be cut off by the end of the process.
+    void refuseNew();
+
     /// Requests in progress.
     std::size_t active() const;
 
@@ -43,6 +46,7 @@
     ForwardingContext &m_context;
     std::shared_ptr<const RouteTable> m_routes;
     bool m_leaving = false;
+    bool m_refusing = false;
     std::size_t m_active = 0;
 };
 
--- a/Tests/Forwarding/ForwardingSessionTest.cpp
+++ b/Tests/Forwarding/ForwardingSessionTest.cpp
@@ -304,6 +304,19 @@
     CHECK(contains(starting.call("GET", "/safe/1"), "503"));
 }
 
+// Guards against a request that a leaving host takes so late that the end of the process cuts its answer off.
+TEST(ForwardingSessionTest, AHostAtItsEndRefusesNewRequests)
+{
+    Host host;
+    ScriptedUpstream &upstream = host.add(whole(200, "Id: 7\r\nSigned: s\r\n", "hello"));
+    host.forwarder.startLeaving();
+    host.forwarder.refuseNew();
+    const std::string answer = host.call("GET", "/safe/1");
+    CHECK(contains(answer, "503"));
+    CHECK(contains(answer, "Retry-After"));
+    LONGS_EQUAL(0, upstream.requests().size());
+}
+
 // Guards against refusing callers in the moment between the start of a host and its first configuration.
 TEST(ForwardingSessionTest, ACallerWaitsForTheFirstConfiguration)
 {
