--- a/Source/Forwarding/FleetPlacement.cpp
+++ b/Source/Forwarding/FleetPlacement.cpp
@@ -105,7 +105,7 @@
 
 void FleetPlacement::setServices(const std::vector<Placement::ServiceSpec> &services)
 {
-    m_table.setServices(services, Clock::now());
+    m_table.setServices(services);
 }
 
 void FleetPlacement::setUpstreams(const std::vector<Placement::UpstreamEntry> &upstreams)
--- a/Source/Forwarding/UpstreamOrder.h
+++ b/Source/Forwarding/UpstreamOrder.h
@@ -5,7 +5,6 @@
 #include "Config/NetworkAddress.h"
 
 #include <cstdint>
-#include <optional>
 #include <string>
 #include <vector>
 
@@ -28,7 +27,6 @@
     UpstreamId upstream; ///< Only this one may run the request.
     OrganisationId organisation; ///< Empty for public routes.
     Duration timeLeft{};
-    std::optional<std::uint32_t> urgency; ///< 0 is admitted first; empty for services without a model.
     std::vector<EngineHelper> helpers; ///< Engines that read parts of the prompt.
     std::uint64_t resumeAfter = 0; ///< The stream goes on after this event; 0 starts it.
 };
--- a/Source/Http/HttpListener.cpp
+++ b/Source/Http/HttpListener.cpp
@@ -213,9 +213,4 @@
     }
 }
 
-std::size_t HttpListener::connections() const
-{
-    return m_d->state->connections.size();
-}
-
 }
--- a/Source/Http/HttpListener.h
+++ b/Source/Http/HttpListener.h
@@ -2,7 +2,6 @@
 
 #include <boost/asio/io_context.hpp>
 
-#include <cstddef>
 #include <cstdint>
 #include <memory>
 #include <string>
@@ -35,9 +34,6 @@
     /// Accepts no further connections; those that are idle close, exchanges in progress finish.
     void close();
 
-    /// Connections that are open, idle ones included.
-    std::size_t connections() const;
-
 private:
     struct Private;
     std::unique_ptr<Private> m_d;
--- a/Source/Placement/PlacementTable.cpp
+++ b/Source/Placement/PlacementTable.cpp
@@ -36,7 +36,7 @@
 
 PlacementTable::~PlacementTable() = default;
 
-void PlacementTable::setServices(const std::vector<ServiceSpec> &services, TimePoint)
+void PlacementTable::setServices(const std::vector<ServiceSpec> &services)
 {
     std::map<ServiceId, Service> next;
     for (const ServiceSpec &spec : services) {
--- a/Source/Placement/PlacementTable.h
+++ b/Source/Placement/PlacementTable.h
@@ -48,7 +48,7 @@
     explicit PlacementTable(const PlacementLimits &limits);
     ~PlacementTable();
 
-    void setServices(const std::vector<ServiceSpec> &services, TimePoint now);
+    void setServices(const std::vector<ServiceSpec> &services);
     PlacementActions setUpstreams(const std::vector<UpstreamEntry> &upstreams, TimePoint now);
 
     PlacementActions submit(const Demand &demand, TimePoint now);
--- a/Tests/Placement/PlacementTableTest.cpp
+++ b/Tests/Placement/PlacementTableTest.cpp
@@ -17,7 +17,7 @@
 
     Table()
     {
-        table.setServices({{engines, 0, engineSpec()}, {orders, 2, std::nullopt}}, now);
+        table.setServices({{engines, 0, engineSpec()}, {orders, 2, std::nullopt}});
         table.setUpstreams({upstream("o1", orders, 2), upstream("e1", engines), upstream("e2", engines)}, now);
     }
 };
