End an attempt for silence only if the retry budget pays for the next one

Change: a timer watches for silence and takes the retry from the budget before it gives the upstream up; without budget the answer goes on.

The new test fails without the change (the second event is missing).

--- a/Source/Forwarding/ForwardingSession.cpp
+++ b/Source/Forwarding/ForwardingSession.cpp
@@ -115,6 +115,7 @@
     , m_endsAt(exchange.receivedAt() + std::min(m_request.patience.value_or(route.timeout), route.timeout))
     , m_policy(isRepeatable(route), route.maxRuns)
     , m_wake(context.io)
+    , m_silence(context.io)
     , m_lastEvent(m_request.lastEventId)
 {
 }
@@ -276,8 +277,9 @@
     m_firstPieceEstimate = place.firstPieceEstimate;
     logDecision("sent", describe(place));
     const ConnectionReuse reuse{connectTimeout, 0};
-    UpstreamCall call(std::make_shared<UpstreamConnectionPool>(m_context.io, place.address.address, place.address.port, reuse), answerTimeout(place, now));
+    UpstreamCall call(std::make_shared<UpstreamConnectionPool>(m_context.io, place.address.address, place.address.port, reuse), m_endsAt - now);
     m_call = &call;
+    watchSilence(answerTimeout(place, now));
     // GCC 12 destroys some temporaries of a co_await expression twice; arguments are therefore named variables.
     UpstreamCall::Request request = m_context.translator.encodeRequest(m_exchange, m_request, order);
     const boost::system::error_code error = co_await call.start(std::move(request));
@@ -290,6 +292,7 @@
         result.cause = error.message();
     }
     m_call = nullptr;
+    m_silence.cancel();
     co_return result;
 }
 
@@ -345,7 +348,10 @@
     std::string piece;
     bool first = true;
     while (true) {
-        call.setTimeout(pauseTimeout(Clock::now()));
+        call.setTimeout(m_endsAt - Clock::now());
+        if (!first) {
+            watchSilence(pauseTimeout(Clock::now()));
+        }
         const boost::system::error_code error = co_await call.read(piece);
         if (error) {
             co_return silentOrBroken(error);
@@ -406,6 +412,12 @@
 
 Asio::awaitable<bool> ForwardingSession::retryAfter(const Transmission &transmission)
 {
+    if (m_retryTaken) {
+        m_retryTaken = false;
+        m_context.metrics.retry(transmission.cause);
+        logDecision("retry", transmission.cause);
+        co_return true;
+    }
     if (!m_policy.hasArrived()) {
         logDecision("retry", transmission.cause);
         co_return true;
@@ -466,16 +478,13 @@
 
 Transmission ForwardingSession::silentOrBroken(const boost::system::error_code &error) const
 {
-    const bool silent = error == boost::beast::error::timeout;
+    const bool silent = m_retryTaken || error == boost::beast::error::timeout;
     return failedTransmission(TransmissionOutcome::MayHaveRun, silent ? WorkOutcome::Silent : WorkOutcome::Broken, silent ? "silent" : error.message());
 }
 
 Duration ForwardingSession::answerTimeout(const Place &place, TimePoint now) const
 {
     const Duration left = m_endsAt - now;
-    if (!m_policy.mayRunAgain()) {
-        return left;
-    }
     if (!isStream()) {
         return std::min(left, m_route.target * answerFactor);
     }
@@ -486,7 +495,36 @@
 Duration ForwardingSession::pauseTimeout(TimePoint now) const
 {
     const Duration left = m_endsAt - now;
-    return m_policy.mayRunAgain() ? std::min(left, std::max<Duration>(shortestSilence, m_route.pauseLimit * silenceFactor)) : left;
+    return std::min(left, std::max<Duration>(shortestSilence, m_route.pauseLimit * silenceFactor));
+}
+
+void ForwardingSession::watchSilence(Duration limit)
+{
+    if (!m_policy.mayRunAgain()) {
+        m_silence.cancel();
+        return;
+    }
+    m_silence.expires_after(limit);
+    m_silence.async_wait([weak = weak_from_this(), limit](const boost::system::error_code &error) {
+        const auto self = weak.lock();
+        if (!error && self) {
+            self->upstreamSilent(limit);
+        }
+    });
+}
+
+// An answer that cannot go on elsewhere is not ended for silence: the upstream may only be slow.
+void ForwardingSession::upstreamSilent(Duration limit)
+{
+    if (m_call == nullptr || m_retryTaken || m_callerGone) {
+        return;
+    }
+    m_retryTaken = m_context.budgets.of(m_service).takeRetry(m_policy.transmissions() + 1, m_context.budgets.random()).has_value();
+    if (m_retryTaken) {
+        m_call->cancel();
+    } else {
+        watchSilence(limit);
+    }
 }
 
 void ForwardingSession::callerLeft()
--- a/Source/Forwarding/ForwardingSession.h
+++ b/Source/Forwarding/ForwardingSession.h
@@ -68,6 +68,10 @@
     Transmission silentOrBroken(const boost::system::error_code &error) const;
     Duration answerTimeout(const Place &place, TimePoint now) const;
     Duration pauseTimeout(TimePoint now) const;
+    /// Starts to watch for silence of the upstream that lasts \p limit; each call begins anew.
+    void watchSilence(Duration limit);
+    /// Gives a silent upstream up if the request may run again and the retry budget pays for it; otherwise goes on waiting.
+    void upstreamSilent(Duration limit);
     void callerLeft();
     bool isStream() const;
     void logDecision(std::string_view event, std::string_view detail) const;
@@ -83,6 +87,7 @@
     RetryPolicy m_policy;
 
     boost::asio::steady_timer m_wake; ///< Ends a wait for a place.
+    boost::asio::steady_timer m_silence; ///< Ends a wait for an upstream that shows nothing.
     std::optional<PlacementGateway::Answer> m_answer;
     Placement::DemandId m_demand;
     UpstreamCall *m_call = nullptr;
@@ -92,6 +97,7 @@
     std::optional<Duration> m_firstEventAfter; ///< From the request's arrival to the first event that the caller got.
     TimePoint m_lastEventAt;
     Duration m_longestPause{}; ///< Between events of the answer.
+    bool m_retryTaken = false; ///< The retry that follows is already paid from the budget, because the upstream was silent.
     bool m_callerGone = false;
     bool m_done = false;
 };
--- a/Tests/Forwarding/ForwardingSessionTest.cpp
+++ b/Tests/Forwarding/ForwardingSessionTest.cpp
@@ -294,6 +294,35 @@
     CHECK(contains(answer, "0\r\n\r\n"));
 }
 
+// Guards against ending the answer of a slow upstream when the retry budget does not pay for going on elsewhere.
+TEST(ForwardingSessionTest, ASilentStreamIsNotEndedWithoutBudget)
+{
+    Host host;
+    host.budgets.setLimits(0, 0, 1);
+    host.budgets.of(ServiceId("s")).takeRetry(1, host.budgets.random());
+    ScriptedUpstream &slow = host.add(streamHead + chunk(event(1)));
+    slow.pause = std::chrono::milliseconds(1300);
+    slow.rest = chunk(event(2)) + "0\r\n\r\n";
+    const std::string answer = host.call("POST", "/stream/1");
+    LONGS_EQUAL(1, count(answer, event(2)));
+    CHECK(contains(answer, "0\r\n\r\n"));
+    LONGS_EQUAL(1, host.placement.submitted);
+}
+
+// Guards against waiting for a stuck upstream although another one can go on.
+TEST(ForwardingSessionTest, ASilentStreamGoesOnElsewhereWithBudget)
+{
+    Host host;
+    ScriptedUpstream &stuck = host.add(streamHead + chunk(event(1)));
+    stuck.pause = std::chrono::milliseconds(2500);
+    stuck.rest = chunk(event(2));
+    host.add(streamHead + chunk(event(2)) + "0\r\n\r\n");
+    const std::string answer = host.call("POST", "/stream/1");
+    LONGS_EQUAL(1, count(answer, event(2)));
+    CHECK(contains(answer, "0\r\n\r\n"));
+    LONGS_EQUAL(2, host.placement.submitted);
+}
+
 // Guards against a stream that was broken off and looks complete.
 TEST(ForwardingSessionTest, AStreamThatCannotGoOnIsVisiblyBroken)
 {
--- a/Tests/Forwarding/ScriptedUpstream.h
+++ b/Tests/Forwarding/ScriptedUpstream.h
@@ -7,9 +7,11 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/read_until.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/write.hpp>
 
+#include <chrono>
 #include <cstdint>
 #include <memory>
 #include <string>
@@ -31,6 +33,9 @@
         boost::asio::co_spawn(io, accept(), boost::asio::detached);
     }
 
+    std::string rest; ///< Sent after the answer and a pause; nothing if empty.
+    std::chrono::milliseconds pause{0};
+
     std::uint16_t port() const
     {
         return m_acceptor.local_endpoint().port();
@@ -70,6 +75,11 @@
         m_requests.push_back(request);
         const std::string answer = m_requests.size() <= m_answers.size() ? m_answers[m_requests.size() - 1] : std::string();
         co_await boost::asio::async_write(socket, boost::asio::buffer(answer), boost::asio::as_tuple(boost::asio::use_awaitable));
+        if (!rest.empty()) {
+            boost::asio::steady_timer timer(m_acceptor.get_executor(), pause);
+            co_await timer.async_wait(boost::asio::as_tuple(boost::asio::use_awaitable));
+            co_await boost::asio::async_write(socket, boost::asio::buffer(rest), boost::asio::as_tuple(boost::asio::use_awaitable));
+        }
         boost::system::error_code ignored;
         socket.shutdown(boost::asio::ip::tcp::socket::shutdown_both, ignored);
     }
