--- a/Tests/Forwarding/ForwardingSessionTest.cpp
+++ b/Tests/Forwarding/ForwardingSessionTest.cpp
@@ -246,9 +246,9 @@
 // Guards against bytes that are not the upstream's answer reaching a caller as a success.
 TEST(ForwardingSessionTest, AnswersThatAreNotThisRequestsAreNotHandedOn)
 {
-    Host unsigned_;
-    unsigned_.add(whole(200, "Id: 7\r\n", "hello"));
-    CHECK(contains(unsigned_.call("POST", "/order/1"), "502"));
+    Host noSignature;
+    noSignature.add(whole(200, "Id: 7\r\n", "hello"));
+    CHECK(contains(noSignature.call("POST", "/order/1"), "502"));
     Host foreign;
     foreign.add(whole(200, "Id: 8\r\nSigned: s\r\n", "hello"));
     CHECK(contains(foreign.call("POST", "/order/1"), "502"));
