Add a virtual-time model of engines and a comparison of placement policies

Utilities/Experiment plays scenarios in virtual time: callers, the product's PlacementTable, and engines that work in passes after the cost formulas of EngineSpec. Utilities/mangofall-experiment compares policies over seeds and prints a table with 95% intervals and an SVG chart.

--- /dev/null
+++ b/Utilities/Experiment/ComparisonTable.cpp
@@ -0,0 +1,77 @@
+#include "Experiment/ComparisonTable.h"
+
+#include "Experiment/Comparison.h"
+
+#include <iomanip>
+#include <sstream>
+
+namespace Mangofall::Experiment {
+
+namespace {
+
+constexpr int decimals = 3;
+
+void writeShare(std::ostream &out, double share)
+{
+    out << " " << share << " |";
+}
+
+void writeHeader(std::ostream &out, const Scenario &scenario)
+{
+    out << "\n| " << scenario.name << " | credit | served | worst organisation | worst data centre |";
+    for (const PromptKind &kind : scenario.kinds) {
+        out << " " << kind.name << ": on time | " << kind.name << ", longest tenth: credit |";
+    }
+    out << "\n|---|---|---|---|---|";
+    for (std::size_t kind = 0; kind < scenario.kinds.size(); ++kind) {
+        out << "---|---|";
+    }
+    out << "\n";
+}
+
+void writeRow(std::ostream &out, const Policy &policy, const ComparisonCell &cell, std::size_t kinds)
+{
+    const Estimate credit = cell.value([](const CreditReport &report) {
+        return report.all.credit;
+    });
+    out << "| " << policy.name << " | " << credit.mean << " ± " << credit.margin << " |";
+    const auto mean = [&](const std::function<double(const CreditReport &)> &read) {
+        writeShare(out, cell.value(read).mean);
+    };
+    mean([](const CreditReport &report) {
+        return report.all.served;
+    });
+    mean([](const CreditReport &report) {
+        return report.worstOrganisation.credit;
+    });
+    mean([](const CreditReport &report) {
+        return report.worstDataCentre.credit;
+    });
+    for (std::size_t kind = 0; kind < kinds; ++kind) {
+        mean([kind](const CreditReport &report) {
+            return report.kinds[kind].onTime;
+        });
+        mean([kind](const CreditReport &report) {
+            return report.longestTenths[kind].credit;
+        });
+    }
+    out << "\n";
+}
+
+}
+
+std::string comparisonTable(const Comparison &comparison)
+{
+    std::ostringstream out;
+    out << std::fixed << std::setprecision(decimals);
+    for (std::size_t scenario = 0; scenario < comparison.scenarios().size(); ++scenario) {
+        const Scenario &played = comparison.scenarios()[scenario];
+        writeHeader(out, played);
+        for (std::size_t policy = 0; policy < comparison.policies().size(); ++policy) {
+            writeRow(out, comparison.policies()[policy], comparison.cell(scenario, policy), played.kinds.size());
+        }
+    }
+    return out.str();
+}
+
+}
--- /dev/null
+++ b/Utilities/Experiment/PlacementModel.cpp
@@ -0,0 +1,109 @@
+#include "Experiment/PlacementModel.h"
+
+#include "Experiment/EventQueue.h"
+#include "Experiment/Policy.h"
+#include "Experiment/Scenario.h"
+
+#include <optional>
+#include <utility>
+
+namespace Mangofall::Experiment {
+
+namespace {
+
+constexpr std::chrono::milliseconds tickInterval{20};
+// How old the reports of other hosts are when each host places by itself.
+constexpr std::chrono::milliseconds sharingDelay{200};
+
+}
+
+PlacementModel::PlacementModel(const Scenario &scenario, const Policy &policy, EventQueue &events, Handler handler)
+    : m_events(events)
+    , m_handler(std::move(handler))
+{
+    const std::size_t tables = policy.perHost ? scenario.hosts : 1;
+    Placement::ServiceSpec spec{service(), scenario.coldRequestsPerSecond / static_cast<double>(tables), std::nullopt};
+    if (policy.byCost) {
+        spec.engine = scenario.engine;
+    }
+    for (std::size_t index = 0; index < tables; ++index) {
+        m_tables.emplace_back(Placement::PlacementLimits());
+        m_tables.back().setServices({spec});
+    }
+    m_events.after(tickInterval, [this] {
+        tick();
+    });
+}
+
+void PlacementModel::setUpstreams(const std::vector<Placement::UpstreamEntry> &upstreams)
+{
+    for (Placement::PlacementTable &table : m_tables) {
+        m_handler(table.setUpstreams(upstreams, m_events.now()));
+    }
+}
+
+void PlacementModel::submit(const Placement::Demand &demand, std::size_t host)
+{
+    m_handler(m_tables[tableOf(host)].submit(demand, m_events.now()));
+}
+
+void PlacementModel::granted(const Placement::Demand &demand, const Placement::Place &place, std::size_t host)
+{
+    const Placement::ReportedGrant grant{demand, place.upstream, place.helpers, true};
+    share(host, [this, grant](Placement::PlacementTable &table) {
+        table.adopt(grant, m_events.now());
+    });
+}
+
+void PlacementModel::firstPiece(const Placement::DemandId &id, std::size_t host)
+{
+    m_tables[tableOf(host)].firstPiece(id);
+    share(host, [id](Placement::PlacementTable &table) {
+        table.firstPiece(id);
+    });
+}
+
+void PlacementModel::ended(const Placement::DemandId &id, Placement::WorkOutcome outcome, std::size_t host)
+{
+    m_handler(m_tables[tableOf(host)].ended(id, outcome, std::nullopt, m_events.now()));
+    share(host, [this, id](Placement::PlacementTable &table) {
+        m_handler(table.ended(id, Placement::WorkOutcome::Cancelled, std::nullopt, m_events.now()));
+    });
+}
+
+const ServiceId &PlacementModel::service()
+{
+    static const ServiceId id("engines");
+    return id;
+}
+
+std::size_t PlacementModel::tableOf(std::size_t host) const
+{
+    return m_tables.size() == 1 ? 0 : host;
+}
+
+void PlacementModel::share(std::size_t host, const std::function<void(Placement::PlacementTable &)> &action)
+{
+    if (m_tables.size() == 1) {
+        return;
+    }
+    m_events.after(sharingDelay, [this, host, action] {
+        for (std::size_t index = 0; index < m_tables.size(); ++index) {
+            if (index != host) {
+                action(m_tables[index]);
+            }
+        }
+    });
+}
+
+void PlacementModel::tick()
+{
+    for (Placement::PlacementTable &table : m_tables) {
+        m_handler(table.tick(m_events.now()));
+    }
+    m_events.after(tickInterval, [this] {
+        tick();
+    });
+}
+
+}
--- /dev/null
+++ b/Utilities/Experiment/Policy.cpp
@@ -0,0 +1,10 @@
+#include "Experiment/Policy.h"
+
+namespace Mangofall::Experiment {
+
+std::vector<Policy> standardPolicies()
+{
+    return {{"owner-cost", true, false}, {"hosts-cost", true, true}, {"owner-slots", false, false}, {"hosts-slots", false, true}};
+}
+
+}
--- /dev/null
+++ b/Utilities/Experiment/Scenario.cpp
@@ -0,0 +1,102 @@
+#include "Experiment/Scenario.h"
+
+namespace Mangofall::Experiment {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+// Prompt kinds, engine figures and rates of the deployments that the platform's users describe (docs/decisions/placing-by-pause-limits.md).
+Scenario baseScenario()
+{
+    Scenario scenario;
+    scenario.engine = {16, 405'000, 34, 2048, 1.31, 0.000917, 0.00213, 154, 0.162};
+    scenario.engines = 18;
+    scenario.hosts = 9;
+    scenario.dataCentres = 3;
+    scenario.organisations = 10;
+    scenario.coldRequestsPerSecond = 26;
+    scenario.coldTime = 3s;
+    scenario.length = 34s;
+    scenario.kinds = {
+        {"short", 36, 4'960, 0.9, 23'800, 1'309, 300ms, 250ms, 10s, 1.3, 0.33},
+        {"middle", 2.01, 45'000, 0.5, 110'000, 785, 1500ms, 600ms, 10s, 3.9, 0.97},
+        {"long", 0.935, 182'000, 0.55, 900'000, 653, 3s, 1s, 15s, 24, 6.1},
+    };
+    return scenario;
+}
+
+enum Kind : std::size_t {
+    Short,
+    Middle,
+    Long,
+};
+
+Scenario steady()
+{
+    Scenario scenario = baseScenario();
+    scenario.name = "steady";
+    return scenario;
+}
+
+// The mix swings between long and short prompts every ten seconds, as on the users' busy days.
+Scenario swingingMix()
+{
+    Scenario scenario = baseScenario();
+    scenario.name = "swinging-mix";
+    for (const Duration start : {Duration(2s), Duration(23s)}) {
+        scenario.bursts.push_back({Short, 0.36, start, 9500ms});
+        scenario.bursts.push_back({Middle, 1.3, start, 9500ms});
+        scenario.bursts.push_back({Long, 2.8, start, 9500ms});
+    }
+    scenario.bursts.push_back({Short, 2.5, 12500ms, 9500ms});
+    scenario.bursts.push_back({Middle, 0.5, 12500ms, 9500ms});
+    scenario.bursts.push_back({Long, 0.05, 12500ms, 9500ms});
+    return scenario;
+}
+
+Scenario longPromptsDoubled()
+{
+    Scenario scenario = baseScenario();
+    scenario.name = "long-doubled";
+    scenario.bursts.push_back({Long, 2, 0s, scenario.length});
+    return scenario;
+}
+
+Scenario shortBurst()
+{
+    Scenario scenario = baseScenario();
+    scenario.name = "short-burst";
+    scenario.bursts.push_back({Short, 3, 10s, 5s});
+    return scenario;
+}
+
+// More work than the engines can do, so that the order of waiting and the refusals decide.
+Scenario overload()
+{
+    Scenario scenario = baseScenario();
+    scenario.name = "overload";
+    scenario.bursts.push_back({Short, 3, 8s, 12s});
+    scenario.bursts.push_back({Middle, 3, 8s, 12s});
+    scenario.bursts.push_back({Long, 4, 8s, 12s});
+    return scenario;
+}
+
+// A data centre's engines die together and come back cold.
+Scenario engineLosses()
+{
+    Scenario scenario = baseScenario();
+    scenario.name = "engine-losses";
+    scenario.losses.push_back({3, 0, 6s, 4s});
+    scenario.losses.push_back({6, 1, 16s, 4500ms});
+    return scenario;
+}
+
+}
+
+std::vector<Scenario> standardScenarios()
+{
+    return {steady(), swingingMix(), longPromptsDoubled(), shortBurst(), overload(), engineLosses()};
+}
+
+}
