--- a/Tests/Placement/EngineSelectorTest.cpp
+++ b/Tests/Placement/EngineSelectorTest.cpp
@@ -103,6 +103,33 @@
     LONGS_EQUAL(1, used);
 }
 
+// Guards against engines that a burst of short prompts opened and that single prompts keep from long ones ever after: a busy engine in another data
+// centre that still reads is better than a nearly empty one here.
+TEST(EngineSelectorTest, AnEngineOpenedByABurstEmptiesAfterIt)
+{
+    const TimePoint now;
+    Fleet fleet(2);
+    UpstreamLoad &busy = fleet.loads.front();
+    UpstreamLoad &opened = fleet.loads.back();
+    UpstreamEntry entry = busy.entry();
+    entry.dataCentre = DataCentreId("there");
+    busy.setEntry(entry);
+    std::uint64_t number = 0;
+    const auto addWriter = [&](UpstreamLoad &load) {
+        const Demand writing = shortPrompt(++number, now);
+        load.add(writing.id, {false, false, writing.promptTokens, writing.promptTokens, writing.pauseLimit, {}, {}}, now);
+    };
+    for (int writer = 0; writer < 9; ++writer) {
+        addWriter(busy);
+    }
+    addWriter(opened);
+    const Demand reading = shortPrompt(++number, now);
+    busy.add(reading.id, {false, true, reading.promptTokens, reading.promptTokens, reading.pauseLimit, milliseconds(34), {}}, now);
+    const auto selection = EngineSelector(engineSpec()).select(shortPrompt(++number, now), fleet.candidates, now);
+    CHECK(selection.has_value());
+    CHECK(selection->primary == &busy);
+}
+
 // Guards against any mix of requests for which a choice breaks the pause limit of a writer or an engine's slots and memory.
 TEST(EngineSelectorTest, NoChoiceBreaksALimit)
 {
--- a/Utilities/Experiment/FleetSimulation.cpp
+++ b/Utilities/Experiment/FleetSimulation.cpp
@@ -190,7 +190,7 @@
 {
     const PassResult result = m_engines[engine].passes.finishPass();
     for (const AttemptNumber number : result.partsRead) {
-        partRead(number);
+        partRead(number, engine);
     }
     for (const AttemptNumber number : result.pieces) {
         pieceWritten(number);
@@ -198,15 +198,20 @@
     startPass(engine);
 }
 
-void FleetSimulation::partRead(AttemptNumber number)
+// The pass that ends the last part also yields the first piece if it is one of the engine that answers.
+void FleetSimulation::partRead(AttemptNumber number, std::size_t engine)
 {
     const auto attempt = m_attempts.find(number);
     if (attempt == m_attempts.end() || --attempt->second.partsLeft > 0) {
         return;
     }
-    const std::size_t engine = attempt->second.engines.front();
-    m_engines[engine].passes.startWriting(number);
-    startPass(engine);
+    const std::size_t answering = attempt->second.engines.front();
+    m_engines[answering].passes.startWriting(number);
+    if (engine == answering) {
+        pieceWritten(number);
+    } else {
+        startPass(answering);
+    }
 }
 
 void FleetSimulation::pieceWritten(AttemptNumber number)
--- a/Utilities/Experiment/FleetSimulation.h
+++ b/Utilities/Experiment/FleetSimulation.h
@@ -61,7 +61,7 @@
     void start(AttemptNumber number, const Placement::Place &place);
     void startPass(std::size_t engine);
     void finishPass(std::size_t engine);
-    void partRead(AttemptNumber number);
+    void partRead(AttemptNumber number, std::size_t engine);
     void pieceWritten(AttemptNumber number);
     void end(Attempts::iterator attempt, Placement::WorkOutcome outcome);
     /// Ends the attempt and sends the request again if it may run once more.
