--- a/Source/Base/ErrorAnswer.cpp
+++ b/Source/Base/ErrorAnswer.cpp
@@ -30,7 +30,7 @@
     {"no_upstream", "no upstream can take the request now", 503, NotRunRule::IfNothingSent, true, retryLater},
     {"upstream_refused", "the upstream refused the request before any work", 503, NotRunRule::IfNothingSent, true, retrySoon},
     {"upstream_failed", "the upstream failed", 502, NotRunRule::IfNothingSent, true, retrySoon},
-    {"quarantined", "the request is quarantined because upstreams crashed while running it", 422, NotRunRule::Never, false, noRetry},
+    {"quarantined", "the request is held back because upstreams crashed while running it", 503, NotRunRule::IfNothingSent, true, retryLater},
     {"store_unavailable", "the platform's store does not answer", 503, NotRunRule::IfNothingSent, true, retryLater},
     {"order_in_progress", "an order with this key is in progress", 409, NotRunRule::Never, true, retrySoon},
     {"order_unknown", "it is not known whether the order ran", 502, NotRunRule::Never, false, noRetry},
--- a/Source/Placement/FailureRecord.cpp
+++ b/Source/Placement/FailureRecord.cpp
@@ -17,6 +17,8 @@
 // A full upstream has room again after about one answer.
 constexpr std::chrono::milliseconds rejectedPause{100};
 constexpr std::uint32_t maxDoublings = 3;
+// An upstream that broke down longer ago counts as restarted.
+constexpr std::chrono::seconds restartTime{3};
 
 bool isFailure(WorkOutcome outcome)
 {
@@ -43,10 +45,14 @@
     if (!failed) {
         m_consecutive = 0;
         m_probedUntil = TimePoint();
+        m_downSince.reset();
         return;
     }
     ++m_consecutive;
     const bool unusable = outcome == WorkOutcome::Unreachable || outcome == WorkOutcome::Silent || outcome == WorkOutcome::Broken;
+    if (unusable && (!m_downSince || now >= *m_downSince + restartTime)) {
+        m_downSince = now;
+    }
     if (unusable || m_consecutive > 1 || m_failureShare > tolerableShare) {
         const std::uint32_t doublings = std::min(m_consecutive - 1, maxDoublings);
         avoidFor(std::min<Duration>(longestPause, firstPause * (1U << doublings)), now);
@@ -63,6 +69,7 @@
 void FailureRecord::answers()
 {
     m_probedUntil = TimePoint();
+    m_downSince.reset();
 }
 
 bool FailureRecord::avoided(TimePoint now) const
@@ -70,6 +77,11 @@
     return now < m_avoidUntil || now < m_probedUntil;
 }
 
+bool FailureRecord::wasDown(TimePoint grantedAt) const
+{
+    return m_downSince && grantedAt > *m_downSince && grantedAt < *m_downSince + restartTime;
+}
+
 double FailureRecord::failureShare() const
 {
     return m_failureShare;
--- a/Source/Placement/FailureRecord.h
+++ b/Source/Placement/FailureRecord.h
@@ -4,6 +4,7 @@
 #include "Placement/WorkOutcome.h"
 
 #include <cstdint>
+#include <optional>
 
 namespace Mangofall::Placement {
 
@@ -28,6 +29,9 @@
     /// Whether the upstream gets work only if there is no other.
     bool avoided(TimePoint now) const;
 
+    /// Whether work granted at \p grantedAt went to an upstream that had broken down before and not answered since.
+    bool wasDown(TimePoint grantedAt) const;
+
     /// Share of recent work that failed, between 0 and 1.
     double failureShare() const;
 
@@ -37,6 +41,7 @@
     double m_failureShare = 0;
     std::uint32_t m_consecutive = 0;
     TimePoint m_avoidUntil;
+    std::optional<TimePoint> m_downSince; ///< The first failure to answer at all since the last answer.
     TimePoint m_probedUntil; ///< A probe is under way until then.
 };
 
--- a/Source/Placement/PlacementTable.cpp
+++ b/Source/Placement/PlacementTable.cpp
@@ -81,8 +81,8 @@
     if (service == m_services.end()) {
         return {Refusal{demand.id, ErrorKind::NoUpstream, longestRetryAfter}};
     }
-    if (!m_crashes.mayRun(demand.fingerprint, now)) {
-        return {Refusal{demand.id, ErrorKind::Quarantined, Duration::zero()}};
+    if (!m_crashes.admit(demand.fingerprint, now)) {
+        return {Refusal{demand.id, ErrorKind::Quarantined, m_crashes.heldFor(demand.fingerprint, now)}};
     }
     if (m_waiting.size() >= m_limits.maxWaiting) {
         return {Refusal{demand.id, ErrorKind::QueueFull, longestRetryAfter}};
@@ -125,10 +125,13 @@
         return {};
     }
     const UpstreamId blamed = faulty.value_or(grant->second.upstream);
+    bool wasDown = false;
     if (const auto load = m_upstreams.find(blamed); load != m_upstreams.end()) {
+        wasDown = load->second.failures().wasDown(grant->second.grantedAt);
         load->second.failures().record(outcome, now);
     }
-    if (outcome == WorkOutcome::Broken) {
+    // A break of an upstream that was already down says nothing about the request.
+    if (outcome == WorkOutcome::Broken && !wasDown) {
         m_crashes.broken(grant->second.fingerprint, now);
     } else if (outcome == WorkOutcome::Completed) {
         m_crashes.completed(grant->second.fingerprint);
@@ -152,7 +155,7 @@
         known->second.endsAt = grant.demand.deadline + m_limits.grantSlack;
         return;
     }
-    m_grants[id] = GrantRecord{grant.upstream, grant.helpers, grant.demand.fingerprint, grant.demand.deadline + m_limits.grantSlack};
+    m_grants[id] = GrantRecord{grant.upstream, grant.helpers, grant.demand.fingerprint, now, grant.demand.deadline + m_limits.grantSlack};
     const auto service = m_services.find(grant.demand.service);
     const auto parts = static_cast<std::uint32_t>(grant.helpers.size() + 1);
     const Duration read = service == m_services.end() ? Duration::zero() : service->second.selector->partReadTime(grant.demand, parts);
@@ -248,7 +251,7 @@
         grant.place.helpers.push_back(helper->entry().id);
         grant.place.helperAddresses.push_back(helper->entry().address);
     }
-    m_grants[demand.id] = GrantRecord{grant.place.upstream, grant.place.helpers, demand.fingerprint, demand.deadline + m_limits.grantSlack};
+    m_grants[demand.id] = GrantRecord{grant.place.upstream, grant.place.helpers, demand.fingerprint, now, demand.deadline + m_limits.grantSlack};
     return grant;
 }
 
--- a/Source/Placement/PlacementTable.h
+++ b/Source/Placement/PlacementTable.h
@@ -79,6 +79,7 @@
         UpstreamId upstream;
         std::vector<UpstreamId> helpers;
         std::uint64_t fingerprint = 0;
+        TimePoint grantedAt;
         TimePoint endsAt; ///< Ends without a report at this time.
     };
     struct Waiting {
--- a/Tests/Placement/CrashRecordTest.cpp
+++ b/Tests/Placement/CrashRecordTest.cpp
@@ -14,10 +14,10 @@
     const TimePoint now;
     record.broken(7, now);
     record.broken(7, now);
-    CHECK(record.mayRun(7, now));
+    CHECK(record.admit(7, now));
     record.broken(7, now);
-    CHECK_FALSE(record.mayRun(7, now));
-    CHECK(record.mayRun(8, now));
+    CHECK_FALSE(record.admit(7, now));
+    CHECK(record.admit(8, now));
 }
 
 // Guards against refusing requests that only ran beside one that crashed the upstream.
@@ -29,5 +29,37 @@
     record.broken(7, now);
     record.completed(7);
     record.broken(7, now);
-    CHECK(record.mayRun(7, now));
+    CHECK(record.admit(7, now));
+}
+
+// Guards against innocent requests that are refused for a minute because upstreams were down: the soak's seed 52, the same GET of one caller.
+TEST(CrashRecordTest, AHeldRequestIsTriedAgainAndAnInnocentOneComesBack)
+{
+    CrashRecord record;
+    TimePoint now;
+    for (int breaks = 0; breaks < 3; ++breaks) {
+        record.broken(7, now);
+    }
+    CHECK(record.heldFor(7, now) > Duration::zero());
+    now += record.heldFor(7, now);
+    CHECK(record.admit(7, now));
+    CHECK_FALSE(record.admit(7, now));
+    record.completed(7);
+    CHECK(record.admit(7, now));
+}
+
+// Guards against a request that crashes upstreams and reaches them more than three times after that is known.
+TEST(CrashRecordTest, ARequestThatCrashesUpstreamsGetsThreeTrialsOnly)
+{
+    CrashRecord record;
+    TimePoint now;
+    int sent = 0;
+    for (int tries = 0; tries < 6'000; ++tries) {
+        now += std::chrono::milliseconds(10);
+        if (record.admit(7, now)) {
+            ++sent;
+            record.broken(7, now);
+        }
+    }
+    CHECK_EQUAL(6, sent);
 }
--- a/Tests/Placement/PlacementTableTest.cpp
+++ b/Tests/Placement/PlacementTableTest.cpp
@@ -199,3 +199,42 @@
         RC_ASSERT(answered.size() == number);
     });
 }
+
+// Guards against requests that are held back because they met upstreams that were down before: what broke there is no sign of a harmful request.
+TEST(PlacementTableTest, BreaksOfAnUpstreamThatIsDownAreNoSignAgainstTheRequest)
+{
+    Table fixture;
+    for (std::uint64_t number = 1; number <= 8; ++number) {
+        Demand repeated = orderDemand(number, fixture.now);
+        repeated.fingerprint = 77;
+        const PlacementActions actions = fixture.table.submit(repeated, fixture.now);
+        CHECK(refusalOf(actions, number) == nullptr);
+        fixture.now += milliseconds(20);
+        fixture.table.ended(repeated.id, WorkOutcome::Broken, std::nullopt, fixture.now);
+        fixture.now += milliseconds(20);
+    }
+}
+
+// Guards against a harmful request among many that is not counted, because another one at the same upstream was reported first.
+TEST(PlacementTableTest, AllRequestsThatRanAtABreakCount)
+{
+    Table fixture;
+    std::uint64_t number = 0;
+    for (int breaks = 0; breaks < 3; ++breaks) {
+        Demand innocent = orderDemand(++number, fixture.now);
+        innocent.fingerprint = number + 1000;
+        Demand harmful = orderDemand(++number, fixture.now);
+        harmful.fingerprint = 77;
+        fixture.table.submit(innocent, fixture.now);
+        fixture.table.submit(harmful, fixture.now);
+        fixture.now += milliseconds(20);
+        fixture.table.ended(innocent.id, WorkOutcome::Broken, std::nullopt, fixture.now);
+        fixture.table.ended(harmful.id, WorkOutcome::Broken, std::nullopt, fixture.now);
+        fixture.now += milliseconds(3500);
+    }
+    Demand again = orderDemand(++number, fixture.now);
+    again.fingerprint = 77;
+    fixture.now -= milliseconds(3000);
+    const PlacementActions actions = fixture.table.submit(again, fixture.now);
+    CHECK(refusalOf(actions, number) != nullptr);
+}
--- /dev/null
+++ b/Tests/Soak/SoakStore.h
@@ -0,0 +1,88 @@
+#pragma once
+
+#include "Base/Time.h"
+#include "Soak/LoopbackServer.h"
+
+#include <boost/asio/steady_timer.hpp>
+#include <boost/beast/http/message.hpp>
+#include <boost/beast/http/string_body.hpp>
+#include <nlohmann/json_fwd.hpp>
+
+#include <cstdint>
+#include <deque>
+#include <functional>
+#include <list>
+#include <map>
+#include <memory>
+#include <string>
+
+namespace Mangofall::Soak {
+
+/**
+ * \class SoakStore
+ * \brief Stand-in for the platform's key-value store: items, watches with a limited history, transactions and leases over HTTP.
+ *
+ * It speaks only as much of the platform's protocol as hosts use.
+ */
+class SoakStore
+{
+public:
+    using Request = boost::beast::http::request<boost::beast::http::string_body>;
+    using Response = boost::beast::http::response<boost::beast::http::string_body>;
+    /// May replace a value that a host writes.
+    using Rewriter = std::function<std::string(const std::string &key, std::string value)>;
+
+    SoakStore(boost::asio::io_context &io, Rewriter rewriter);
+
+    std::uint16_t port() const;
+
+    /// Writes or removes an item as the operator or an upstream does.
+    void put(const std::string &key, const std::string &value);
+    void remove(const std::string &key);
+    /// While it is down, every call gets 503, and leases pause.
+    void setDown(bool down);
+    /// Ends all watches and forgets what changed so far.
+    void forgetHistory();
+
+private:
+    struct Item {
+        std::string value;
+        std::uint64_t revision = 0;
+        std::uint64_t lease = 0;
+    };
+    struct Change {
+        std::uint64_t revision = 0;
+        std::string key;
+    };
+    struct Lease {
+        std::chrono::milliseconds timeToLive{};
+        TimePoint endsAt;
+    };
+
+    boost::asio::awaitable<void> serve(std::shared_ptr<Socket> socket);
+    boost::asio::awaitable<Response> answer(const Request &request);
+    boost::asio::awaitable<Response> watch(std::uint64_t after, std::chrono::milliseconds wait);
+    boost::asio::awaitable<void> expireLeases();
+    Response range() const;
+    Response transact(const std::string &body);
+    Response createLease(const std::string &body);
+    Response renewLease(std::uint64_t id);
+    void write(const std::string &key, std::string value, std::uint64_t lease);
+    void endLease(std::uint64_t id);
+    void changed(const std::string &key);
+    nlohmann::json describe(const std::string &key) const;
+
+    boost::asio::io_context &m_io;
+    Rewriter m_rewriter;
+    std::map<std::string, Item> m_items;
+    std::deque<Change> m_history;
+    std::map<std::uint64_t, Lease> m_leases;
+    std::list<boost::asio::steady_timer *> m_waiting; ///< Watches; cancelled at each change.
+    std::uint64_t m_revision = 1;
+    std::uint64_t m_forgottenUpTo = 0;
+    std::uint64_t m_lastLease = 0;
+    bool m_down = false;
+    LoopbackServer m_server;
+};
+
+}
--- /dev/null
+++ b/Tests/Soak/SoakUpstream.cpp
@@ -0,0 +1,275 @@
+#include "Soak/SoakUpstream.h"
+
+#include "Soak/FaultProxy.h"
+#include "Soak/RunLedger.h"
+#include "Soak/SoakNames.h"
+#include "Soak/SoakStore.h"
+#include "WireNames.h"
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http/read.hpp>
+#include <nlohmann/json.hpp>
+
+#include <cstdio>
+#include <utility>
+
+namespace Mangofall::Soak {
+
+namespace {
+
+namespace Asio = boost::asio;
+namespace Http = boost::beast::http;
+namespace Header = Platform::Header;
+using Clock = std::chrono::steady_clock;
+
+constexpr auto awaitTuple = Asio::as_tuple(Asio::use_awaitable);
+constexpr std::chrono::milliseconds firstEventTime{25};
+constexpr std::chrono::milliseconds eventInterval{12};
+constexpr std::chrono::milliseconds workTime{40};
+constexpr std::chrono::milliseconds muteTime{6000};
+constexpr std::chrono::milliseconds serveAfterLeaving{3500};
+constexpr std::chrono::milliseconds deadlineSlack{500};
+constexpr unsigned statusOk = 200;
+constexpr unsigned statusMisdirected = 421;
+constexpr unsigned statusError = 500;
+constexpr unsigned statusUnavailable = 503;
+constexpr unsigned slots = 16;
+
+std::string field(const SoakUpstream::Request &request, std::string_view name)
+{
+    const auto value = request[boost::beast::string_view(name.data(), name.size())];
+    return {value.data(), value.size()};
+}
+
+std::uint64_t number(const std::string &text)
+{
+    return std::strtoull(text.c_str(), nullptr, 10);
+}
+
+std::string headers(const SoakUpstream::Request &request, unsigned status, bool executed)
+{
+    std::string text = "HTTP/1.1 " + std::to_string(status) + " Soak\r\n";
+    text += std::string(Header::attemptId) + ": " + field(request, Header::attemptId) + "\r\n";
+    text += executed ? std::string(Header::signature) + ": soak\r\n" : std::string(Header::notExecuted) + ": 1\r\n";
+    return text;
+}
+
+std::string chunk(const std::string &data)
+{
+    std::array<char, 20> size{};
+    std::snprintf(size.data(), size.size(), "%zx\r\n", data.size());
+    return size.data() + data + "\r\n";
+}
+
+}
+
+std::string wholeBody(const std::string &attempt)
+{
+    return "{\"attempt\":\"" + attempt + "\"}";
+}
+
+std::string eventData(const std::string &attempt, std::uint64_t number)
+{
+    return attempt + "/" + std::to_string(number);
+}
+
+SoakUpstream::SoakUpstream(Asio::io_context &io, std::string name, std::string service, std::string dataCentre, SoakStore &store, RunLedger &ledger)
+    : m_io(io)
+    , m_name(std::move(name))
+    , m_service(std::move(service))
+    , m_dataCentre(std::move(dataCentre))
+    , m_store(store)
+    , m_ledger(ledger)
+    , m_id(m_name + "-0")
+    , m_server(io,
+               [this](std::shared_ptr<Socket> socket) {
+                   return serve(std::move(socket));
+               })
+    , m_proxy(std::make_unique<FaultProxy>(io, [this]() {
+        return NetworkAddress{"127.0.0.1", m_server.port()};
+    }))
+{
+    publish(false);
+}
+
+SoakUpstream::~SoakUpstream() = default;
+
+void SoakUpstream::setFault(UpstreamFault fault)
+{
+    m_fault = fault;
+}
+
+void SoakUpstream::setLinkFault(bool silent)
+{
+    m_proxy->setFault(silent ? LinkFault::Silent : LinkFault::None);
+}
+
+void SoakUpstream::crash(std::chrono::milliseconds downTime)
+{
+    if (!m_alive) {
+        return;
+    }
+    m_alive = false;
+    m_server.refuse(true);
+    m_server.resetAll();
+    restartLater(downTime);
+}
+
+void SoakUpstream::drain()
+{
+    if (!m_alive || m_leaving) {
+        return;
+    }
+    m_leaving = true;
+    publish(true);
+    m_leavingSince = Clock::now();
+    auto timer = std::make_shared<Asio::steady_timer>(m_io, serveAfterLeaving);
+    timer->async_wait([this, timer](const boost::system::error_code &) {
+        if (m_leaving) {
+            crash(std::chrono::milliseconds(500));
+        }
+    });
+}
+
+bool SoakUpstream::sound() const
+{
+    return m_alive && !m_leaving && m_fault == UpstreamFault::None && m_proxy->fault() == LinkFault::None;
+}
+
+Asio::awaitable<void> SoakUpstream::serve(std::shared_ptr<Socket> socket)
+{
+    boost::beast::flat_buffer buffer;
+    while (true) {
+        Request request;
+        const auto [error, read] = co_await Http::async_read(*socket, buffer, request, awaitTuple);
+        if (error) {
+            break;
+        }
+        const bool open = co_await answer(socket, request);
+        if (!open) {
+            break;
+        }
+    }
+    boost::system::error_code ignored;
+    socket->close(ignored);
+}
+
+Asio::awaitable<bool> SoakUpstream::answer(std::shared_ptr<Socket> socket, const Request &request)
+{
+    const std::string attempt = field(request, Header::attemptId);
+    if (field(request, Header::targetInstance) != m_id) {
+        const bool open = co_await respond(socket, request, statusMisdirected, false);
+        co_return open;
+    }
+    if (m_fault == UpstreamFault::Busy) {
+        const bool open = co_await respond(socket, request, statusUnavailable, false);
+        co_return open;
+    }
+    checkRequest(request);
+    m_ledger.ran(attempt);
+    if (m_fault == UpstreamFault::Mute) {
+        Asio::steady_timer timer(m_io, muteTime);
+        co_await timer.async_wait(awaitTuple);
+        co_return false;
+    }
+    if (m_fault == UpstreamFault::Failing) {
+        const bool open = co_await respond(socket, request, statusError, true);
+        co_return open;
+    }
+    const bool streams = !field(request, Names::eventCount).empty();
+    if (streams) {
+        const bool open = co_await stream(socket, request);
+        co_return open;
+    }
+    Asio::steady_timer timer(m_io, workTime);
+    co_await timer.async_wait(awaitTuple);
+    const bool open = co_await respond(socket, request, statusOk, true);
+    co_return open;
+}
+
+Asio::awaitable<bool> SoakUpstream::stream(std::shared_ptr<Socket> socket, const Request &request)
+{
+    const std::string attempt = field(request, Header::attemptId);
+    const std::uint64_t last = number(field(request, Names::eventCount));
+    Asio::steady_timer timer(m_io, firstEventTime);
+    co_await timer.async_wait(awaitTuple);
+    std::string bytes = headers(request, statusOk, true) + "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n";
+    for (std::uint64_t event = number(field(request, Header::lastEventId)) + 1; event <= last; ++event) {
+        bytes += chunk("id: " + std::to_string(event) + "\ndata: " + eventData(attempt, event) + "\n\n");
+        const auto [error, written] = co_await Asio::async_write(*socket, Asio::buffer(bytes), awaitTuple);
+        if (error) {
+            co_return false;
+        }
+        bytes.clear();
+        timer.expires_after(eventInterval);
+        co_await timer.async_wait(awaitTuple);
+    }
+    bytes += "0\r\n\r\n";
+    const auto [error, written] = co_await Asio::async_write(*socket, Asio::buffer(bytes), awaitTuple);
+    co_return !error;
+}
+
+Asio::awaitable<bool> SoakUpstream::respond(std::shared_ptr<Socket> socket, const Request &request, unsigned status, bool executed)
+{
+    const std::string body = wholeBody(field(request, Header::attemptId));
+    const std::string bytes = headers(request, status, executed) + "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+    const auto [error, written] = co_await Asio::async_write(*socket, Asio::buffer(bytes), awaitTuple);
+    co_return !error;
+}
+
+void SoakUpstream::checkRequest(const Request &request)
+{
+    const std::string attempt = field(request, Header::attemptId);
+    if (!field(request, Header::authorization).empty()) {
+        m_ledger.broken(attempt + " reached an upstream with the caller's credential");
+    }
+    if (field(request, Header::tenant) != Names::organisation) {
+        m_ledger.broken(attempt + " reached an upstream without its organisation");
+    }
+    const std::chrono::milliseconds left(number(field(request, Header::deadline)));
+    const std::chrono::milliseconds given(number(field(request, Names::callerDeadline)));
+    if (left.count() == 0 || left > given + deadlineSlack) {
+        m_ledger.broken(attempt + " reached an upstream with more time than the caller gave");
+    }
+    const RunLedger::Attempt *details = m_ledger.find(attempt);
+    if (details == nullptr || !m_leavingSince) {
+        return;
+    }
+    const bool inTouch = details->inTouchSince <= *m_leavingSince - settleTime;
+    if (inTouch && Clock::now() > *m_leavingSince + drainBound + deadlineSlack) {
+        m_ledger.broken(attempt + " reached " + m_id + " long after it had announced that it leaves");
+    }
+}
+
+void SoakUpstream::publish(bool leaving)
+{
+    nlohmann::json entry = nlohmann::json::object();
+    entry["service"] = m_service;
+    entry["address"] = "127.0.0.1:" + std::to_string(m_proxy->port());
+    entry["zone"] = m_dataCentre;
+    entry["slots"] = slots;
+    entry["state"] = leaving ? "draining" : "ready";
+    entry["cold_remaining_ms"] = 0;
+    entry["born"] = m_starts + 1;
+    m_store.put("servers/" + m_id, entry.dump());
+}
+
+void SoakUpstream::restartLater(std::chrono::milliseconds time)
+{
+    auto timer = std::make_shared<Asio::steady_timer>(m_io, time);
+    timer->async_wait([this, timer](const boost::system::error_code &) {
+        m_store.remove("servers/" + m_id);
+        m_id = m_name + "-" + std::to_string(++m_starts);
+        m_alive = true;
+        m_leaving = false;
+        m_leavingSince.reset();
+        m_server.refuse(false);
+        publish(false);
+    });
+}
+
+}
--- /dev/null
+++ b/Tests/Soak/SoakUpstream.h
@@ -0,0 +1,80 @@
+#pragma once
+
+#include "Base/Time.h"
+#include "Soak/LoopbackServer.h"
+
+#include <boost/beast/http/message.hpp>
+#include <boost/beast/http/string_body.hpp>
+
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <string>
+
+namespace Mangofall::Soak {
+
+class FaultProxy;
+class RunLedger;
+class SoakStore;
+
+/// What an upstream does instead of working.
+enum class UpstreamFault {
+    None,
+    Busy, ///< Refuses with a proof that the request did not run.
+    Mute, ///< Works and never answers.
+    Failing, ///< Works and answers with an error of its own.
+};
+
+/**
+ * \class SoakUpstream
+ * \brief Stand-in for an upstream of the platform: registers itself in the store, runs requests, streams events, and checks what hosts send to it.
+ */
+class SoakUpstream
+{
+public:
+    using Request = boost::beast::http::request<boost::beast::http::string_body>;
+
+    SoakUpstream(boost::asio::io_context &io, std::string name, std::string service, std::string dataCentre, SoakStore &store, RunLedger &ledger);
+    ~SoakUpstream();
+
+    void setFault(UpstreamFault fault);
+    void setLinkFault(bool silent);
+    /// Dies and comes back under another id after \p downTime.
+    void crash(std::chrono::milliseconds downTime);
+    /// Announces that it leaves, goes on for a while, and comes back under another id.
+    void drain();
+    /// Whether it takes work and none of its faults is on.
+    bool sound() const;
+
+private:
+    boost::asio::awaitable<void> serve(std::shared_ptr<Socket> socket);
+    /// Answers one request; false if the connection is to be closed.
+    boost::asio::awaitable<bool> answer(std::shared_ptr<Socket> socket, const Request &request);
+    boost::asio::awaitable<bool> stream(std::shared_ptr<Socket> socket, const Request &request);
+    boost::asio::awaitable<bool> respond(std::shared_ptr<Socket> socket, const Request &request, unsigned status, bool executed);
+    void checkRequest(const Request &request);
+    void publish(bool leaving);
+    void restartLater(std::chrono::milliseconds time);
+
+    boost::asio::io_context &m_io;
+    std::string m_name;
+    std::string m_service;
+    std::string m_dataCentre;
+    SoakStore &m_store;
+    RunLedger &m_ledger;
+    std::string m_id;
+    std::uint32_t m_starts = 0;
+    bool m_alive = true;
+    bool m_leaving = false;
+    std::optional<TimePoint> m_leavingSince;
+    UpstreamFault m_fault = UpstreamFault::None;
+    LoopbackServer m_server;
+    std::unique_ptr<FaultProxy> m_proxy;
+};
+
+/// The body of the whole answer to \p attempt.
+std::string wholeBody(const std::string &attempt);
+/// The data of event \p number of the stream that answers \p attempt.
+std::string eventData(const std::string &attempt, std::uint64_t number);
+
+}
