Refuse waiting demands at once that cannot get a place in time

WaitForecast predicts the wait from the work before a demand and the work that arrives; EngineSelector tells the work of a demand. The Retry-After is up to a third of the time left and differs between requests that are refused together.

--- a/Source/Placement/EngineSelector.cpp
+++ b/Source/Placement/EngineSelector.cpp
@@ -109,6 +109,13 @@
     return readTime(m_spec, demand.promptTokens, parts);
 }
 
+// A pass takes about the same time however many requests write in it, so each of them takes its share of the slots.
+Duration EngineSelector::workOf(const Demand &demand) const
+{
+    const auto passes = static_cast<Duration::rep>(demand.outputTokens / std::max(m_spec.stepsPerPass, 1U) + 1);
+    return readTime(m_spec, demand.promptTokens, 1) + passTime(m_spec, 1, demand.promptTokens) * passes / std::max(m_spec.slots, 1U);
+}
+
 TimePoint EngineSelector::latestStart(const Demand &demand) const
 {
     return demand.arrivedAt + demand.target - leastServiceTime(demand) - passTime(m_spec, 1, demand.promptTokens);
--- a/Source/Placement/PlacementTable.cpp
+++ b/Source/Placement/PlacementTable.cpp
@@ -12,7 +12,11 @@
 namespace {
 
 constexpr std::chrono::milliseconds shortestRetryAfter{100};
-constexpr std::chrono::milliseconds longestRetryAfter{2000};
+constexpr std::chrono::milliseconds longestRetryAfter{5000};
+// Callers come back in time if they are told to wait for this part of the time that they have left.
+constexpr double retryParts = 3;
+constexpr double retrySpread = 0.25;
+constexpr std::uint64_t retrySteps = 256;
 
 std::unique_ptr<UpstreamSelector> makeSelector(const ServiceSpec &spec)
 {
@@ -22,6 +26,14 @@
     return std::make_unique<SlotSelector>();
 }
 
+// Requests that were refused together are told different times, so that they do not come back together.
+Duration retryAfter(const Demand &demand, TimePoint now)
+{
+    const double spread = 1 - retrySpread * static_cast<double>(demand.fingerprint % retrySteps) / retrySteps;
+    const Duration longest = toDuration(Seconds(demand.deadline - now) / retryParts * spread);
+    return std::clamp<Duration>(longest, shortestRetryAfter, longestRetryAfter);
+}
+
 bool isSameStart(const UpstreamEntry &left, const UpstreamEntry &right)
 {
     return left.startedAt == right.startedAt && left.address == right.address && left.service == right.service;
@@ -44,7 +56,7 @@
         if (known != m_services.end() && known->second.spec == spec) {
             next.emplace(spec.id, std::move(known->second));
         } else {
-            next.emplace(spec.id, Service{spec, makeSelector(spec), {}, {}});
+            next.emplace(spec.id, Service{spec, makeSelector(spec), {}, {}, {}, {}});
         }
     }
     m_services = std::move(next);
@@ -84,6 +96,7 @@
     if (!m_crashes.admit(demand.fingerprint, now)) {
         return {Refusal{demand.id, ErrorKind::Quarantined, m_crashes.heldFor(demand.fingerprint, now)}};
     }
+    service->second.forecast.offered(service->second.selector->workOf(demand), now);
     if (m_waiting.size() >= m_limits.maxWaiting) {
         return {Refusal{demand.id, ErrorKind::QueueFull, longestRetryAfter}};
     }
@@ -262,13 +275,11 @@
     if (service == m_services.end()) {
         return Refusal{demand.id, ErrorKind::NoUpstream, longestRetryAfter};
     }
-    const Duration left = demand.deadline - now;
-    const Duration retryAfter = std::clamp<Duration>(left / 4, shortestRetryAfter, longestRetryAfter);
-    if (left <= service->second.selector->leastServiceTime(demand)) {
-        return Refusal{demand.id, ErrorKind::DeadlineUnreachable, retryAfter};
+    if (demand.deadline - now <= service->second.selector->leastServiceTime(demand)) {
+        return Refusal{demand.id, ErrorKind::DeadlineUnreachable, retryAfter(demand, now)};
     }
     if (service->second.upstreams.empty() && now >= demand.arrivedAt + m_limits.noUpstreamWait) {
-        return Refusal{demand.id, ErrorKind::NoUpstream, retryAfter};
+        return Refusal{demand.id, ErrorKind::NoUpstream, retryAfter(demand, now)};
     }
     return std::nullopt;
 }
@@ -278,6 +289,13 @@
     return now >= m_servedAt + m_limits.serveInterval ? serveWaiting(now) : PlacementActions();
 }
 
+bool PlacementTable::reachable(const Service &service, const Waiting &waiting, TimePoint now)
+{
+    const bool late = waiting.latestStart <= now;
+    const Duration wait = service.forecast.wait(service.workAhead, service.upstreams.size(), late, now);
+    return wait + service.selector->leastServiceTime(waiting.demand) <= waiting.demand.deadline - now;
+}
+
 // Demands that can still be on time go first, the one that must start soonest before the others; then those that are late, in order of arrival.
 PlacementActions PlacementTable::serveWaiting(TimePoint now)
 {
@@ -294,6 +312,9 @@
         }
         return leftLate ? left.demand.arrivedAt < right.demand.arrivedAt : left.latestStart < right.latestStart;
     });
+    for (auto &[id, service] : m_services) {
+        service.workAhead = Duration::zero();
+    }
     std::erase_if(m_waiting, [&](const Waiting &waiting) {
         if (std::optional<Refusal> refused = refusal(waiting, now)) {
             actions.emplace_back(std::move(*refused));
@@ -303,6 +324,12 @@
             actions.emplace_back(std::move(*grant));
             return true;
         }
+        Service &service = m_services.at(waiting.demand.service);
+        if (!service.upstreams.empty() && now >= service.heldUntil && !reachable(service, waiting, now)) {
+            actions.emplace_back(Refusal{waiting.demand.id, ErrorKind::DeadlineUnreachable, retryAfter(waiting.demand, now)});
+            return true;
+        }
+        service.workAhead += service.selector->workOf(waiting.demand);
         return false;
     });
     return actions;
--- a/Source/Placement/PlacementTable.h
+++ b/Source/Placement/PlacementTable.h
@@ -5,6 +5,7 @@
 #include "Placement/ServiceSpec.h"
 #include "Placement/UpstreamLoad.h"
 #include "Placement/UpstreamSelector.h"
+#include "Placement/WaitForecast.h"
 #include "Placement/WorkOutcome.h"
 
 #include <cstddef>
@@ -74,6 +75,8 @@
         std::unique_ptr<UpstreamSelector> selector;
         std::vector<UpstreamLoad *> upstreams; ///< That accept work.
         TimePoint heldUntil; ///< Nothing is granted before this time.
+        WaitForecast forecast;
+        Duration workAhead{}; ///< Of the waiting demands that were gone through in the present round.
     };
     struct GrantRecord {
         UpstreamId upstream;
@@ -90,6 +93,8 @@
     static UpstreamSelector::Candidates candidates(const Service &service, const Demand &demand, TimePoint now);
     std::optional<Grant> tryGrant(const Demand &demand, TimePoint now);
     std::optional<Refusal> refusal(const Waiting &waiting, TimePoint now) const;
+    /// Whether the demand can get a place in time after the work before it.
+    static bool reachable(const Service &service, const Waiting &waiting, TimePoint now);
     /// Serves the demands that wait, unless that was done a moment ago: then the next tick does it.
     PlacementActions placeFreed(TimePoint now);
     PlacementActions serveWaiting(TimePoint now);
--- a/Source/Placement/SlotSelector.cpp
+++ b/Source/Placement/SlotSelector.cpp
@@ -57,6 +57,11 @@
     return Duration::zero();
 }
 
+Duration SlotSelector::workOf(const Demand &) const
+{
+    return Duration::zero();
+}
+
 TimePoint SlotSelector::latestStart(const Demand &demand) const
 {
     return demand.arrivedAt + demand.target;
--- a/Source/Placement/SlotSelector.h
+++ b/Source/Placement/SlotSelector.h
@@ -14,6 +14,7 @@
     std::optional<Selection> select(const Demand &demand, const Candidates &candidates, TimePoint now) const override;
     Duration leastServiceTime(const Demand &demand) const override;
     Duration partReadTime(const Demand &demand, std::uint32_t parts) const override;
+    Duration workOf(const Demand &demand) const override;
     TimePoint latestStart(const Demand &demand) const override;
 };
 
--- a/Source/Placement/UpstreamSelector.h
+++ b/Source/Placement/UpstreamSelector.h
@@ -45,6 +45,9 @@
     /// Time that each of \p parts upstreams reads for the demand.
     virtual Duration partReadTime(const Demand &demand, std::uint32_t parts) const = 0;
 
+    /// The time of one upstream that the demand takes altogether; zero if unknown.
+    virtual Duration workOf(const Demand &demand) const = 0;
+
     /// Until when a grant can still bring the first piece in time.
     virtual TimePoint latestStart(const Demand &demand) const = 0;
 };
--- a/Tests/Placement/PlacementTableTest.cpp
+++ b/Tests/Placement/PlacementTableTest.cpp
@@ -238,3 +238,33 @@
     const PlacementActions actions = fixture.table.submit(again, fixture.now);
     CHECK(refusalOf(actions, number) != nullptr);
 }
+
+// Guards against requests that are held until their deadline although the work before them takes far longer: the day at four times the usual load.
+TEST(PlacementTableTest, DemandsThatCannotGetAPlaceInTimeAreRefusedAtOnce)
+{
+    Table fixture;
+    std::uint64_t number = 0;
+    const auto submitLong = [&]() {
+        const Demand wanted = demand(++number, 250'000, milliseconds(3000), milliseconds(1000), fixture.now);
+        return fixture.table.submit(wanted, fixture.now);
+    };
+    // Two engines read one of these prompts in four seconds together; forty of them arrive.
+    for (int arrived = 0; arrived < 40; ++arrived) {
+        submitLong();
+    }
+    fixture.now += milliseconds(50);
+    std::set<std::uint64_t> refused;
+    std::set<Duration> waits;
+    for (const PlacementAction &action : fixture.table.tick(fixture.now)) {
+        if (const auto *refusal = std::get_if<Refusal>(&action)) {
+            refused.insert(refusal->id.number);
+            waits.insert(refusal->retryAfter);
+            CHECK(refusal->kind == ErrorKind::DeadlineUnreachable);
+        }
+    }
+    // Ten seconds hold the work of five of them at most.
+    CHECK(refused.size() >= 34);
+    CHECK(fixture.table.waiting() >= 1);
+    // They come back at different times.
+    CHECK(waits.size() >= refused.size() / 2);
+}
--- a/Utilities/Experiment/ComparisonTable.cpp
+++ b/Utilities/Experiment/ComparisonTable.cpp
@@ -18,11 +18,11 @@
 
 void writeHeader(std::ostream &out, const Scenario &scenario)
 {
-    out << "\n| " << scenario.name << " | credit | served | worst organisation | worst data centre |";
+    out << "\n| " << scenario.name << " | credit | held in vain | served | worst organisation | worst data centre |";
     for (const PromptKind &kind : scenario.kinds) {
         out << " " << kind.name << ": on time | " << kind.name << ", longest tenth: credit |";
     }
-    out << "\n|---|---|---|---|---|";
+    out << "\n|---|---|---|---|---|---|";
     for (std::size_t kind = 0; kind < scenario.kinds.size(); ++kind) {
         out << "---|---|";
     }
@@ -38,6 +38,9 @@
     const auto mean = [&](const std::function<double(const CreditReport &)> &read) {
         writeShare(out, cell.value(read).mean);
     };
+    mean([](const CreditReport &report) {
+        return report.all.heldInVain;
+    });
     mean([](const CreditReport &report) {
         return report.all.served;
     });
--- a/Utilities/Experiment/CreditReport.cpp
+++ b/Utilities/Experiment/CreditReport.cpp
@@ -17,6 +17,10 @@
 constexpr std::size_t sizeClasses = 10;
 constexpr std::size_t leastShareOfOrganisation = 20;
 
+// Waiting costs callers nothing up to this share of the target, and the request's whole credit from this share of the deadline on.
+constexpr double harmlessShareOfTarget = 0.125;
+constexpr double fullShareOfDeadline = 0.75;
+
 using Filter = std::function<bool(const PromptRequest &)>;
 
 double size(const PromptRequest &request)
@@ -42,11 +46,22 @@
     return request.completed && request.firstPiece <= kind.target && request.longestPause <= kind.pauseLimit;
 }
 
+double heldShare(const PromptRequest &request, const PromptKind &kind)
+{
+    if (request.completed || request.offered) {
+        return 0;
+    }
+    const double harmless = harmlessShareOfTarget * Seconds(kind.target).count();
+    const double full = fullShareOfDeadline * Seconds(kind.deadline).count();
+    return std::clamp((Seconds(request.held).count() - harmless) / (full - harmless), 0.0, 1.0);
+}
+
 CreditShare share(const Scenario &scenario, const std::vector<PromptRequest> &requests, const std::vector<double> &meanSizes, const Filter &belongs)
 {
     CreditShare result;
     double owed = 0;
     double earned = 0;
+    double held = 0;
     std::size_t served = 0;
     std::size_t onTime = 0;
     for (const PromptRequest &request : requests) {
@@ -59,12 +74,14 @@
         ++result.requests;
         owed += factor * kind.credit;
         earned += punctual ? factor * kind.credit : request.completed ? factor * kind.lateCredit : 0;
+        held += heldShare(request, kind) * factor * kind.credit;
         served += request.completed ? 1 : 0;
         onTime += punctual ? 1 : 0;
     }
     if (result.requests > 0) {
         const auto count = static_cast<double>(result.requests);
         result.credit = earned / owed;
+        result.heldInVain = held / owed;
         result.served = static_cast<double>(served) / count;
         result.onTime = static_cast<double>(onTime) / count;
     }
--- a/Utilities/Experiment/CreditReport.h
+++ b/Utilities/Experiment/CreditReport.h
@@ -14,6 +14,7 @@
     std::size_t requests = 0;
     double credit = 1; ///< Earned share of the credit owed.
     double served = 1; ///< Share of the requests that were answered at all.
+    double heldInVain = 0; ///< Share of the credit owed by requests that waited long and were never sent, weighted by how long.
     double onTime = 1; ///< Share whose first piece came within the target and whose pauses kept the limit.
 };
 
--- a/Utilities/Experiment/FleetSimulation.cpp
+++ b/Utilities/Experiment/FleetSimulation.cpp
@@ -85,6 +85,7 @@
     demand.excluded = std::move(excluded);
     m_events.at(demand.deadline, [this, number] {
         if (const auto late = m_attempts.find(number); late != m_attempts.end()) {
+            m_requests[late->second.request].held += m_events.now() - late->second.demand.arrivedAt;
             end(late, WorkOutcome::Cancelled);
         }
     });
@@ -110,7 +111,9 @@
     if (attempt == m_attempts.end()) {
         return;
     }
-    m_placement.granted(attempt->second.demand, grant.place, m_requests[attempt->second.request].host);
+    PromptRequest &request = m_requests[attempt->second.request];
+    request.offered = request.offered || m_events.now() <= TimePoint(request.arrival) + attempt->second.demand.target;
+    m_placement.granted(attempt->second.demand, grant.place, request.host);
     m_events.after(2 * networkDelay, [this, number, place = grant.place] {
         start(number, place);
     });
@@ -124,10 +127,10 @@
     }
     const std::size_t index = attempt->second.request;
     const Duration left = attempt->second.demand.deadline - m_events.now();
-    m_attempts.erase(attempt);
     PromptRequest &request = m_requests[index];
     request.refused = true;
-    request.answered = m_events.now() - TimePoint(request.arrival);
+    request.held += m_events.now() - attempt->second.demand.arrivedAt;
+    m_attempts.erase(attempt);
     if (++request.refusals >= mostRefusals) {
         return;
     }
@@ -237,7 +240,6 @@
     request.completed = true;
     request.firstPiece = attempt.firstPiece;
     request.longestPause = attempt.longestPause;
-    request.answered = seen - TimePoint(request.arrival);
     end(found, WorkOutcome::Completed);
 }
 
--- a/Utilities/Experiment/PromptRequest.h
+++ b/Utilities/Experiment/PromptRequest.h
@@ -22,9 +22,10 @@
     bool completed = false;
     bool refused = false; ///< The last thing the caller got was a refusal.
     std::uint32_t refusals = 0;
+    bool offered = false; ///< It was sent to an engine within its target.
     Duration firstPiece{}; ///< After the arrival; valid if completed.
     Duration longestPause{};
-    Duration answered{}; ///< Completion or last refusal, after the arrival.
+    Duration held{}; ///< Time that hosts held it without a place, over all of its attempts.
 };
 
 }
--- a/Utilities/Experiment/Scenario.cpp
+++ b/Utilities/Experiment/Scenario.cpp
@@ -82,6 +82,17 @@
     return scenario;
 }
 
+// Four times the usual traffic, without an end: most requests cannot be served.
+Scenario fourTimes()
+{
+    Scenario scenario = baseScenario();
+    scenario.name = "four-times";
+    for (const Kind kind : {Short, Middle, Long}) {
+        scenario.bursts.push_back({kind, 4, Duration::zero(), scenario.length});
+    }
+    return scenario;
+}
+
 // A data centre's engines die together and come back cold.
 Scenario engineLosses()
 {
@@ -96,7 +107,7 @@
 
 std::vector<Scenario> standardScenarios()
 {
-    return {steady(), swingingMix(), longPromptsDoubled(), shortBurst(), overload(), engineLosses()};
+    return {steady(), swingingMix(), longPromptsDoubled(), shortBurst(), overload(), fourTimes(), engineLosses()};
 }
 
 }
