Give stream progress, error bodies and placement costs one place each

StreamProgress holds what a caller has got of a stream; tests for it are new. Retries of requests that never reached an upstream are now counted in the retry metric, too; their log line is as before.

--- a/Source/Base/ErrorAnswer.cpp
+++ b/Source/Base/ErrorAnswer.cpp
@@ -65,6 +65,11 @@
     return table[static_cast<std::size_t>(kind)];
 }
 
+std::string errorBody(const ErrorAnswer &answer)
+{
+    return "{\"error\":\"" + std::string(answer.name) + "\",\"message\":\"" + std::string(answer.message) + "\"}";
+}
+
 bool saysNotRun(ErrorKind kind, bool bytesSent)
 {
     return errorAnswer(kind).notRun == NotRunRule::IfNothingSent && !bytesSent;
--- a/Source/Base/ErrorAnswer.h
+++ b/Source/Base/ErrorAnswer.h
@@ -3,6 +3,7 @@
 #include "Base/ErrorKind.h"
 
 #include <chrono>
+#include <string>
 #include <string_view>
 
 namespace Mangofall {
@@ -29,6 +30,9 @@
 /// The row of \p kind.
 const ErrorAnswer &errorAnswer(ErrorKind kind);
 
+/// The JSON body of the caller's answer.
+std::string errorBody(const ErrorAnswer &answer);
+
 /// Whether the answer for \p kind says "not run"; \p bytesSent tells whether any attempt wrote to an upstream.
 bool saysNotRun(ErrorKind kind, bool bytesSent);
 
--- a/Source/Forwarding/FleetPlacement.cpp
+++ b/Source/Forwarding/FleetPlacement.cpp
@@ -92,8 +92,9 @@
         if (position == next.end() || !(position->second == known)) {
             m_table.hostLost(id, now);
             if (const auto link = m_links.find(id); link != m_links.end()) {
-                link->second->close();
-                m_links.erase(id);
+                const std::shared_ptr<PeerLink> former = link->second;
+                m_links.erase(link);
+                former->close();
             }
         }
     }
--- a/Source/Forwarding/Forwarder.cpp
+++ b/Source/Forwarding/Forwarder.cpp
@@ -46,11 +46,6 @@
     std::size_t &m_count;
 };
 
-std::string errorBody(std::string_view name, std::string_view message)
-{
-    return "{\"error\":\"" + std::string(name) + "\",\"message\":\"" + std::string(message) + "\"}";
-}
-
 struct Admission {
     ErrorKind error = ErrorKind::None;
     const RouteRule *route = nullptr;
@@ -145,7 +140,7 @@
                          {"reason", std::string(answer.name)},
                          {"configuration", std::to_string(m_routes ? m_routes->configuration().version : 0)}});
     std::string contentType = "application/json";
-    std::string body = errorBody(answer.name, answer.message);
+    std::string body = errorBody(answer);
     HeaderFields fields = m_context.translator.ownAnswerFields(request, answer.retryAfter);
     co_await exchange.respond(static_cast<unsigned>(answer.httpStatus), std::move(contentType), std::move(body), std::move(fields));
 }
@@ -165,7 +160,7 @@
 {
     m_context.log.write("unreadable_request", {{"status", std::to_string(status)}});
     std::string contentType = "application/json";
-    std::string body = errorBody("malformed_request", "the request cannot be read");
+    std::string body = errorBody(errorAnswer(ErrorKind::MalformedRequest));
     HeaderFields fields;
     co_await exchange.respond(status, std::move(contentType), std::move(body), std::move(fields));
 }
--- a/Source/Forwarding/ForwardingSession.cpp
+++ b/Source/Forwarding/ForwardingSession.cpp
@@ -18,6 +18,7 @@
 
 #include <algorithm>
 #include <random>
+#include <utility>
 
 namespace Mangofall::Forwarding {
 
@@ -92,6 +93,13 @@
     return id.host.value() + "-" + std::to_string(id.number);
 }
 
+// Equal for repetitions of a request, which have other ids.
+std::uint64_t fingerprint(const CallerRequest &request, const OrganisationRule *organisation, const std::string &body)
+{
+    const std::string sender = organisation != nullptr ? organisation->id.value() : std::string();
+    return hash64(request.path + '\n' + sender + '\n' + body);
+}
+
 bool isRepeatable(const RouteRule &route)
 {
     return route.kind == RequestKind::Idempotent || (route.kind == RequestKind::Stream && route.resumable);
@@ -114,9 +122,10 @@
     , m_service(pickService(route, context.budgets.random()))
     , m_endsAt(exchange.receivedAt() + std::min(m_request.patience.value_or(route.timeout), route.timeout))
     , m_policy(isRepeatable(route), route.maxRuns)
+    , m_progress(exchange.receivedAt(), m_request.lastEventId)
+    , m_fingerprint(fingerprint(m_request, organisation, exchange.request().body()))
     , m_wake(context.io)
     , m_silence(context.io)
-    , m_lastEvent(m_request.lastEventId)
 {
 }
 
@@ -228,8 +237,7 @@
     demand.arrivedAt = m_exchange.receivedAt();
     demand.deadline = m_endsAt;
     demand.priority = m_organisation != nullptr ? m_organisation->priority.value_or(m_route.priority) : m_route.priority;
-    demand.fingerprint
-        = hash64(m_request.path + '\n' + (m_organisation != nullptr ? m_organisation->id.value() : std::string()) + '\n' + m_exchange.request().body());
+    demand.fingerprint = m_fingerprint;
     demand.excluded = m_excluded;
     return demand;
 }
@@ -273,7 +281,7 @@
         const bool stores = index < place.helperMemory.size() && place.helperMemory[index] > 0;
         order.helpers.push_back({place.helperAddresses[index], stores ? ticketName(m_demand) : std::string()});
     }
-    order.resumeAfter = m_lastEvent;
+    order.resumeAfter = m_progress.lastEvent();
     m_firstPieceEstimate = place.firstPieceEstimate;
     logDecision("sent", describe(place));
     const ConnectionReuse reuse{connectTimeout, 0};
@@ -365,9 +373,8 @@
             if (!event->wellFormed || !event->id) {
                 co_return failedTransmission(TransmissionOutcome::MayHaveRun, WorkOutcome::Broken, "malformed event");
             }
-            if (*event->id > m_lastEvent) {
+            if (m_progress.advance(*event->id)) {
                 events += event->bytes;
-                m_lastEvent = *event->id;
             }
         }
         if (events.empty()) {
@@ -392,13 +399,9 @@
 Asio::awaitable<bool> ForwardingSession::relayEvents(const std::string &events, const UpstreamAnswer &answer)
 {
     const TimePoint now = Clock::now();
-    if (m_firstEventAfter) {
-        m_longestPause = std::max(m_longestPause, Duration(now - m_lastEventAt));
-    }
-    m_lastEventAt = now;
+    m_progress.eventsRelayed(now);
     if (!m_exchange.started()) {
-        m_firstEventAfter = now - m_exchange.receivedAt();
-        m_context.metrics.firstEvent(m_route.name, *m_firstEventAfter);
+        m_context.metrics.firstEvent(m_route.name, *m_progress.firstEventAfter());
         std::string contentType; // Among the upstream's fields.
         HeaderFields fields = answer.fields;
         const bool started = co_await m_exchange.startStream(answer.status, std::move(contentType), std::move(fields));
@@ -412,24 +415,19 @@
 
 Asio::awaitable<bool> ForwardingSession::retryAfter(const Transmission &transmission)
 {
-    if (m_retryTaken) {
-        m_retryTaken = false;
-        m_context.metrics.retry(transmission.cause);
-        logDecision("retry", transmission.cause);
-        co_return true;
-    }
-    if (!m_policy.hasArrived()) {
-        logDecision("retry", transmission.cause);
-        co_return true;
+    // What never reached an upstream costs nothing there, and a silent upstream is given up only once the retry is paid.
+    const bool free = std::exchange(m_retryTaken, false) || !m_policy.hasArrived();
+    std::optional<Duration> backoff = Duration::zero();
+    if (!free) {
+        backoff = m_context.budgets.of(m_service).takeRetry(m_policy.transmissions(), m_context.budgets.random());
     }
-    const std::optional<Duration> backoff = m_context.budgets.of(m_service).takeRetry(m_policy.transmissions(), m_context.budgets.random());
     m_context.metrics.retry(backoff ? transmission.cause : "budget spent");
     if (!backoff) {
         logDecision("retry_refused", "the retry budget is spent after: " + transmission.cause);
         co_return false;
     }
     logDecision("retry", transmission.cause);
-    if (transmission.work == WorkOutcome::Rejected) {
+    if (!free && transmission.work == WorkOutcome::Rejected) {
         m_wake.expires_after(*backoff);
         co_await m_wake.async_wait(awaitTuple);
     }
@@ -461,7 +459,7 @@
     }
     const ErrorAnswer &answer = errorAnswer(kind);
     std::string contentType = "application/json";
-    std::string body = "{\"error\":\"" + std::string(answer.name) + "\",\"message\":\"" + std::string(answer.message) + "\"}";
+    std::string body = errorBody(answer);
     m_context.metrics.refused(m_route.name, std::string(answer.name));
     logDecision("refused", answer.name);
     HeaderFields fields = m_context.translator.ownAnswerFields(m_request, retryAfter);
@@ -546,7 +544,8 @@
 
 void ForwardingSession::logDecision(std::string_view event, std::string_view detail) const
 {
-    const std::string firstEvent = m_firstEventAfter ? milliseconds(*m_firstEventAfter) : std::string();
+    const std::optional<Duration> firstEventAfter = m_progress.firstEventAfter();
+    const std::string firstEvent = firstEventAfter ? milliseconds(*firstEventAfter) : std::string();
     m_context.log.write(event,
                         {{"request", m_request.id.value()},
                          {"route", m_route.name},
@@ -556,9 +555,9 @@
                          {"left_ms", milliseconds(m_endsAt - Clock::now())},
                          {"estimate_ms", m_firstPieceEstimate > Duration::zero() ? milliseconds(m_firstPieceEstimate) : std::string()},
                          {"first_event_ms", firstEvent},
-                         {"longest_pause_ms", firstEvent.empty() ? std::string() : milliseconds(m_longestPause)},
+                         {"longest_pause_ms", firstEvent.empty() ? std::string() : milliseconds(m_progress.longestPause())},
                          {"tokens", std::to_string(m_request.promptTokens)},
-                         {"events", std::to_string(m_lastEvent)},
+                         {"events", std::to_string(m_progress.lastEvent())},
                          {"configuration", std::to_string(m_routes->configuration().version)}});
 }
 
--- a/Source/Forwarding/ForwardingSession.h
+++ b/Source/Forwarding/ForwardingSession.h
@@ -7,6 +7,7 @@
 #include "Forwarding/PlacementGateway.h"
 #include "Forwarding/RetryPolicy.h"
 #include "Forwarding/RouteTable.h"
+#include "Forwarding/StreamProgress.h"
 #include "Forwarding/Transmission.h"
 #include "Http/UpstreamCall.h"
 
@@ -85,6 +86,8 @@
     ServiceId m_service;
     TimePoint m_endsAt; ///< The caller's deadline or the route's timeout, whichever is first.
     RetryPolicy m_policy;
+    StreamProgress m_progress;
+    std::uint64_t m_fingerprint; ///< Equal for repetitions of the same request.
 
     boost::asio::steady_timer m_wake; ///< Ends a wait for a place.
     boost::asio::steady_timer m_silence; ///< Ends a wait for an upstream that shows nothing.
@@ -92,11 +95,7 @@
     Placement::DemandId m_demand;
     UpstreamCall *m_call = nullptr;
     std::unordered_set<UpstreamId> m_excluded;
-    std::uint64_t m_lastEvent = 0; ///< Last event that the caller got.
     Duration m_firstPieceEstimate{}; ///< Of the place in use.
-    std::optional<Duration> m_firstEventAfter; ///< From the request's arrival to the first event that the caller got.
-    TimePoint m_lastEventAt;
-    Duration m_longestPause{}; ///< Between events of the answer.
     bool m_retryTaken = false; ///< The retry that follows is already paid from the budget, because the upstream was silent.
     bool m_callerGone = false;
     bool m_done = false;
--- /dev/null
+++ b/Source/Forwarding/StreamProgress.h
@@ -0,0 +1,38 @@
+#pragma once
+
+#include "Base/Time.h"
+
+#include <cstdint>
+#include <optional>
+
+namespace Mangofall::Forwarding {
+
+/**
+ * \class StreamProgress
+ * \brief What a caller has got of a stream, over all attempts: which events, and when.
+ */
+class StreamProgress
+{
+public:
+    /// \p lastEvent is the last event that the caller had before this request; 0 if it had none.
+    StreamProgress(TimePoint receivedAt, std::uint64_t lastEvent);
+
+    /// Whether event \p id is new for the caller; it counts as received from then on.
+    bool advance(std::uint64_t id);
+    /// Events that are new go to the caller.
+    void eventsRelayed(TimePoint now);
+
+    std::uint64_t lastEvent() const;
+    /// From the request's arrival to the first event that the caller got; empty before it.
+    std::optional<Duration> firstEventAfter() const;
+    Duration longestPause() const;
+
+private:
+    TimePoint m_receivedAt;
+    std::uint64_t m_lastEvent;
+    std::optional<Duration> m_firstEventAfter;
+    TimePoint m_lastRelayedAt;
+    Duration m_longestPause{};
+};
+
+}
--- a/Source/Placement/EngineSelector.cpp
+++ b/Source/Placement/EngineSelector.cpp
@@ -48,6 +48,11 @@
     return Seconds(estimate) / std::max(Seconds(demand.target), Seconds(networkTime));
 }
 
+double estimateCost(const Demand &demand, Duration estimate, Duration comfortable)
+{
+    return shareOfTarget(demand, estimate) + (estimate > comfortable ? uncomfortableCost : 0);
+}
+
 Duration timeToTarget(const Demand &demand, TimePoint now)
 {
     return demand.arrivedAt + demand.target - now;
@@ -83,12 +88,10 @@
     const std::uint32_t mostParts = std::min(usefulParts(demand), static_cast<std::uint32_t>(engines.size()));
     std::optional<Choice> best;
     for (std::uint32_t parts = 1; parts <= mostParts; ++parts) {
-        std::optional<Choice> choice = parts == 1 ? chooseOne(demand, engines, acceptable, comfortable) : chooseParts(demand, engines, parts);
+        std::optional<Choice> choice = parts == 1 ? chooseOne(demand, engines, acceptable, comfortable) : chooseParts(demand, engines, parts, comfortable);
         if (!choice || choice->selection.firstPieceEstimate > acceptable) {
             continue;
         }
-        choice->cost += choice->selection.firstPieceEstimate > comfortable ? uncomfortableCost : 0;
-        choice->cost += helperCost * (parts - 1);
         if (!best || choice->cost < best->cost) {
             best = std::move(choice);
         }
@@ -151,16 +154,15 @@
         if (estimate > acceptable || !hasRoom(engine, demand) || !bearsRead(engine, read, demand.promptTokens)) {
             continue;
         }
-        const double cost = engine.cost + shareOfTarget(demand, estimate);
-        const double ranked = cost + (estimate > comfortable ? uncomfortableCost : 0);
-        if (!best || ranked < best->rank) {
-            best = Choice{Selection{engine.load, {}, {}, read, estimate}, cost, ranked};
+        const double cost = engine.cost + estimateCost(demand, estimate, comfortable);
+        if (!best || cost < best->cost) {
+            best = Choice{Selection{engine.load, {}, {}, read, estimate}, cost};
         }
     }
     return best;
 }
 
-std::optional<EngineSelector::Choice> EngineSelector::chooseParts(const Demand &demand, const Engines &engines, std::uint32_t parts) const
+std::optional<EngineSelector::Choice> EngineSelector::chooseParts(const Demand &demand, const Engines &engines, std::uint32_t parts, Duration comfortable) const
 {
     const Duration read = readTime(m_spec, demand.promptTokens, parts);
     std::vector<const Engine *> bearing;
@@ -194,8 +196,8 @@
     if (exceedsOneEngine(demand) && !divideMemory(demand, *primary, helpers, selection)) {
         return std::nullopt;
     }
-    const double cost = primary->cost + shareOfTarget(demand, selection.firstPieceEstimate);
-    return Choice{std::move(selection), cost, cost};
+    const double cost = primary->cost + estimateCost(demand, selection.firstPieceEstimate, comfortable) + helperCost * (parts - 1);
+    return Choice{std::move(selection), cost};
 }
 
 bool EngineSelector::exceedsOneEngine(const Demand &demand) const
--- a/Source/Placement/EngineSelector.h
+++ b/Source/Placement/EngineSelector.h
@@ -44,14 +44,13 @@
     struct Choice {
         Selection selection;
         double cost = 0;
-        double rank = 0; ///< The cost by which engines were compared.
     };
 
     Engine describe(const Demand &demand, UpstreamLoad &load, TimePoint now) const;
     /// The best engine that reads the prompt alone.
     std::optional<Choice> chooseOne(const Demand &demand, const Engines &engines, Duration acceptable, Duration comfortable) const;
     /// The first engines that bear an even part; \p engines are in the order in which they should help.
-    std::optional<Choice> chooseParts(const Demand &demand, const Engines &engines, std::uint32_t parts) const;
+    std::optional<Choice> chooseParts(const Demand &demand, const Engines &engines, std::uint32_t parts, Duration comfortable) const;
     std::uint32_t usefulParts(const Demand &demand) const;
     /// Whether the prompt and its answer exceed the memory of any engine, so that helpers must store a part.
     bool exceedsOneEngine(const Demand &demand) const;
--- /dev/null
+++ b/Tests/Forwarding/StreamProgressTest.cpp
@@ -0,0 +1,32 @@
+#include "Forwarding/StreamProgress.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace Mangofall;
+using Forwarding::StreamProgress;
+using std::chrono::milliseconds;
+
+TEST_GROUP(StreamProgressTest){};
+
+// Guards against events that a caller gets twice when a stream goes on at another upstream.
+TEST(StreamProgressTest, AnEventCountsOnce)
+{
+    StreamProgress progress(TimePoint(), 3);
+    CHECK_FALSE(progress.advance(3));
+    CHECK(progress.advance(4));
+    CHECK_FALSE(progress.advance(4));
+    CHECK_EQUAL(4, progress.lastEvent());
+}
+
+// Guards against logs that give the wait for the first event as a pause.
+TEST(StreamProgressTest, PausesAreBetweenEventsOnly)
+{
+    const TimePoint start;
+    StreamProgress progress(start, 0);
+    CHECK_FALSE(progress.firstEventAfter().has_value());
+    progress.eventsRelayed(start + milliseconds(500));
+    progress.eventsRelayed(start + milliseconds(620));
+    progress.eventsRelayed(start + milliseconds(650));
+    CHECK(*progress.firstEventAfter() == milliseconds(500));
+    CHECK(progress.longestPause() == milliseconds(120));
+}
