--- a/Tests/Forwarding/UpstreamDirectoryTest.cpp
+++ b/Tests/Forwarding/UpstreamDirectoryTest.cpp
@@ -75,3 +75,51 @@
     const UpstreamDirectory directory;
     CHECK(directory.mayUse(id));
 }
+
+// Guards against any order of listings, removals, outages of the list and data centres out of service that leaves an upstream in use which has
+// announced that it leaves, or whose data centre is out of service, or which was removed while the list was sound.
+TEST(UpstreamDirectoryTest, NoOrderOfChangesKeepsALeavingUpstreamInUse)
+{
+    enum Change : std::uint8_t { List, Leave, Remove, TakeOut, PutBack, ReturnList, Wait, ChangeCount };
+    Mangofall::Testing::checkProperty("leaving, removed and out-of-service upstreams are not used", [](const std::vector<std::uint8_t> &changes) {
+        UpstreamDirectory directory;
+        TimePoint now;
+        directory.listed(entry());
+        bool usable = true; // As the newest listing or removal has it; unknown while a removal may be a lapse.
+        bool lapsed = false;
+        bool outOfService = false;
+        for (const std::uint8_t drawn : changes) {
+            switch (drawn % ChangeCount) {
+            case List:
+            case Leave:
+                directory.listed(entry(drawn % ChangeCount == Leave));
+                usable = drawn % ChangeCount == List;
+                lapsed = false;
+                break;
+            case Remove:
+                directory.removed(id, now);
+                lapsed = lapsed || usable;
+                usable = false;
+                break;
+            case TakeOut:
+            case PutBack:
+                outOfService = drawn % ChangeCount == TakeOut;
+                directory.setOutOfService(outOfService ? std::set<DataCentreId>{DataCentreId("dc")} : std::set<DataCentreId>{});
+                break;
+            case ReturnList:
+                directory.listReturned(now);
+                break;
+            default:
+                // Longer than lapsed entries may be kept.
+                now += std::chrono::seconds(4);
+                directory.expire(now);
+                lapsed = false;
+            }
+            if (outOfService || (!usable && !lapsed)) {
+                RC_ASSERT_FALSE(directory.mayUse(id));
+            } else if (usable) {
+                RC_ASSERT(directory.mayUse(id));
+            }
+        }
+    });
+}
--- a/Tests/Placement/CrashRecordTest.cpp
+++ b/Tests/Placement/CrashRecordTest.cpp
@@ -2,6 +2,8 @@
 
 #include "Property.h"
 
+#include <deque>
+
 using namespace Mangofall;
 using Placement::CrashRecord;
 
@@ -63,3 +65,25 @@
     }
     CHECK_EQUAL(6, sent);
 }
+
+// Guards against any timing of repetitions that lets a harmful request reach more than six upstreams a minute.
+TEST(CrashRecordTest, AHarmfulRequestReachesSixUpstreamsAMinuteAtMost)
+{
+    Mangofall::Testing::checkProperty("a harmful request is sent six times a minute at most", [](const std::vector<std::uint16_t> &gaps) {
+        CrashRecord record;
+        TimePoint now;
+        std::deque<TimePoint> sent;
+        for (const std::uint16_t gap : gaps) {
+            now += std::chrono::milliseconds(gap % 20'000);
+            if (!record.admit(7, now)) {
+                continue;
+            }
+            record.broken(7, now);
+            sent.push_back(now);
+            while (sent.front() + std::chrono::seconds(60) <= now) {
+                sent.pop_front();
+            }
+            RC_ASSERT(sent.size() <= 6U);
+        }
+    });
+}
