Refuse requests that wait for a place before their host ends

The host's log shows 'stopping' with one active request and no 'sent' for it.

Ruled out: a lost placement answer (other requests of the host were granted meanwhile), and a cut stream (nothing was sent to an upstream).

New test: without the mend it gets deadline_unreachable after the route's timeout.

--- a/Source/Forwarding/Forwarder.cpp
+++ b/Source/Forwarding/Forwarder.cpp
@@ -95,6 +95,15 @@
     m_refusing = true;
 }
 
+void Forwarder::refuseWaiting()
+{
+    for (const std::weak_ptr<ForwardingSession> &weak : m_sessions) {
+        if (const auto session = weak.lock()) {
+            session->refuseWaiting();
+        }
+    }
+}
+
 std::size_t Forwarder::active() const
 {
     return m_active;
@@ -128,7 +137,9 @@
     }
     if (admission.error == ErrorKind::None) {
         const auto session = std::make_shared<ForwardingSession>(m_context, exchange, std::move(request), m_routes, *admission.route, admission.organisation);
+        const auto listed = m_sessions.insert(m_sessions.end(), session);
         co_await session->run();
+        m_sessions.erase(listed);
         co_return;
     }
     const ErrorAnswer &answer = errorAnswer(admission.error);
--- a/Source/Forwarding/Forwarder.h
+++ b/Source/Forwarding/Forwarder.h
@@ -5,10 +5,12 @@
 #include "Http/HttpHandler.h"
 
 #include <cstddef>
+#include <list>
 #include <memory>
 
 namespace Mangofall::Forwarding {
 
+class ForwardingSession;
 class RouteTable;
 struct CallerRequest;
 
@@ -32,6 +34,9 @@
     /// Requests that come from now on are refused, because their answers could be cut off by the end of the process.
     void refuseNew();
 
+    /// Requests that still wait for a place are refused, because they could not be answered before the end of the process.
+    void refuseWaiting();
+
     /// Requests in progress.
     std::size_t active() const;
 
@@ -48,6 +53,7 @@
     bool m_leaving = false;
     bool m_refusing = false;
     std::size_t m_active = 0;
+    std::list<std::weak_ptr<ForwardingSession>> m_sessions; ///< Those in progress.
 };
 
 }
--- a/Source/Forwarding/ForwardingSession.cpp
+++ b/Source/Forwarding/ForwardingSession.cpp
@@ -141,6 +141,12 @@
     m_done = true;
 }
 
+void ForwardingSession::refuseWaiting()
+{
+    m_hostEnding = true;
+    m_wake.cancel();
+}
+
 Asio::awaitable<void> ForwardingSession::serve()
 {
     int stalePlaces = 0;
@@ -149,7 +155,9 @@
         if (!answer) {
             m_context.placement.ended(m_demand, WorkOutcome::Cancelled, std::nullopt);
             if (!m_callerGone) {
-                co_await answerError(m_policy.mayHaveRun() ? ErrorKind::UpstreamFailed : ErrorKind::DeadlineUnreachable, Duration::zero());
+                const ErrorKind notRun = m_hostEnding ? ErrorKind::HostLeaving : ErrorKind::DeadlineUnreachable;
+                const Duration retryAfter = m_hostEnding ? Duration(errorAnswer(notRun).retryAfter) : Duration::zero();
+                co_await answerError(m_policy.mayHaveRun() ? ErrorKind::UpstreamFailed : notRun, retryAfter);
             }
             break;
         }
@@ -216,7 +224,7 @@
             self->m_wake.cancel();
         }
     });
-    if (!m_answer && !m_callerGone) {
+    if (!m_answer && !m_callerGone && !m_hostEnding) {
         co_await m_wake.async_wait(awaitTuple);
     }
     if (m_callerGone) {
--- a/Source/Forwarding/ForwardingSession.h
+++ b/Source/Forwarding/ForwardingSession.h
@@ -45,6 +45,9 @@
 
     boost::asio::awaitable<void> run();
 
+    /// Ends the wait for a place with a refusal, also before further attempts: the host is about to end.
+    void refuseWaiting();
+
 private:
     using Place = Placement::Place;
     using WorkOutcome = Placement::WorkOutcome;
@@ -98,6 +101,7 @@
     Duration m_firstPieceEstimate{}; ///< Of the place in use.
     bool m_retryTaken = false; ///< The retry that follows is already paid from the budget, because the upstream was silent.
     bool m_callerGone = false;
+    bool m_hostEnding = false; ///< No further attempt is made.
     bool m_done = false;
 };
 
--- a/Tests/Forwarding/FakePlacement.h
+++ b/Tests/Forwarding/FakePlacement.h
@@ -3,6 +3,7 @@
 #include "Forwarding/PlacementGateway.h"
 
 #include <cstdint>
+#include <functional>
 #include <string>
 #include <vector>
 
@@ -18,6 +19,7 @@
     std::vector<std::uint16_t> ports;
     std::vector<Placement::WorkOutcome> outcomes;
     std::size_t submitted = 0;
+    std::function<void()> onWaiting; ///< If set, demands get no answer; called for each of them.
 
     Placement::DemandId nextId() override
     {
@@ -26,6 +28,11 @@
 
     void submit(const Placement::Demand &demand, Handler handler) override
     {
+        if (onWaiting) {
+            ++submitted;
+            onWaiting();
+            return;
+        }
         if (submitted >= ports.size()) {
             ++submitted;
             handler(Placement::Refusal{demand.id, ErrorKind::NoUpstream, std::chrono::seconds(1)});
--- a/Tests/Forwarding/ForwardingSessionTest.cpp
+++ b/Tests/Forwarding/ForwardingSessionTest.cpp
@@ -376,3 +376,20 @@
     });
     CHECK(contains(host.call("GET", "/safe/1"), "hello"));
 }
+
+// Guards against a request that waits for a place until its host ends and then gets neither an answer nor a refusal: the hunt's day
+// paused-and-slow-hosts, seed 975806687694.
+TEST(ForwardingSessionTest, AWaitingRequestIsRefusedBeforeItsHostEnds)
+{
+    Host host;
+    host.placement.onWaiting = [&host]() {
+        Asio::post(host.io, [&host]() {
+            host.forwarder.refuseWaiting();
+        });
+    };
+    const std::string answer = host.call("POST", "/order/1");
+    CHECK(answer.starts_with("HTTP/1.1 503"));
+    CHECK(contains(answer, "host_leaving"));
+    CHECK_EQUAL(1, host.placement.outcomes.size());
+    CHECK(host.placement.outcomes.front() == WorkOutcome::Cancelled);
+}
