--- a/Tests/Placement/PlacementTableTest.cpp
+++ b/Tests/Placement/PlacementTableTest.cpp
@@ -245,6 +245,7 @@
 {
     Table fixture;
     std::vector<UpstreamEntry> entries;
+    entries.reserve(18);
     for (int index = 0; index < 18; ++index) {
         entries.push_back(upstream("e" + std::to_string(index), engines));
     }
