Remove state and header fields that the soak and the experiment can derive

- RunLedger kept the ends and their counts beside the attempts; an attempt now has its end.
Its host was never read.
- The soak's header fields for the deadline and the number of events repeat the ledger and Token-Counts.
- Finding a scenario or policy by name stood in three places (findNamed); the distribution of organisations was built for each request.
- PromptRequest::refused and PassEngine::requests were never read.
- Two comments of the soak said something else than the code.

--- a/Tests/Experiment/PlacingUnderLoadTest.cpp
+++ b/Tests/Experiment/PlacingUnderLoadTest.cpp
@@ -1,12 +1,13 @@
 #include "Experiment/Comparison.h"
 
-#include <CppUTest/TestHarness.h>
+#include "ExperimentFixtures.h"
 
 #include <functional>
 #include <string>
 
 using namespace Mangofall;
 using namespace Mangofall::Experiment;
+using namespace Mangofall::Experiment::Testing;
 
 // The loads that the decisions on placing answer, played in virtual time: what callers get, from the targets of docs/decisions/placing-by-pause-limits.md.
 namespace {
@@ -20,28 +21,6 @@
     Long,
 };
 
-Scenario scenarioNamed(const std::string &name)
-{
-    for (const Scenario &scenario : standardScenarios()) {
-        if (scenario.name == name) {
-            return scenario;
-        }
-    }
-    FAIL("no such scenario");
-    return {};
-}
-
-Policy policyNamed(const std::string &name)
-{
-    for (const Policy &policy : standardPolicies()) {
-        if (policy.name == name) {
-            return policy;
-        }
-    }
-    FAIL("no such policy");
-    return {};
-}
-
 ComparisonCell play(const std::string &scenario, const std::string &policy)
 {
     Comparison comparison({scenarioNamed(scenario)}, {policyNamed(policy)});
--- a/Tests/Experiment/WorkloadTest.cpp
+++ b/Tests/Experiment/WorkloadTest.cpp
@@ -1,26 +1,17 @@
 #include "Experiment/Workload.h"
 
-#include "Experiment/Scenario.h"
 #include "Property.h"
 
+#include "ExperimentFixtures.h"
+
 #include <algorithm>
 
 using namespace Mangofall;
 using namespace Mangofall::Experiment;
+using namespace Mangofall::Experiment::Testing;
 
 namespace {
 
-Scenario scenarioNamed(const std::string &name)
-{
-    for (const Scenario &scenario : standardScenarios()) {
-        if (scenario.name == name) {
-            return scenario;
-        }
-    }
-    FAIL("no such scenario");
-    return {};
-}
-
 std::size_t count(const std::vector<PromptRequest> &requests, std::size_t kind, Duration from, Duration to)
 {
     return static_cast<std::size_t>(std::count_if(requests.begin(), requests.end(), [=](const PromptRequest &request) {
--- a/Tests/Soak/RunLedger.cpp
+++ b/Tests/Soak/RunLedger.cpp
@@ -1,5 +1,7 @@
 #include "Soak/RunLedger.h"
 
+#include <algorithm>
+
 namespace Mangofall::Soak {
 
 void RunLedger::sent(const std::string &attempt, const Attempt &details)
@@ -28,8 +30,7 @@
 
 void RunLedger::ended(const std::string &attempt, CallerEnd end)
 {
-    m_ends[attempt] = end;
-    ++m_counts[end];
+    m_attempts.at(attempt).end = end;
     if (end == CallerEnd::Hung) {
         broken(attempt + " has no answer long after its deadline");
     }
@@ -42,9 +43,8 @@
 
 void RunLedger::checkRefusals()
 {
-    for (const auto &[attempt, end] : m_ends) {
-        const Attempt &details = m_attempts[attempt];
-        if (end == CallerEnd::Refused && details.kind == SoakKind::Once && details.runs > 0) {
+    for (const auto &[attempt, details] : m_attempts) {
+        if (details.end == CallerEnd::Refused && details.kind == SoakKind::Once && details.runs > 0) {
             broken(attempt + " was refused as not run and has run");
         }
     }
@@ -57,22 +57,22 @@
 
 std::uint64_t RunLedger::count(CallerEnd end) const
 {
-    const auto found = m_counts.find(end);
-    return found == m_counts.end() ? 0 : found->second;
+    return static_cast<std::uint64_t>(std::count_if(m_attempts.begin(), m_attempts.end(), [end](const auto &attempt) {
+        return attempt.second.end == end;
+    }));
 }
 
 double RunLedger::answeredShare(TimePoint from) const
 {
-    double sent = 0;
+    double ended = 0;
     double answered = 0;
     for (const auto &[attempt, details] : m_attempts) {
-        const auto end = m_ends.find(attempt);
-        if (details.sentAt >= from && end != m_ends.end()) {
-            ++sent;
-            answered += end->second == CallerEnd::Answered ? 1 : 0;
+        if (details.sentAt >= from && details.end) {
+            ++ended;
+            answered += details.end == CallerEnd::Answered ? 1 : 0;
         }
     }
-    return sent > 0 ? answered / sent : 1;
+    return ended > 0 ? answered / ended : 1;
 }
 
 }
--- a/Tests/Soak/RunLedger.h
+++ b/Tests/Soak/RunLedger.h
@@ -4,6 +4,7 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -34,11 +35,11 @@
 public:
     struct Attempt {
         SoakKind kind = SoakKind::Stream;
-        std::size_t host = 0;
         TimePoint sentAt;
         TimePoint inTouchSince; ///< Since when the host has had no fault; TimePoint::max() while it has one.
         std::chrono::milliseconds deadline{};
         std::uint32_t runs = 0;
+        std::optional<CallerEnd> end; ///< Empty while the caller waits.
     };
 
     void sent(const std::string &attempt, const Attempt &details);
@@ -58,8 +59,6 @@
 
 private:
     std::map<std::string, Attempt> m_attempts;
-    std::map<std::string, CallerEnd> m_ends;
-    std::map<CallerEnd, std::uint64_t> m_counts;
     std::vector<std::string> m_violations;
 };
 
--- a/Tests/Soak/SoakCaller.cpp
+++ b/Tests/Soak/SoakCaller.cpp
@@ -1,5 +1,6 @@
 #include "Soak/SoakCaller.h"
 
+#include "Http/BeastStrings.h"
 #include "Soak/SoakFleet.h"
 #include "Soak/SoakNames.h"
 #include "WireNames.h"
@@ -30,17 +31,12 @@
 constexpr std::chrono::milliseconds hangSlack{2500};
 // A connection that a host closes while a request is on its way to it is no loss.
 constexpr std::chrono::milliseconds crossingTime{200};
-// Longer than a new host needs to learn of the others.
+// Connections go to a stopping host until its readiness was asked for twice; requests that come later than this may be cut.
 constexpr std::chrono::milliseconds stopNotice{3000};
 constexpr unsigned httpVersion = 11;
 constexpr int longestPauseMs = 120;
 constexpr std::uint64_t mostEvents = 40;
 
-boost::beast::string_view toBeast(std::string_view text)
-{
-    return {text.data(), text.size()};
-}
-
 bool promisesNotRun(unsigned status)
 {
     return status == 408 || status == 421 || status == 429 || status == 503;
@@ -96,7 +92,7 @@
 Asio::awaitable<void> SoakCaller::call()
 {
     const Call call = nextCall();
-    m_ledger.sent(call.attempt, {call.kind, m_host, call.sentAt, m_fleet.hosts()[m_host]->undisturbedSince(), deadline, 0});
+    m_ledger.sent(call.attempt, {call.kind, call.sentAt, m_fleet.hosts()[m_host]->undisturbedSince(), deadline, 0, std::nullopt});
     const Request request = makeRequest(call);
     m_stream->expires_after(deadline + hangSlack);
     const auto [writeError, written] = co_await Http::async_write(*m_stream, request, awaitTuple);
@@ -138,10 +134,8 @@
     request.set(toBeast(Header::attemptId), call.attempt);
     request.set(toBeast(Header::deadline), std::to_string(deadline.count()));
     request.set(toBeast(Header::authorization), std::string(Header::credentialScheme) + Names::credential);
-    request.set(Names::callerDeadline, std::to_string(deadline.count()));
     if (call.kind == SoakKind::Stream) {
         request.set(toBeast(Header::tokenCounts), "2000," + std::to_string(call.events));
-        request.set(Names::eventCount, std::to_string(call.events));
     }
     if (request.method() == Http::verb::post) {
         request.body() = "prompt of " + call.attempt;
--- a/Tests/Soak/SoakFleet.h
+++ b/Tests/Soak/SoakFleet.h
@@ -30,7 +30,7 @@
 
     /// Writes the configuration, starts the hosts, and watches over their processes and readiness from then on.
     void start();
-    /// Nothing disturbs the fleet from now on, except planned work.
+    /// The store, an upstream or a host is harmed now, or was until now.
     void disturbed();
 
     std::vector<std::unique_ptr<SoakHost>> &hosts();
--- a/Tests/Soak/SoakNames.h
+++ b/Tests/Soak/SoakNames.h
@@ -10,10 +10,6 @@
 inline constexpr const char *hostName = "soak.example";
 inline constexpr const char *organisation = "organisation-a";
 inline constexpr const char *credential = "soak-key";
-/// Header field in which a caller says how many events its stream has; hosts pass it on unread.
-inline constexpr const char *eventCount = "Soak-Events";
-/// The time that the caller gives the host, passed on unread.
-inline constexpr const char *callerDeadline = "Soak-Deadline-Ms";
 
 }
 
--- a/Tests/Soak/SoakUpstream.cpp
+++ b/Tests/Soak/SoakUpstream.cpp
@@ -1,5 +1,6 @@
 #include "Soak/SoakUpstream.h"
 
+#include "Http/BeastStrings.h"
 #include "Soak/FaultProxy.h"
 #include "Soak/RunLedger.h"
 #include "Soak/SoakNames.h"
@@ -41,7 +42,7 @@
 
 std::string field(const SoakUpstream::Request &request, std::string_view name)
 {
-    const auto value = request[boost::beast::string_view(name.data(), name.size())];
+    const auto value = request[toBeast(name)];
     return {value.data(), value.size()};
 }
 
@@ -50,6 +51,14 @@
     return std::strtoull(text.c_str(), nullptr, 10);
 }
 
+// Events that the answer has: the answer tokens of the caller; 0 for a whole answer.
+std::uint64_t eventsOf(const SoakUpstream::Request &request)
+{
+    const std::string counts = field(request, Header::tokenCounts);
+    const std::size_t comma = counts.find(',');
+    return comma == std::string::npos ? 0 : number(counts.substr(comma + 1));
+}
+
 std::string headers(const SoakUpstream::Request &request, unsigned status, bool executed)
 {
     std::string text = "HTTP/1.1 " + std::to_string(status) + " Soak\r\n";
@@ -180,8 +189,7 @@
         const bool open = co_await respond(socket, request, statusError, true);
         co_return open;
     }
-    const bool streams = !field(request, Names::eventCount).empty();
-    if (streams) {
+    if (eventsOf(request) > 0) {
         const bool open = co_await stream(socket, request);
         co_return open;
     }
@@ -194,7 +202,7 @@
 Asio::awaitable<bool> SoakUpstream::stream(std::shared_ptr<Socket> socket, const Request &request)
 {
     const std::string attempt = field(request, Header::attemptId);
-    const std::uint64_t last = number(field(request, Names::eventCount));
+    const std::uint64_t last = eventsOf(request);
     Asio::steady_timer timer(m_io, firstEventTime);
     co_await timer.async_wait(awaitTuple);
     std::string bytes = headers(request, statusOk, true) + "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n";
@@ -231,11 +239,10 @@
         m_ledger.broken(attempt + " reached an upstream without its organisation");
     }
     const std::chrono::milliseconds left(number(field(request, Header::deadline)));
-    const std::chrono::milliseconds given(number(field(request, Names::callerDeadline)));
-    if (left.count() == 0 || left > given + deadlineSlack) {
+    const RunLedger::Attempt *details = m_ledger.find(attempt);
+    if (left.count() == 0 || (details != nullptr && left > details->deadline + deadlineSlack)) {
         m_ledger.broken(attempt + " reached an upstream with more time than the caller gave");
     }
-    const RunLedger::Attempt *details = m_ledger.find(attempt);
     if (details == nullptr || !m_leavingSince) {
         return;
     }
--- a/Utilities/Experiment/FleetSimulation.cpp
+++ b/Utilities/Experiment/FleetSimulation.cpp
@@ -128,14 +128,12 @@
     const std::size_t index = attempt->second.request;
     const Duration left = attempt->second.demand.deadline - m_events.now();
     PromptRequest &request = m_requests[index];
-    request.refused = true;
     request.held += m_events.now() - attempt->second.demand.arrivedAt;
     m_attempts.erase(attempt);
     if (++request.refusals >= mostRefusals) {
         return;
     }
     m_events.after(std::min(refusal.retryAfter, left / honouredPart), [this, index] {
-        m_requests[index].refused = false;
         submit(index, 0, {});
     });
 }
--- a/Utilities/Experiment/Main.cpp
+++ b/Utilities/Experiment/Main.cpp
@@ -1,8 +1,8 @@
 #include "Experiment/Comparison.h"
 #include "Experiment/ComparisonPlot.h"
 #include "Experiment/ComparisonTable.h"
+#include "Experiment/FindNamed.h"
 
-#include <algorithm>
 #include <cstdint>
 #include <fstream>
 #include <iostream>
@@ -24,13 +24,11 @@
     }
     std::vector<Named> chosen;
     for (const std::string &name : names) {
-        const auto position = std::find_if(all.begin(), all.end(), [&name](const Named &candidate) {
-            return candidate.name == name;
-        });
-        if (position == all.end()) {
+        const Named *found = findNamed(all, name);
+        if (found == nullptr) {
             throw TCLAP::ArgException("\"" + name + "\" is not known", "scenario or policy");
         }
-        chosen.push_back(*position);
+        chosen.push_back(*found);
     }
     return chosen;
 }
--- a/Utilities/Experiment/PassEngine.cpp
+++ b/Utilities/Experiment/PassEngine.cpp
@@ -107,11 +107,6 @@
     return result;
 }
 
-std::size_t PassEngine::requests() const
-{
-    return m_answers.size() + m_queue.size();
-}
-
 bool PassEngine::fits(const EngineTask &task) const
 {
     std::uint64_t used = 0;
--- a/Utilities/Experiment/PassEngine.h
+++ b/Utilities/Experiment/PassEngine.h
@@ -54,8 +54,6 @@
     std::optional<Duration> startPass();
     PassResult finishPass();
 
-    std::size_t requests() const;
-
 private:
     struct Read {
         AttemptNumber attempt = 0;
--- a/Utilities/Experiment/PromptRequest.h
+++ b/Utilities/Experiment/PromptRequest.h
@@ -20,7 +20,6 @@
     std::uint64_t outputTokens = 0;
 
     bool completed = false;
-    bool refused = false; ///< The last thing the caller got was a refusal.
     std::uint32_t refusals = 0;
     bool offered = false; ///< It was sent to an engine within its target.
     Duration firstPiece{}; ///< After the arrival; valid if completed.
--- a/Utilities/Experiment/Scenario.cpp
+++ b/Utilities/Experiment/Scenario.cpp
@@ -1,5 +1,7 @@
 #include "Experiment/Scenario.h"
 
+#include <utility>
+
 namespace Mangofall::Experiment {
 
 namespace {
@@ -7,9 +9,10 @@
 using namespace std::chrono_literals;
 
 // Prompt kinds, engine figures and rates of the deployments that the platform's users describe (docs/decisions/placing-by-pause-limits.md).
-Scenario baseScenario()
+Scenario baseScenario(std::string name)
 {
     Scenario scenario;
+    scenario.name = std::move(name);
     scenario.engine = {16, 405'000, 34, 2048, 1.31, 0.000917, 0.00213, 154, 0.162};
     scenario.engines = 18;
     scenario.hosts = 9;
@@ -32,18 +35,10 @@
     Long,
 };
 
-Scenario steady()
-{
-    Scenario scenario = baseScenario();
-    scenario.name = "steady";
-    return scenario;
-}
-
 // The mix swings between long and short prompts every ten seconds, as on the users' busy days.
 Scenario swingingMix()
 {
-    Scenario scenario = baseScenario();
-    scenario.name = "swinging-mix";
+    Scenario scenario = baseScenario("swinging-mix");
     for (const Duration start : {Duration(2s), Duration(23s)}) {
         scenario.bursts.push_back({Short, 0.36, start, 9500ms});
         scenario.bursts.push_back({Middle, 1.3, start, 9500ms});
@@ -57,16 +52,14 @@
 
 Scenario longPromptsDoubled()
 {
-    Scenario scenario = baseScenario();
-    scenario.name = "long-doubled";
+    Scenario scenario = baseScenario("long-doubled");
     scenario.bursts.push_back({Long, 2, 0s, scenario.length});
     return scenario;
 }
 
 Scenario shortBurst()
 {
-    Scenario scenario = baseScenario();
-    scenario.name = "short-burst";
+    Scenario scenario = baseScenario("short-burst");
     scenario.bursts.push_back({Short, 3, 10s, 5s});
     return scenario;
 }
@@ -74,8 +67,7 @@
 // More work than the engines can do, so that the order of waiting and the refusals decide.
 Scenario overload()
 {
-    Scenario scenario = baseScenario();
-    scenario.name = "overload";
+    Scenario scenario = baseScenario("overload");
     scenario.bursts.push_back({Short, 3, 8s, 12s});
     scenario.bursts.push_back({Middle, 3, 8s, 12s});
     scenario.bursts.push_back({Long, 4, 8s, 12s});
@@ -85,8 +77,7 @@
 // Four times the usual traffic, without an end: most requests cannot be served.
 Scenario fourTimes()
 {
-    Scenario scenario = baseScenario();
-    scenario.name = "four-times";
+    Scenario scenario = baseScenario("four-times");
     for (const Kind kind : {Short, Middle, Long}) {
         scenario.bursts.push_back({kind, 4, Duration::zero(), scenario.length});
     }
@@ -96,8 +87,7 @@
 // A data centre's engines die together and come back cold.
 Scenario engineLosses()
 {
-    Scenario scenario = baseScenario();
-    scenario.name = "engine-losses";
+    Scenario scenario = baseScenario("engine-losses");
     scenario.losses.push_back({3, 0, 6s, 4s});
     scenario.losses.push_back({6, 1, 16s, 4500ms});
     return scenario;
@@ -107,7 +97,7 @@
 
 std::vector<Scenario> standardScenarios()
 {
-    return {steady(), swingingMix(), longPromptsDoubled(), shortBurst(), overload(), fourTimes(), engineLosses()};
+    return {baseScenario("steady"), swingingMix(), longPromptsDoubled(), shortBurst(), overload(), fourTimes(), engineLosses()};
 }
 
 }
--- a/Utilities/Experiment/Workload.cpp
+++ b/Utilities/Experiment/Workload.cpp
@@ -43,14 +43,14 @@
 }
 
 // The first organisation sends twice as much as the second, three times as much as the third and so on.
-std::size_t drawOrganisation(RandomEngine &random, std::size_t count)
+std::discrete_distribution<std::size_t> organisationDistribution(std::size_t count)
 {
     std::vector<double> weights;
     weights.reserve(count);
     for (std::size_t rank = 1; rank <= count; ++rank) {
         weights.push_back(1.0 / static_cast<double>(rank));
     }
-    return std::discrete_distribution<std::size_t>(weights.begin(), weights.end())(random);
+    return {weights.begin(), weights.end()};
 }
 
 void addArrivals(const Scenario &scenario, std::size_t index, RandomEngine &random, std::vector<PromptRequest> &requests)
@@ -60,12 +60,13 @@
     const double highest = largestFactor(scenario, index);
     std::exponential_distribution<double> gap(kind.perSecond * highest);
     std::uniform_int_distribution<std::size_t> host(0, scenario.hosts - 1);
+    std::discrete_distribution<std::size_t> organisation = organisationDistribution(scenario.organisations);
     Duration at{};
     while ((at += toDuration(Seconds(gap(random)))) < scenario.length) {
         PromptRequest request;
         request.kind = index;
         request.host = host(random);
-        request.organisation = drawOrganisation(random, scenario.organisations);
+        request.organisation = organisation(random);
         request.arrival = at;
         request.promptTokens = drawTokens(random, kind.meanPromptTokens, kind.promptSpread, kind.maxPromptTokens);
         request.outputTokens = drawTokens(random, kind.meanOutputTokens, outputSpread, kind.meanOutputTokens * maxOutputFactor);
