Close the soak's sockets in the hosts that it starts

Two hosts heard nothing of the store for 5.3 s, with the product's own program, too. A trace of the proxies showed that connections which the store had reset ended two seconds later, when another host was killed: hosts that start later inherit the soak's sockets, so closing them here does not end them.

Ruled out: the product's watch (it noticed the silent connection after 2.9 s, within the limit of its settings and slack) and the proxies.

The new process closes all descriptors but the standard ones.

--- a/Tests/Soak/HostProcess.cpp
+++ b/Tests/Soak/HostProcess.cpp
@@ -40,6 +40,12 @@
         posix_spawn_file_actions_adddup2(&m_actions, STDOUT_FILENO, STDERR_FILENO);
     }
 
+    // Sockets that the new process inherits stay open when they are closed here: their peers see silence instead of an end.
+    void closeOthers()
+    {
+        posix_spawn_file_actions_addclosefrom_np(&m_actions, STDERR_FILENO + 1);
+    }
+
     const posix_spawn_file_actions_t *get() const
     {
         return &m_actions;
@@ -70,6 +76,7 @@
 {
     FileActions actions;
     actions.appendTo(m_log);
+    actions.closeOthers();
     std::string option = "--config";
     std::array<char *, 4> arguments{m_program.data(), option.data(), m_settingsFile.data(), nullptr};
     const int error = ::posix_spawn(&m_process, m_program.c_str(), actions.get(), nullptr, arguments.data(), environ);
