Log which request an upstream broke off, and whether it had begun to answer

Incident of repeats: no line told which requests are equal or on which upstream a broken attempt had run, so that breaks could not be counted from the logs. upstream_broke_off names the upstream and the request's fingerprint.

--- a/Source/Forwarding/ForwardingSession.cpp
+++ b/Source/Forwarding/ForwardingSession.cpp
@@ -17,6 +17,9 @@
 #include <boost/beast/core/error.hpp>
 
 #include <algorithm>
+#include <array>
+#include <cinttypes>
+#include <cstdio>
 #include <random>
 #include <utility>
 
@@ -78,6 +81,13 @@
     return std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(duration).count());
 }
 
+std::string hexadecimal(std::uint64_t number)
+{
+    std::array<char, 17> text{};
+    std::snprintf(text.data(), text.size(), "%016" PRIx64, number);
+    return text.data();
+}
+
 std::string describe(const Placement::Assignment &assignment)
 {
     std::string text = assignment.upstream.value();
@@ -186,6 +196,9 @@
         if (attempt.outcome != AttemptOutcome::Answered) {
             logDecision("attempt_failed", attempt.cause);
         }
+        if (attempt.grantOutcome == GrantOutcome::Broken) {
+            logBrokenAttempt(assignment.upstream);
+        }
         NextStep step = m_policy.decide(attempt.outcome, m_deadline - Clock::now());
         if (step == NextStep::Retry) {
             const bool willRetry = co_await retryAfter(attempt);
@@ -296,6 +309,7 @@
     logDecision("sent", describe(assignment));
     UpstreamCall call(singleCallPool(m_context.io, assignment.address), m_deadline - now);
     m_call = &call;
+    m_answerBegan = false;
     // Reserved memory of helpers must not stay in use for an upstream whose machine is gone.
     if (!assignment.helperMemory.empty()) {
         call.detectUnreachableUpstream();
@@ -395,6 +409,7 @@
         }
         if (first) {
             m_context.placement.firstEventReceived(m_placementRequestId);
+            m_answerBegan = true;
             first = false;
         }
         const bool relayed = co_await relayEvents(events, answer);
@@ -568,6 +583,15 @@
     return m_route.kind == RequestKind::Stream;
 }
 
+void ForwardingSession::logBrokenAttempt(const UpstreamId &upstream) const
+{
+    m_context.log.write("upstream_broke_off",
+                        {{"request", m_request.id.value()},
+                         {"upstream", upstream.value()},
+                         {"answer_began", m_answerBegan ? "true" : "false"},
+                         {"fingerprint", hexadecimal(m_fingerprint)}});
+}
+
 void ForwardingSession::logDecision(std::string_view event, std::string_view detail) const
 {
     const std::optional<Duration> timeToFirstEvent = m_progress.timeToFirstEvent();
--- a/Source/Forwarding/ForwardingSession.h
+++ b/Source/Forwarding/ForwardingSession.h
@@ -87,6 +87,8 @@
     void onUpstreamSilent(Duration limit);
     void onCallerDisconnected();
     bool isStream() const;
+    /// Logs what the present attempt, which its upstream broke off, has in common with others.
+    void logBrokenAttempt(const UpstreamId &upstream) const;
     void logDecision(std::string_view event, std::string_view detail) const;
 
     ForwardingContext &m_context;
@@ -107,6 +109,7 @@
     Placement::PlacementRequestId m_placementRequestId;
     UpstreamCall *m_call = nullptr; ///< The call of the attempt in progress.
     std::unordered_set<UpstreamId> m_excluded; ///< Upstreams that further placement requests exclude.
+    bool m_answerBegan = false; ///< Whether the present attempt has brought an event.
     Duration m_firstEventEstimate{}; ///< Estimate from the current assignment.
     bool m_placementRequested = false; ///< Whether a placement request has been made.
     bool m_borrowsRetry = false; ///< Whether the next placement request asks the owner for a retry.
