--- a/Source/Forwarding/CallerRequest.h
+++ b/Source/Forwarding/CallerRequest.h
@@ -6,6 +6,7 @@
 #include <cstdint>
 #include <optional>
 #include <string>
+#include <vector>
 
 namespace Mangofall::Forwarding {
 
@@ -21,6 +22,7 @@
     std::optional<std::string> credential;
     std::uint64_t promptTokens = 0;
     std::uint64_t outputTokens = 0;
+    std::vector<std::string> sharedPromptParts; ///< Ids of the parts of the prompt that other requests may share, in their order.
     std::uint64_t lastEventId = 0; ///< Id of the last stream event that the caller has received; 0 if none.
 };
 
--- a/Source/Forwarding/ForwardingSession.cpp
+++ b/Source/Forwarding/ForwardingSession.cpp
@@ -585,11 +585,16 @@
 
 void ForwardingSession::logBrokenAttempt(const UpstreamId &upstream) const
 {
+    std::string parts;
+    for (const std::string &part : m_request.sharedPromptParts) {
+        parts += (parts.empty() ? "" : ",") + part;
+    }
     m_context.log.write("upstream_broke_off",
                         {{"request", m_request.id.value()},
                          {"upstream", upstream.value()},
                          {"answer_began", m_answerBegan ? "true" : "false"},
-                         {"fingerprint", hexadecimal(m_fingerprint)}});
+                         {"fingerprint", hexadecimal(m_fingerprint)},
+                         {"parts", parts}});
 }
 
 void ForwardingSession::logDecision(std::string_view event, std::string_view detail) const
--- a/Tests/PlatformAdapter/PlatformTranslatorTest.cpp
+++ b/Tests/PlatformAdapter/PlatformTranslatorTest.cpp
@@ -66,6 +66,20 @@
     LONGS_EQUAL(12, request.lastEventId);
 }
 
+// Guards against a request's own last part, or a part that is lost in a list of several fields, being taken for what requests share.
+TEST(PlatformTranslatorTest, AllPartsOfThePromptButTheLastAreShared)
+{
+    HttpExchange::Request text = callerMessage();
+    text.set("Prompt-Prefix", "5c1e:800, 91bd:410");
+    text.insert("Prompt-Prefix", "e440:250");
+    const Message message(text);
+    const auto decoded = PlatformTranslator().decodeRequest(message.exchange);
+    const std::vector<std::string> expected{"5c1e", "91bd"};
+    CHECK(expected == std::get<CallerRequest>(decoded).sharedPromptParts);
+    const Message single(callerMessage());
+    CHECK(std::get<CallerRequest>(PlatformTranslator().decodeRequest(single.exchange)).sharedPromptParts.empty());
+}
+
 // Guards against requests without an attempt id, or with two of them, reaching an upstream.
 TEST(PlatformTranslatorTest, RequestsWithoutOneAttemptIdAreRefused)
 {
