--- a/Tests/Forwarding/FleetPlacementTest.cpp
+++ b/Tests/Forwarding/FleetPlacementTest.cpp
@@ -42,14 +42,19 @@
     return hosts;
 }
 
-std::vector<Placement::UpstreamEntry> upstreams()
+// Upstreams with one slot each.
+std::vector<Placement::UpstreamEntry> upstreams(int count)
 {
-    Placement::UpstreamEntry entry;
-    entry.id = UpstreamId("u");
-    entry.service = service;
-    entry.address = {"127.0.0.1", 1};
-    entry.slots = 1;
-    return {entry};
+    std::vector<Placement::UpstreamEntry> entries;
+    for (int index = 0; index < count; ++index) {
+        Placement::UpstreamEntry entry;
+        entry.id = UpstreamId("u" + std::to_string(index));
+        entry.service = service;
+        entry.address = {"127.0.0.1", 1};
+        entry.slots = 1;
+        entries.push_back(entry);
+    }
+    return entries;
 }
 
 // Several hosts that run in one thread and connect over loopback.
@@ -59,13 +64,13 @@
     EventLog log{"h", 0, sink};
     std::map<HostId, std::unique_ptr<FleetPlacement>> hosts;
 
-    explicit Fleet(int size)
+    explicit Fleet(int size, int upstreamCount = 1)
     {
         for (const FleetHost &host : fleet(size)) {
             auto placement = std::make_unique<FleetPlacement>(io, host.id, DataCentreId("dc"), log);
             CHECK_FALSE(placement->listen(host.address));
             placement->setServices({{service, 0, std::nullopt}});
-            placement->setUpstreams(upstreams());
+            placement->setUpstreams(upstreams(upstreamCount));
             hosts[host.id] = std::move(placement);
         }
         for (const auto &[id, placement] : hosts) {
@@ -99,7 +104,12 @@
 
     Placement::PlacementRequestId submit(const HostId &host, std::function<void(PlacementGateway::Answer)> handler)
     {
-        Placement::PlacementRequest placementRequest;
+        return submit(host, Placement::PlacementRequest(), std::move(handler));
+    }
+
+    Placement::PlacementRequestId
+    submit(const HostId &host, Placement::PlacementRequest placementRequest, std::function<void(PlacementGateway::Answer)> handler)
+    {
         placementRequest.id = hosts[host]->nextId();
         placementRequest.service = service;
         placementRequest.target = milliseconds(300);
@@ -109,14 +119,57 @@
         return placementRequest.id;
     }
 
+    // Submits a request and waits for the answer.
+    std::optional<PlacementGateway::Answer> answerTo(const HostId &host, const Placement::PlacementRequest &placementRequest)
+    {
+        std::optional<PlacementGateway::Answer> answer;
+        m_last = submit(host, placementRequest, [&](PlacementGateway::Answer received) {
+            answer = std::move(received);
+        });
+        runUntil([&]() {
+            return answer.has_value();
+        });
+        return answer;
+    }
+
+    // Lets the request crash as many upstreams as get it through this host, at most \p count.
+    int crash(const HostId &host, const Placement::PlacementRequest &placementRequest, int count)
+    {
+        int crashes = 0;
+        for (int index = 0; index < count; ++index) {
+            const std::optional<PlacementGateway::Answer> answer = answerTo(host, placementRequest);
+            if (answer && std::holds_alternative<Assignment>(*answer)) {
+                hosts[host]->ended(m_last, Placement::GrantOutcome::Broken, std::nullopt);
+                ++crashes;
+            }
+        }
+        io.run_for(milliseconds(100));
+        return crashes;
+    }
+
     void runUntil(const std::function<bool()> &done)
     {
         for (int round = 0; round < 400 && !done(); ++round) {
             io.run_for(milliseconds(10));
         }
     }
+
+private:
+    Placement::PlacementRequestId m_last;
 };
 
+Placement::PlacementRequest requestWithFingerprint(std::uint64_t fingerprint)
+{
+    Placement::PlacementRequest placementRequest;
+    placementRequest.fingerprint = fingerprint;
+    return placementRequest;
+}
+
+bool isHeldBack(const std::optional<PlacementGateway::Answer> &answer)
+{
+    return answer && std::holds_alternative<Placement::Refusal>(*answer) && std::get<Placement::Refusal>(*answer).kind == ErrorKind::Quarantined;
+}
+
 }
 
 TEST_GROUP(FleetPlacementTest){};
@@ -174,3 +227,52 @@
     });
     CHECK(secondGranted);
 }
+
+// Guards against a request that crashes upstreams and is sent again because the owner that counted its breaks has ended.
+TEST(FleetPlacementTest, ACrashingRequestStaysHeldBackWhenTheOwnerEnds)
+{
+    Fleet fleet(3, 8);
+    const Placement::PlacementRequest request = requestWithFingerprint(7);
+    const HostId entryHost = fleet.nonOwner();
+    LONGS_EQUAL(3, fleet.crash(entryHost, request, 3));
+    CHECK(isHeldBack(fleet.answerTo(entryHost, request)));
+    fleet.hosts.erase(fleet.owner());
+    CHECK(isHeldBack(fleet.answerTo(entryHost, request)));
+    CHECK(isHeldBack(fleet.answerTo(fleet.nonOwner(), request)));
+}
+
+// Guards against breaks that are lost with the owner to which they were reported.
+TEST(FleetPlacementTest, BreaksThatTwoOwnersSawAreCountedTogether)
+{
+    Fleet fleet(3, 8);
+    const Placement::PlacementRequest request = requestWithFingerprint(7);
+    const HostId entryHost = fleet.nonOwner();
+    LONGS_EQUAL(2, fleet.crash(entryHost, request, 2));
+    fleet.hosts.erase(fleet.owner());
+    LONGS_EQUAL(1, fleet.crash(entryHost, request, 3));
+}
+
+// Guards against copies of a request that were waiting when it became known that the request crashes upstreams.
+TEST(FleetPlacementTest, AWaitingCopyOfACrashingRequestIsRefused)
+{
+    Fleet fleet(1, 3);
+    const HostId host("h0");
+    const Placement::PlacementRequest request = requestWithFingerprint(7);
+    std::vector<Placement::PlacementRequestId> granted;
+    for (int copy = 0; copy < 3; ++copy) {
+        granted.push_back(fleet.submit(host, request, [](const PlacementGateway::Answer &answer) {
+            CHECK(std::holds_alternative<Assignment>(answer));
+        }));
+    }
+    std::optional<PlacementGateway::Answer> waitingAnswer;
+    fleet.submit(host, request, [&](PlacementGateway::Answer answer) {
+        waitingAnswer = std::move(answer);
+    });
+    for (const Placement::PlacementRequestId &id : granted) {
+        fleet.hosts[host]->ended(id, Placement::GrantOutcome::Broken, std::nullopt);
+    }
+    fleet.runUntil([&]() {
+        return waitingAnswer.has_value();
+    });
+    CHECK(isHeldBack(waitingAnswer));
+}
