Check a waiting request again before its owner grants it

The owner asked the crash record when a request came and never again, so that a waiting copy of a held request was granted a slot.

--- a/Source/Placement/PlacementTable.cpp
+++ b/Source/Placement/PlacementTable.cpp
@@ -383,7 +383,11 @@
         service.workAhead.clear();
     }
     std::erase_if(m_waiting, [&](const Waiting &waiting) {
-        if (std::optional<Refusal> refused = refusal(waiting, now)) {
+        std::optional<Refusal> refused = quarantine(waiting.request, now);
+        if (!refused) {
+            refused = refusal(waiting, now);
+        }
+        if (refused) {
             actions.emplace_back(std::move(*refused));
             return true;
         }
--- a/Tests/Placement/PlacementTableTest.cpp
+++ b/Tests/Placement/PlacementTableTest.cpp
@@ -250,6 +250,25 @@
     CHECK(refusalOf(actions, number) != nullptr);
 }
 
+// Guards against a copy of a request that waits at the owner and is granted after the request has become known to crash upstreams.
+TEST(PlacementTableTest, AWaitingRequestThatBecomesHeldIsRefused)
+{
+    Table fixture;
+    std::uint64_t number = 0;
+    for (int copy = 0; copy < 3; ++copy) {
+        PlacementRequest request = orderRequest(++number, fixture.now);
+        request.fingerprint = 77;
+        fixture.table.submit(request, fixture.now);
+    }
+    for (std::uint64_t start = 1; start <= 3; ++start) {
+        fixture.crashes.recordCrash({77}, UpstreamId("u"), start, fixture.now, fixture.now);
+    }
+    fixture.now += milliseconds(10);
+    const PlacementActions actions = fixture.table.tick(fixture.now);
+    CHECK(refusalOf(actions, number) != nullptr);
+    CHECK(refusalOf(actions, number)->kind == ErrorKind::Quarantined);
+}
+
 // Guards against a prompt that exceeds one engine's memory and occupies most engines while short prompts wait. In the recorded incident trouble-1 a prompt
 // of 547,104 tokens came first after a restart of all hosts, and 4.5% of the requests were refused.
 TEST(PlacementTableTest, APromptThatNeedsLowLoadLetsOthersGoFirst)
