Keep suspects in the store, so that they outlive a restart of all hosts

A request that was held back was sent again after all hosts had been killed: the record lives in memory, and hosts that start together have no peer that knows more. A host whose write was replaced by one that knows less writes again, so that two writers converge without conditions on the write. A clearance is written if the store holds the suspect.

ARestartedFleetHoldsBackWhatTheStoreKnows and SuspectQueueTest came with the code and were not run against the code before, which has no such entries.

--- a/Source/Forwarding/CrashReplica.cpp
+++ b/Source/Forwarding/CrashReplica.cpp
@@ -1,5 +1,6 @@
 #include "Forwarding/CrashReplica.h"
 
+#include "Forwarding/SuspectObserver.h"
 #include "Forwarding/WirePlacement.h"
 #include "Telemetry/EventLog.h"
 
@@ -47,6 +48,11 @@
     return Placement::Refusal{request.id, ErrorKind::Quarantined, Placement::quarantineRetryAfter(verdict.wait)};
 }
 
+void CrashReplica::setObserver(SuspectObserver *observer)
+{
+    m_observer = observer;
+}
+
 void CrashReplica::apply(const Wire::CrashUpdateT &update, TimePoint now)
 {
     for (const std::unique_ptr<Wire::CrashSuspectT> &suspect : update.suspects) {
@@ -65,13 +71,17 @@
     Wire::CrashUpdateT update;
     for (const Placement::CrashRecord::Change &change : changes) {
         update.suspects.push_back(std::make_unique<Wire::CrashSuspectT>(toWire(change.state)));
-        if (change.local) {
-            m_log.write("crash_suspect",
-                        {{"suspect", Placement::suspectName(change.state.suspect)},
-                         {"crashes", std::to_string(change.state.crashes.size())},
-                         {"trials", std::to_string(change.state.trials)},
-                         {"clearances", std::to_string(change.state.clearances)},
-                         {"held", change.held ? "true" : "false"}});
+        if (!change.local) {
+            continue;
+        }
+        m_log.write("crash_suspect",
+                    {{"suspect", Placement::suspectName(change.state.suspect)},
+                     {"crashes", std::to_string(change.state.crashes.size())},
+                     {"trials", std::to_string(change.state.trials)},
+                     {"clearances", std::to_string(change.state.clearances)},
+                     {"held", change.held ? "true" : "false"}});
+        if (m_observer != nullptr) {
+            m_observer->suspectChanged(change.state);
         }
     }
     return update;
--- a/Source/Forwarding/CrashReplica.h
+++ b/Source/Forwarding/CrashReplica.h
@@ -5,7 +5,6 @@
 #include "Placement/PlacementActions.h"
 #include "Placement/PlacementRequest.h"
 
-#include <functional>
 #include <optional>
 
 namespace Mangofall {
@@ -18,6 +17,8 @@
 
 namespace Mangofall::Forwarding {
 
+class SuspectObserver;
+
 /**
  * \class CrashReplica
  * \brief This host's copy of what the fleet knows of requests that crash upstreams, and the messages that keep the copies of all hosts equal.
@@ -39,6 +40,8 @@
     /// The refusal of a request that is to be held back, empty if it may be sent. \p assignment is the one it got; null before that.
     std::optional<Placement::Refusal> refusal(const Placement::PlacementRequest &request, const Placement::Assignment *assignment, TimePoint now) const;
 
+    /// The observer is told of each change that this host makes.
+    void setObserver(SuspectObserver *observer);
     /// Adds what another host knows.
     void apply(const Wire::CrashUpdateT &update, TimePoint now);
     /// What has changed since the last call, for all connected hosts; empty if nothing has.
@@ -48,6 +51,7 @@
 
 private:
     EventLog &m_log;
+    SuspectObserver *m_observer = nullptr;
     Placement::CrashRecord m_record;
 };
 
--- a/Source/Forwarding/FleetPlacement.cpp
+++ b/Source/Forwarding/FleetPlacement.cpp
@@ -126,6 +126,23 @@
     }
 }
 
+void FleetPlacement::setSuspectObserver(SuspectObserver &observer)
+{
+    m_crashes.setObserver(&observer);
+}
+
+Placement::SuspectState FleetPlacement::addSuspect(const Placement::SuspectState &state)
+{
+    Placement::SuspectState known = m_crashes.record().merge(state, Clock::now());
+    publishCrashes();
+    return known;
+}
+
+std::size_t FleetPlacement::heldSuspects() const
+{
+    return m_crashes.record().heldCount();
+}
+
 std::size_t FleetPlacement::hosts() const
 {
     return m_owners.hostCount();
--- a/Source/Forwarding/FleetPlacement.h
+++ b/Source/Forwarding/FleetPlacement.h
@@ -55,6 +55,13 @@
     /// Closes the connections that this host opened to its peers. For use after a pause of the process, because the peers have gone on without it.
     void closePeerLinks();
 
+    /// The observer must outlive this object.
+    void setSuspectObserver(SuspectObserver &observer);
+    /// Adds what the store knows of a suspect, and returns what this host knows of it then.
+    Placement::SuspectState addSuspect(const Placement::SuspectState &state);
+    /// The number of suspects whose requests are held back.
+    std::size_t heldSuspects() const;
+
     /// The number of live hosts, this one included.
     std::size_t hosts() const;
     /// The number of placement requests that wait at this host as owner.
--- a/Source/Placement/CrashRecord.cpp
+++ b/Source/Placement/CrashRecord.cpp
@@ -122,15 +122,15 @@
     }
 }
 
-void CrashRecord::merge(const SuspectState &other, TimePoint now)
+SuspectState CrashRecord::merge(const SuspectState &other, TimePoint now)
 {
     if (other.clearances == 0 && other.crashes.empty()) {
-        return;
+        return other;
     }
     Entry &entry = entryFor(other.suspect, now);
     SuspectState &state = entry.state;
     if (other.clearances < state.clearances) {
-        return;
+        return state;
     }
     const SuspectState before = state;
     if (other.clearances > state.clearances) {
@@ -144,6 +144,7 @@
     if (state != before) {
         changed(entry, false, now);
     }
+    return state;
 }
 
 std::vector<CrashRecord::Change> CrashRecord::takeChanges()
--- a/Source/Placement/CrashRecord.h
+++ b/Source/Placement/CrashRecord.h
@@ -57,8 +57,8 @@
     /// Records that a request whose test was due has been granted.
     void startTrial(const Suspects &suspects, TimePoint now);
 
-    /// Adds what another host knows.
-    void merge(const SuspectState &other, TimePoint now);
+    /// Adds what another host knows, and returns what is known now.
+    SuspectState merge(const SuspectState &other, TimePoint now);
     /// The states that were changed since the last call.
     std::vector<Change> takeChanges();
     /// All states with a crash or a clearance on record.
--- a/Source/Telemetry/ForwardingMetrics.h
+++ b/Source/Telemetry/ForwardingMetrics.h
@@ -39,6 +39,8 @@
     /// Counts bytes sent to other hosts to pass on changes of the store.
     void countFeedBytes(std::size_t bytes);
 
+    /// Suspects whose requests are held back because they appear to crash upstreams.
+    prometheus::Gauge &heldSuspects();
     prometheus::Gauge &viewAge();
     prometheus::Gauge &viewRevision();
     prometheus::Gauge &viewFollowsPeer();
@@ -59,6 +61,7 @@
     prometheus::Family<prometheus::Counter> &m_feedBytes;
     prometheus::Family<prometheus::Histogram> &m_answerTime;
     prometheus::Family<prometheus::Histogram> &m_firstEvent;
+    prometheus::Gauge &m_heldSuspects;
     prometheus::Gauge &m_viewAge;
     prometheus::Gauge &m_viewRevision;
     prometheus::Gauge &m_viewFollowsPeer;
--- a/Tests/Forwarding/FleetPlacementTest.cpp
+++ b/Tests/Forwarding/FleetPlacementTest.cpp
@@ -290,3 +290,13 @@
     });
     CHECK(isHeldBack(waitingAnswer));
 }
+
+// Guards against a request that crashes upstreams and is sent again after a restart of all hosts.
+TEST(FleetPlacementTest, ARestartedFleetHoldsBackWhatTheStoreKnows)
+{
+    Fleet fleet(2, 3);
+    const Placement::PlacementRequest request = requestWithFingerprint(7);
+    fleet.hosts.begin()->second->addSuspect({7, 0, 0, {1, 2, 3}});
+    CHECK(isHeldBack(fleet.answerTo(HostId("h0"), request)));
+    CHECK_FALSE(isHeldBack(fleet.answerTo(HostId("h0"), requestWithFingerprint(8))));
+}
--- /dev/null
+++ b/Tests/PlatformAdapter/SuspectQueueTest.cpp
@@ -0,0 +1,81 @@
+#include "SuspectQueue.h"
+
+#include "Property.h"
+
+using namespace Mangofall;
+using namespace Mangofall::Platform;
+using Placement::SuspectState;
+
+namespace {
+
+const SuspectState twoCrashes{7, 0, 0, {11, 12}};
+const SuspectState threeCrashes{7, 0, 0, {11, 12, 13}};
+
+}
+
+TEST_GROUP(SuspectQueueTest){};
+
+// Guards against a state that changes on its way through the store.
+TEST(SuspectQueueTest, AStateIsReadAsItWasWritten)
+{
+    const SuspectState state{0xf000000000000001, 3, 2, {1, 0xffffffffffffffff}};
+    const std::optional<SuspectState> read = decodeSuspect(Placement::suspectName(state.suspect), encodeSuspect(state));
+    CHECK(read == state);
+}
+
+// Guards against a process that ends, or a suspect that is invented, because of an entry by another writer.
+TEST(SuspectQueueTest, EntriesThatCannotBeReadAreRefused)
+{
+    CHECK_FALSE(decodeSuspect("7", "[]").has_value());
+    CHECK_FALSE(decodeSuspect("7", "{").has_value());
+    CHECK_FALSE(decodeSuspect("7x", "{}").has_value());
+    CHECK_FALSE(decodeSuspect("", "{}").has_value());
+    CHECK_FALSE(decodeSuspect("7", R"({"crashes":["a"]})").has_value());
+    CHECK(decodeSuspect("7", R"({"crashes":1,"trials":-1,"clearances":99999999999})").has_value());
+}
+
+// Guards against a write for each request that was near a crash.
+TEST(SuspectQueueTest, ASuspectWithOneCrashIsNotWritten)
+{
+    SuspectQueue queue;
+    queue.changed({7, 0, 0, {11}});
+    CHECK_FALSE(queue.next().has_value());
+    queue.changed(twoCrashes);
+    CHECK(queue.next() == twoCrashes);
+}
+
+// Guards against a harmless request that is held back again after a restart of all hosts, because its clearance was not written.
+TEST(SuspectQueueTest, AClearanceIsWrittenIfTheStoreHoldsTheSuspect)
+{
+    SuspectQueue queue;
+    const SuspectState cleared{7, 1, 0, {}};
+    queue.changed(cleared);
+    CHECK_FALSE(queue.next().has_value());
+    queue.listed(threeCrashes, threeCrashes);
+    queue.changed(cleared);
+    CHECK(queue.next() == cleared);
+}
+
+// Guards against a crash that is lost because two hosts wrote the same suspect at the same time.
+TEST(SuspectQueueTest, AWriteThatWasReplacedIsRepeated)
+{
+    SuspectQueue queue;
+    queue.changed(twoCrashes);
+    queue.written(twoCrashes);
+    CHECK_FALSE(queue.next().has_value());
+    queue.listed({7, 0, 0, {11, 13}}, threeCrashes);
+    CHECK(queue.next() == threeCrashes);
+    queue.written(threeCrashes);
+    queue.listed(threeCrashes, threeCrashes);
+    CHECK_FALSE(queue.next().has_value());
+}
+
+// Guards against a change that is lost because it came while an earlier one was written.
+TEST(SuspectQueueTest, AChangeDuringAWriteIsWrittenNext)
+{
+    SuspectQueue queue;
+    queue.changed(twoCrashes);
+    queue.changed(threeCrashes);
+    queue.written(twoCrashes);
+    CHECK(queue.next() == threeCrashes);
+}
