--- a/Source/Forwarding/ForwardingSession.cpp
+++ b/Source/Forwarding/ForwardingSession.cpp
@@ -99,6 +99,16 @@
     return hash64(request.path + '\n' + sender + '\n' + body);
 }
 
+std::vector<std::uint64_t> partHashes(const std::vector<std::string> &parts)
+{
+    std::vector<std::uint64_t> hashes;
+    hashes.reserve(parts.size());
+    for (const std::string &part : parts) {
+        hashes.push_back(hash64("part " + part));
+    }
+    return hashes;
+}
+
 bool isRepeatable(const RouteRule &route)
 {
     return route.kind == RequestKind::Idempotent || (route.kind == RequestKind::Stream && route.resumable);
@@ -248,6 +258,7 @@
     placementRequest.deadline = m_deadline;
     placementRequest.priority = m_organisation != nullptr ? m_organisation->priority.value_or(m_route.priority) : m_route.priority;
     placementRequest.fingerprint = m_fingerprint;
+    placementRequest.sharedParts = partHashes(m_request.sharedPromptParts);
     placementRequest.excluded = m_excluded;
     placementRequest.firstAttempt = !std::exchange(m_placementRequested, true);
     placementRequest.borrowsRetry = std::exchange(m_borrowsRetry, false);
--- a/Source/Forwarding/WirePlacement.cpp
+++ b/Source/Forwarding/WirePlacement.cpp
@@ -41,6 +41,7 @@
     }
     call.first_attempt = placementRequest.firstAttempt;
     call.borrows_retry = placementRequest.borrowsRetry;
+    call.shared_parts = placementRequest.sharedParts;
     return call;
 }
 
@@ -63,6 +64,7 @@
     }
     placementRequest.firstAttempt = call.first_attempt;
     placementRequest.borrowsRetry = call.borrows_retry;
+    placementRequest.sharedParts = call.shared_parts;
     return placementRequest;
 }
 
--- a/Source/Peer/PeerMessages_generated.h
+++ b/Source/Peer/PeerMessages_generated.h
@@ -4810,6 +4810,7 @@
   std::vector<std::string> excluded{};
   bool first_attempt = false;
   bool borrows_retry = false;
+  std::vector<uint64_t> shared_parts{};
 };
 
 /// A placement request, from the entry host of a caller's request to the owner of its service.
@@ -4830,7 +4831,8 @@
     VT_FINGERPRINT = 24,
     VT_EXCLUDED = 26,
     VT_FIRST_ATTEMPT = 28,
-    VT_BORROWS_RETRY = 30
+    VT_BORROWS_RETRY = 30,
+    VT_SHARED_PARTS = 32
   };
   uint64_t number() const {
     return GetField<uint64_t>(VT_NUMBER, 0);
@@ -4877,6 +4879,10 @@
   bool borrows_retry() const {
     return GetField<uint8_t>(VT_BORROWS_RETRY, 0) != 0;
   }
+  /// Hashes of the parts of the prompt that other requests may share.
+  const flatbuffers::Vector<uint64_t> *shared_parts() const {
+    return GetPointer<const flatbuffers::Vector<uint64_t> *>(VT_SHARED_PARTS);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_NUMBER, 8) &&
@@ -4897,6 +4903,8 @@
            verifier.VerifyVectorOfStrings(excluded()) &&
            VerifyField<uint8_t>(verifier, VT_FIRST_ATTEMPT, 1) &&
            VerifyField<uint8_t>(verifier, VT_BORROWS_RETRY, 1) &&
+           VerifyOffset(verifier, VT_SHARED_PARTS) &&
+           verifier.VerifyVector(shared_parts()) &&
            verifier.EndTable();
   }
   PlacementCallT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -4950,6 +4958,9 @@
   void add_borrows_retry(bool borrows_retry) {
     fbb_.AddElement<uint8_t>(PlacementCall::VT_BORROWS_RETRY, static_cast<uint8_t>(borrows_retry), 0);
   }
+  void add_shared_parts(flatbuffers::Offset<flatbuffers::Vector<uint64_t>> shared_parts) {
+    fbb_.AddOffset(PlacementCall::VT_SHARED_PARTS, shared_parts);
+  }
   explicit PlacementCallBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -4976,12 +4987,14 @@
     uint64_t fingerprint = 0,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> excluded = 0,
     bool first_attempt = false,
-    bool borrows_retry = false) {
+    bool borrows_retry = false,
+    flatbuffers::Offset<flatbuffers::Vector<uint64_t>> shared_parts = 0) {
   PlacementCallBuilder builder_(_fbb);
   builder_.add_fingerprint(fingerprint);
   builder_.add_output_tokens(output_tokens);
   builder_.add_prompt_tokens(prompt_tokens);
   builder_.add_number(number);
+  builder_.add_shared_parts(shared_parts);
   builder_.add_excluded(excluded);
   builder_.add_priority(priority);
   builder_.add_left_ms(left_ms);
@@ -5010,10 +5023,12 @@
     uint64_t fingerprint = 0,
     const std::vector<flatbuffers::Offset<flatbuffers::String>> *excluded = nullptr,
     bool first_attempt = false,
-    bool borrows_retry = false) {
+    bool borrows_retry = false,
+    const std::vector<uint64_t> *shared_parts = nullptr) {
   auto service__ = service ? _fbb.CreateString(service) : 0;
   auto data_centre__ = data_centre ? _fbb.CreateString(data_centre) : 0;
   auto excluded__ = excluded ? _fbb.CreateVector<flatbuffers::Offset<flatbuffers::String>>(*excluded) : 0;
+  auto shared_parts__ = shared_parts ? _fbb.CreateVector<uint64_t>(*shared_parts) : 0;
   return Mangofall::Wire::CreatePlacementCall(
       _fbb,
       number,
@@ -5029,7 +5044,8 @@
       fingerprint,
       excluded__,
       first_attempt,
-      borrows_retry);
+      borrows_retry,
+      shared_parts__);
 }
 
 flatbuffers::Offset<PlacementCall> CreatePlacementCall(flatbuffers::FlatBufferBuilder &_fbb, const PlacementCallT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -7905,6 +7921,7 @@
   { auto _e = excluded(); if (_e) { _o->excluded.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->excluded[_i] = _e->Get(_i)->str(); } } }
   { auto _e = first_attempt(); _o->first_attempt = _e; }
   { auto _e = borrows_retry(); _o->borrows_retry = _e; }
+  { auto _e = shared_parts(); if (_e) { _o->shared_parts.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->shared_parts[_i] = _e->Get(_i); } } }
 }
 
 inline flatbuffers::Offset<PlacementCall> PlacementCall::Pack(flatbuffers::FlatBufferBuilder &_fbb, const PlacementCallT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -7929,6 +7946,7 @@
   auto _excluded = _o->excluded.size() ? _fbb.CreateVectorOfStrings(_o->excluded) : 0;
   auto _first_attempt = _o->first_attempt;
   auto _borrows_retry = _o->borrows_retry;
+  auto _shared_parts = _o->shared_parts.size() ? _fbb.CreateVector(_o->shared_parts) : 0;
   return Mangofall::Wire::CreatePlacementCall(
       _fbb,
       _number,
@@ -7944,7 +7962,8 @@
       _fingerprint,
       _excluded,
       _first_attempt,
-      _borrows_retry);
+      _borrows_retry,
+      _shared_parts);
 }
 
 inline PlacementAnswerT *PlacementAnswer::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
--- a/Source/Placement/PlacementRequest.h
+++ b/Source/Placement/PlacementRequest.h
@@ -44,6 +44,7 @@
     TimePoint deadline;
     std::uint32_t priority = 0; ///< Requests with a lower value are placed first.
     std::uint64_t fingerprint = 0; ///< Equal for repetitions of the same request; 0 if unknown.
+    std::vector<SuspectId> sharedParts; ///< Parts of the prompt that other requests may share.
     std::unordered_set<UpstreamId> excluded; ///< Upstreams that earlier attempts of the request used.
     bool firstAttempt = false; ///< Whether this is the first placement request of a caller's request.
     bool borrowsRetry = false; ///< Whether the entry host has no retry left and asks the owner for one.
--- a/Tests/Forwarding/FleetPlacementTest.cpp
+++ b/Tests/Forwarding/FleetPlacementTest.cpp
@@ -150,6 +150,37 @@
         return crashes;
     }
 
+    // A request that is like no other but for its parts.
+    Placement::PlacementRequest requestWithParts(std::vector<std::uint64_t> parts)
+    {
+        Placement::PlacementRequest placementRequest;
+        placementRequest.fingerprint = ++m_lastFingerprint;
+        placementRequest.sharedParts = std::move(parts);
+        return placementRequest;
+    }
+
+    // Returns whether the request gets an upstream; its answer begins there and ends with the outcome.
+    bool begins(const HostId &host, const Placement::PlacementRequest &placementRequest, Placement::GrantOutcome outcome = Placement::GrantOutcome::Completed)
+    {
+        const std::optional<PlacementGateway::Answer> answer = answerTo(host, placementRequest);
+        if (!answer || !std::holds_alternative<Assignment>(*answer)) {
+            return false;
+        }
+        hosts[host]->firstEventReceived(m_last);
+        hosts[host]->ended(m_last, outcome, std::nullopt);
+        io.run_for(milliseconds(50));
+        return true;
+    }
+
+    std::vector<HostId> hostIds() const
+    {
+        std::vector<HostId> ids;
+        for (const auto &[id, placement] : hosts) {
+            ids.push_back(id);
+        }
+        return ids;
+    }
+
     // The upstream is listed with a new start, as after a crash.
     void restart(const UpstreamId &upstream)
     {
@@ -170,8 +201,12 @@
 
 private:
     Placement::PlacementRequestId m_last;
+    std::uint64_t m_lastFingerprint = 1000;
 };
 
+constexpr std::uint64_t soundPart = 101;
+constexpr std::uint64_t harmfulPart = 102;
+
 Placement::PlacementRequest requestWithFingerprint(std::uint64_t fingerprint)
 {
     Placement::PlacementRequest placementRequest;
@@ -300,3 +335,44 @@
     CHECK(isHeldBack(fleet.answerTo(HostId("h0"), request)));
     CHECK_FALSE(isHeldBack(fleet.answerTo(HostId("h0"), requestWithFingerprint(8))));
 }
+
+// Guards against requests, no two alike, that crash one upstream after the other because of a part of their prompts.
+TEST(FleetPlacementTest, APartOfPromptsThatCrashesUpstreamsIsHeldBack)
+{
+    Fleet fleet(3, 8);
+    int crashes = 0;
+    for (int round = 0; round < 4; ++round) {
+        for (const HostId &host : fleet.hostIds()) {
+            crashes += fleet.crash(host, fleet.requestWithParts({soundPart, harmfulPart}), 1);
+        }
+    }
+    CHECK(crashes <= 5);
+    fleet.hosts.erase(fleet.owner());
+    CHECK(isHeldBack(fleet.answerTo(fleet.owner(), fleet.requestWithParts({harmfulPart}))));
+    CHECK(isHeldBack(fleet.answerTo(fleet.nonOwner(), fleet.requestWithParts({harmfulPart}))));
+}
+
+// Guards against sound requests that are refused because they share another part with those that crash upstreams.
+TEST(FleetPlacementTest, ASoundPartBesideAHarmfulOneIsClearedByTheNextSoundRequest)
+{
+    Fleet fleet(3, 8);
+    const HostId host = fleet.nonOwner();
+    for (int round = 0; round < 5; ++round) {
+        fleet.crash(host, fleet.requestWithParts({soundPart, harmfulPart}), 1);
+    }
+    for (int round = 0; round < 3; ++round) {
+        CHECK(fleet.begins(host, fleet.requestWithParts({soundPart})));
+        CHECK(isHeldBack(fleet.answerTo(host, fleet.requestWithParts({soundPart, harmfulPart}))));
+    }
+}
+
+// Guards against parts that are taken for the cause of a crash although their answers had begun.
+TEST(FleetPlacementTest, AnAnswerThatHadBegunSaysNothingAgainstItsParts)
+{
+    Fleet fleet(1, 8);
+    const HostId host("h0");
+    for (int round = 0; round < 4; ++round) {
+        CHECK(fleet.begins(host, fleet.requestWithParts({soundPart}), Placement::GrantOutcome::Broken));
+    }
+    CHECK(fleet.begins(host, fleet.requestWithParts({soundPart})));
+}
--- a/Tests/Forwarding/WirePlacementTest.cpp
+++ b/Tests/Forwarding/WirePlacementTest.cpp
@@ -25,6 +25,7 @@
     result.excluded = {UpstreamId("u1")};
     result.firstAttempt = true;
     result.borrowsRetry = true;
+    result.sharedParts = {5, 3};
     return result;
 }
 
@@ -47,6 +48,7 @@
     LONGS_EQUAL(99, received.fingerprint);
     CHECK(received.firstAttempt);
     CHECK(received.borrowsRetry);
+    CHECK(received.sharedParts == placementRequest(sender).sharedParts);
 }
 
 // Guards against helpers that are paired with each other's addresses.
