Hold back prompts with a part that crashes upstreams

Cause: only whole requests were suspects, and no two of these are alike. Class of fault: the identity that is counted is finer than the cause.

Each shared part of a prompt is a suspect of its own in the crash record. An answer that has begun at the upstream says nothing against its parts, and the first event of any answer with a part clears it.

Tests: APartOfPromptsThatCrashesUpstreamsIsHeldBack and ASoundPartBesideAHarmfulOneIsClearedByTheNextSoundRequest failed before.

--- a/Source/Forwarding/CrashReplica.cpp
+++ b/Source/Forwarding/CrashReplica.cpp
@@ -24,13 +24,22 @@
     return m_record;
 }
 
-void CrashReplica::attemptEnded(
-    const Placement::PlacementRequest &request, const Placement::Assignment &assignment, GrantOutcome outcome, TimePoint sentAt, TimePoint now)
+void CrashReplica::answerBegan(const Placement::PlacementRequest &request, TimePoint now)
 {
+    m_record.recordSuccess(request.sharedParts, now);
+}
+
+// A part can crash an upstream only when the answer begins; the request as a whole can at any time.
+void CrashReplica::attemptEnded(const Attempt &attempt, GrantOutcome outcome, TimePoint now)
+{
+    Placement::CrashRecord::Suspects suspects = suspectsOf(attempt.request);
+    if (attempt.answerBegan) {
+        suspects = {attempt.request.fingerprint};
+    }
     if (outcome == GrantOutcome::Broken) {
-        m_record.recordCrash(suspectsOf(request), assignment.upstream, assignment.upstreamStart, sentAt, now);
+        m_record.recordCrash(suspects, attempt.assignment.upstream, attempt.assignment.upstreamStart, attempt.sentAt, now);
     } else if (outcome == GrantOutcome::Completed) {
-        m_record.recordSuccess(suspectsOf(request), now);
+        m_record.recordSuccess(suspects, now);
     }
 }
 
--- a/Source/Forwarding/CrashReplica.h
+++ b/Source/Forwarding/CrashReplica.h
@@ -33,9 +33,18 @@
     Placement::CrashRecord &record();
     const Placement::CrashRecord &record() const;
 
+    /// What is known of an attempt of this host.
+    struct Attempt {
+        const Placement::PlacementRequest &request;
+        const Placement::Assignment &assignment;
+        TimePoint sentAt;
+        bool answerBegan = false; ///< Whether it has brought an event.
+    };
+
+    /// Records that the answer of a request of this host has begun.
+    void answerBegan(const Placement::PlacementRequest &request, TimePoint now);
     /// Records how an attempt of this host ended.
-    void attemptEnded(
-        const Placement::PlacementRequest &request, const Placement::Assignment &assignment, Placement::GrantOutcome outcome, TimePoint sentAt, TimePoint now);
+    void attemptEnded(const Attempt &attempt, Placement::GrantOutcome outcome, TimePoint now);
 
     /// The refusal of a request that is to be held back, empty if it may be sent. \p assignment is the one it got; null before that.
     std::optional<Placement::Refusal> refusal(const Placement::PlacementRequest &request, const Placement::Assignment *assignment, TimePoint now) const;
--- a/Source/Forwarding/FleetPlacement.cpp
+++ b/Source/Forwarding/FleetPlacement.cpp
@@ -179,6 +179,8 @@
         return;
     }
     placement->second.prefilling = false;
+    m_crashes.answerBegan(placement->second.placementRequest, Clock::now());
+    publishCrashes();
     if (placement->second.owner == m_self) {
         m_table.firstEventReceived(id);
         return;
@@ -197,7 +199,8 @@
     const TimePoint now = Clock::now();
     const HostId owner = placement->second.owner;
     if (placement->second.assignment) {
-        m_crashes.attemptEnded(placement->second.placementRequest, *placement->second.assignment, outcome, placement->second.assignedAt, now);
+        const LocalPlacement &local = placement->second;
+        m_crashes.attemptEnded({local.placementRequest, *local.assignment, local.assignedAt, !local.prefilling}, outcome, now);
     }
     m_localPlacements.erase(placement);
     // The owner must know of a crash before it decides about the next attempt.
--- a/Source/Placement/PlacementRequest.h
+++ b/Source/Placement/PlacementRequest.h
@@ -53,7 +53,7 @@
 /// What may be the cause if an upstream crashes while it runs the request.
 inline std::vector<SuspectId> suspectsOf(const PlacementRequest &request)
 {
-    std::vector<SuspectId> suspects;
+    std::vector<SuspectId> suspects = request.sharedParts;
     if (request.fingerprint != 0) {
         suspects.push_back(request.fingerprint);
     }
