Count crashes and successes as sets, and tell owners only what is not held

Two faults of the first form of the crash record, found while its traffic was reckoned for the large deployment: (1) a host with an old clearance count sent a crash that the owner ignored whole, so that crashes of a part that had once been cleared went uncounted; (2) each change went through every connection of every host, 60 changes at each crash.

A state holds the crashes and those of them that a success has cleared; both only grow, so that no crash is lost and none counts again. What is not held goes from the entry host to the owners it is connected to; what is held, or no longer held, goes to all. A host that counts crashes which the receiver knows to be cleared is told so.

--- a/Source/Forwarding/CrashReplica.cpp
+++ b/Source/Forwarding/CrashReplica.cpp
@@ -9,6 +9,18 @@
 using Placement::CrashStanding;
 using Placement::GrantOutcome;
 
+namespace {
+
+void append(std::optional<Wire::CrashUpdateT> &update, const Placement::SuspectState &state)
+{
+    if (!update) {
+        update.emplace();
+    }
+    update->suspects.push_back(std::make_unique<Wire::CrashSuspectT>(toWire(state)));
+}
+
+}
+
 CrashReplica::CrashReplica(EventLog &log)
     : m_log(log)
 {
@@ -62,34 +74,35 @@
     m_observer = observer;
 }
 
-void CrashReplica::apply(const Wire::CrashUpdateT &update, TimePoint now)
+std::optional<Wire::CrashUpdateT> CrashReplica::apply(const Wire::CrashUpdateT &update, TimePoint now)
 {
+    std::optional<Wire::CrashUpdateT> reply;
     for (const std::unique_ptr<Wire::CrashSuspectT> &suspect : update.suspects) {
-        if (suspect) {
-            m_record.merge(fromWire(*suspect), now);
+        if (!suspect) {
+            continue;
+        }
+        const Placement::SuspectState received = fromWire(*suspect);
+        const Placement::SuspectState known = m_record.merge(received, now);
+        if (known.refutes(received)) {
+            append(reply, known);
         }
     }
+    return reply;
 }
 
-std::optional<Wire::CrashUpdateT> CrashReplica::takeUpdate()
+CrashReplica::Update CrashReplica::takeUpdate()
 {
-    const std::vector<Placement::CrashRecord::Change> changes = m_record.takeChanges();
-    if (changes.empty()) {
-        return std::nullopt;
-    }
-    Wire::CrashUpdateT update;
-    for (const Placement::CrashRecord::Change &change : changes) {
-        update.suspects.push_back(std::make_unique<Wire::CrashSuspectT>(toWire(change.state)));
-        if (!change.local) {
-            continue;
+    Update update;
+    for (const Placement::CrashRecord::Change &change : m_record.takeChanges()) {
+        if (change.concernsAll) {
+            append(update.forAll, change.state);
+        } else if (change.local) {
+            append(update.forOwners, change.state);
         }
-        m_log.write("crash_suspect",
-                    {{"suspect", Placement::suspectName(change.state.suspect)},
-                     {"crashes", std::to_string(change.state.crashes.size())},
-                     {"trials", std::to_string(change.state.trials)},
-                     {"clearances", std::to_string(change.state.clearances)},
-                     {"held", change.held ? "true" : "false"}});
-        if (m_observer != nullptr) {
+        if (change.local) {
+            log(change.state);
+        }
+        if (change.local && m_observer != nullptr) {
             m_observer->suspectChanged(change.state);
         }
     }
@@ -99,15 +112,20 @@
 std::optional<Wire::CrashUpdateT> CrashReplica::snapshot() const
 {
     const std::vector<Placement::SuspectState> states = m_record.states();
-    if (states.empty()) {
-        return std::nullopt;
-    }
-    Wire::CrashUpdateT update;
-    update.suspects.reserve(states.size());
+    std::optional<Wire::CrashUpdateT> update;
     for (const Placement::SuspectState &state : states) {
-        update.suspects.push_back(std::make_unique<Wire::CrashSuspectT>(toWire(state)));
+        append(update, state);
     }
     return update;
 }
 
+void CrashReplica::log(const Placement::SuspectState &state) const
+{
+    m_log.write("crash_suspect",
+                {{"suspect", Placement::suspectName(state.suspect)},
+                 {"crashes", std::to_string(state.crashes.size())},
+                 {"cleared", std::to_string(state.cleared.size())},
+                 {"trials", std::to_string(state.trials - state.clearedTrials)}});
+}
+
 }
--- a/Source/Forwarding/CrashReplica.h
+++ b/Source/Forwarding/CrashReplica.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "Peer/PeerMessages_generated.h"
 #include "Placement/CrashRecord.h"
 #include "Placement/GrantOutcome.h"
 #include "Placement/PlacementActions.h"
@@ -11,10 +12,6 @@
 class EventLog;
 }
 
-namespace Mangofall::Wire {
-struct CrashUpdateT;
-}
-
 namespace Mangofall::Forwarding {
 
 class SuspectObserver;
@@ -23,7 +20,8 @@
  * \class CrashReplica
  * \brief This host's copy of what the fleet knows of requests that crash upstreams, and the messages that keep the copies of all hosts equal.
  *
- * Each entry host records what happens to its own attempts, so that nothing is lost with an owner.
+ * Each entry host records what happens to its own attempts, so that nothing is lost with an owner. Owners are told all of it and count; all hosts are told
+ * of the suspects that are held.
  */
 class CrashReplica
 {
@@ -51,14 +49,21 @@
 
     /// The observer is told of each change that this host makes.
     void setObserver(SuspectObserver *observer);
-    /// Adds what another host knows.
-    void apply(const Wire::CrashUpdateT &update, TimePoint now);
-    /// What has changed since the last call, for all connected hosts; empty if nothing has.
-    std::optional<Wire::CrashUpdateT> takeUpdate();
+    /// Adds what another host knows. Returns what that host should learn in turn, because it counts crashes that are cleared here.
+    std::optional<Wire::CrashUpdateT> apply(const Wire::CrashUpdateT &update, TimePoint now);
+
+    /// What has changed since the last call. Either part is empty if nothing has.
+    struct Update {
+        std::optional<Wire::CrashUpdateT> forOwners; ///< What this host has seen by itself, which the owners count.
+        std::optional<Wire::CrashUpdateT> forAll; ///< Suspects that are held, or are no longer held.
+    };
+    Update takeUpdate();
     /// Everything that is known, for a host that may know nothing yet; empty if nothing is known.
     std::optional<Wire::CrashUpdateT> snapshot() const;
 
 private:
+    void log(const Placement::SuspectState &state) const;
+
     EventLog &m_log;
     SuspectObserver *m_observer = nullptr;
     Placement::CrashRecord m_record;
--- a/Source/Forwarding/FleetPlacement.cpp
+++ b/Source/Forwarding/FleetPlacement.cpp
@@ -227,6 +227,10 @@
         }
         return;
     }
+    if (const Wire::CrashUpdateT *update = message.body.AsCrashUpdate()) {
+        onCrashUpdate(connection, *update);
+        return;
+    }
     for (const auto &[host, link] : m_links) {
         if (link->connection() == connection) {
             const HostId from = host;
@@ -246,8 +250,6 @@
         onReport(from, *report);
     } else if (const Wire::PlacementAdoptionT *adoption = message.body.AsPlacementAdoption()) {
         onAdoption(from, *adoption);
-    } else if (const Wire::CrashUpdateT *update = message.body.AsCrashUpdate()) {
-        onCrashUpdate(*update);
     } else if (const Wire::MembershipProbeT *probe = message.body.AsMembershipProbe()) {
         Wire::MembershipProbeAnswerT answer;
         answer.probe = probe->probe;
@@ -259,8 +261,6 @@
 {
     if (const Wire::PlacementAnswerT *answer = message.body.AsPlacementAnswer()) {
         onAnswer(from, *answer);
-    } else if (const Wire::CrashUpdateT *update = message.body.AsCrashUpdate()) {
-        onCrashUpdate(*update);
     } else if (message.body.AsMembershipProbeAnswer() != nullptr) {
         m_owners.probeAnswered(from, Clock::now());
     }
@@ -407,23 +407,30 @@
 
 void FleetPlacement::publishCrashes()
 {
-    const std::optional<Wire::CrashUpdateT> update = m_crashes.takeUpdate();
-    if (!update) {
+    const CrashReplica::Update update = m_crashes.takeUpdate();
+    if (update.forOwners) {
+        for (const auto &[host, link] : m_links) {
+            link->send(toPeerMessage(*update.forOwners));
+        }
+    }
+    if (!update.forAll) {
         return;
     }
     for (const auto &[host, link] : m_links) {
-        link->send(toPeerMessage(*update));
+        link->send(toPeerMessage(*update.forAll));
     }
     for (const auto &[host, connection] : m_answerConnections) {
         if (!m_links.contains(host)) {
-            connection->send(toPeerMessage(*update));
+            connection->send(toPeerMessage(*update.forAll));
         }
     }
 }
 
-void FleetPlacement::onCrashUpdate(const Wire::CrashUpdateT &update)
+void FleetPlacement::onCrashUpdate(const std::shared_ptr<PeerConnection> &connection, const Wire::CrashUpdateT &update)
 {
-    m_crashes.apply(update, Clock::now());
+    if (std::optional<Wire::CrashUpdateT> reply = m_crashes.apply(update, Clock::now())) {
+        connection->send(toPeerMessage(std::move(*reply)));
+    }
     publishCrashes();
 }
 
--- a/Source/Forwarding/FleetPlacement.h
+++ b/Source/Forwarding/FleetPlacement.h
@@ -106,9 +106,9 @@
     void onAdoption(const HostId &from, const Wire::PlacementAdoptionT &adoption);
     /// Refuses a request that got an assignment from an owner which does not know that the request is held back.
     void refuseAssignment(std::uint64_t number, const Placement::Refusal &refusal);
-    /// Sends what has changed in the crash record to all connected hosts.
+    /// Sends what has changed in the crash record to the hosts that need it.
     void publishCrashes();
-    void onCrashUpdate(const Wire::CrashUpdateT &update);
+    void onCrashUpdate(const std::shared_ptr<PeerConnection> &connection, const Wire::CrashUpdateT &update);
     void sendReport(const HostId &owner, const Wire::PlacementReportT &report);
     void scheduleTick();
     void tick();
--- a/Source/Forwarding/WirePlacement.cpp
+++ b/Source/Forwarding/WirePlacement.cpp
@@ -140,15 +140,21 @@
 {
     Wire::CrashSuspectT suspect;
     suspect.suspect = state.suspect;
-    suspect.clearances = state.clearances;
-    suspect.trials = state.trials;
     suspect.crashes = state.crashes;
+    suspect.cleared = state.cleared;
+    suspect.trials = state.trials;
+    suspect.cleared_trials = state.clearedTrials;
     return suspect;
 }
 
 Placement::SuspectState fromWire(const Wire::CrashSuspectT &suspect)
 {
-    return {suspect.suspect, suspect.clearances, suspect.trials, suspect.crashes};
+    Placement::SuspectState state{suspect.suspect, suspect.crashes, suspect.cleared, suspect.trials, suspect.cleared_trials};
+    // A peer of another version might send them in another order.
+    std::sort(state.crashes.begin(), state.crashes.end());
+    std::sort(state.cleared.begin(), state.cleared.end());
+    state.clearedTrials = std::min(state.clearedTrials, state.trials);
+    return state;
 }
 
 Wire::PlacementAdoptionT toWire(const Placement::ReportedGrant &grant, TimePoint now)
--- a/Source/Peer/PeerMessages_generated.h
+++ b/Source/Peer/PeerMessages_generated.h
@@ -5516,9 +5516,10 @@
 struct CrashSuspectT : public flatbuffers::NativeTable {
   typedef CrashSuspect TableType;
   uint64_t suspect = 0;
-  uint32_t clearances = 0;
-  uint32_t trials = 0;
   std::vector<uint64_t> crashes{};
+  std::vector<uint64_t> cleared{};
+  uint32_t trials = 0;
+  uint32_t cleared_trials = 0;
 };
 
 /// What a host knows of what may crash upstreams; see SuspectState.
@@ -5527,29 +5528,35 @@
   typedef CrashSuspectBuilder Builder;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
     VT_SUSPECT = 4,
-    VT_CLEARANCES = 6,
-    VT_TRIALS = 8,
-    VT_CRASHES = 10
+    VT_CRASHES = 6,
+    VT_CLEARED = 8,
+    VT_TRIALS = 10,
+    VT_CLEARED_TRIALS = 12
   };
   uint64_t suspect() const {
     return GetField<uint64_t>(VT_SUSPECT, 0);
   }
-  uint32_t clearances() const {
-    return GetField<uint32_t>(VT_CLEARANCES, 0);
+  const flatbuffers::Vector<uint64_t> *crashes() const {
+    return GetPointer<const flatbuffers::Vector<uint64_t> *>(VT_CRASHES);
+  }
+  const flatbuffers::Vector<uint64_t> *cleared() const {
+    return GetPointer<const flatbuffers::Vector<uint64_t> *>(VT_CLEARED);
   }
   uint32_t trials() const {
     return GetField<uint32_t>(VT_TRIALS, 0);
   }
-  const flatbuffers::Vector<uint64_t> *crashes() const {
-    return GetPointer<const flatbuffers::Vector<uint64_t> *>(VT_CRASHES);
+  uint32_t cleared_trials() const {
+    return GetField<uint32_t>(VT_CLEARED_TRIALS, 0);
   }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_SUSPECT, 8) &&
-           VerifyField<uint32_t>(verifier, VT_CLEARANCES, 4) &&
-           VerifyField<uint32_t>(verifier, VT_TRIALS, 4) &&
            VerifyOffset(verifier, VT_CRASHES) &&
            verifier.VerifyVector(crashes()) &&
+           VerifyOffset(verifier, VT_CLEARED) &&
+           verifier.VerifyVector(cleared()) &&
+           VerifyField<uint32_t>(verifier, VT_TRIALS, 4) &&
+           VerifyField<uint32_t>(verifier, VT_CLEARED_TRIALS, 4) &&
            verifier.EndTable();
   }
   CrashSuspectT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -5564,14 +5571,17 @@
   void add_suspect(uint64_t suspect) {
     fbb_.AddElement<uint64_t>(CrashSuspect::VT_SUSPECT, suspect, 0);
   }
-  void add_clearances(uint32_t clearances) {
-    fbb_.AddElement<uint32_t>(CrashSuspect::VT_CLEARANCES, clearances, 0);
+  void add_crashes(flatbuffers::Offset<flatbuffers::Vector<uint64_t>> crashes) {
+    fbb_.AddOffset(CrashSuspect::VT_CRASHES, crashes);
+  }
+  void add_cleared(flatbuffers::Offset<flatbuffers::Vector<uint64_t>> cleared) {
+    fbb_.AddOffset(CrashSuspect::VT_CLEARED, cleared);
   }
   void add_trials(uint32_t trials) {
     fbb_.AddElement<uint32_t>(CrashSuspect::VT_TRIALS, trials, 0);
   }
-  void add_crashes(flatbuffers::Offset<flatbuffers::Vector<uint64_t>> crashes) {
-    fbb_.AddOffset(CrashSuspect::VT_CRASHES, crashes);
+  void add_cleared_trials(uint32_t cleared_trials) {
+    fbb_.AddElement<uint32_t>(CrashSuspect::VT_CLEARED_TRIALS, cleared_trials, 0);
   }
   explicit CrashSuspectBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
@@ -5587,30 +5597,35 @@
 inline flatbuffers::Offset<CrashSuspect> CreateCrashSuspect(
     flatbuffers::FlatBufferBuilder &_fbb,
     uint64_t suspect = 0,
-    uint32_t clearances = 0,
+    flatbuffers::Offset<flatbuffers::Vector<uint64_t>> crashes = 0,
+    flatbuffers::Offset<flatbuffers::Vector<uint64_t>> cleared = 0,
     uint32_t trials = 0,
-    flatbuffers::Offset<flatbuffers::Vector<uint64_t>> crashes = 0) {
+    uint32_t cleared_trials = 0) {
   CrashSuspectBuilder builder_(_fbb);
   builder_.add_suspect(suspect);
-  builder_.add_crashes(crashes);
+  builder_.add_cleared_trials(cleared_trials);
   builder_.add_trials(trials);
-  builder_.add_clearances(clearances);
+  builder_.add_cleared(cleared);
+  builder_.add_crashes(crashes);
   return builder_.Finish();
 }
 
 inline flatbuffers::Offset<CrashSuspect> CreateCrashSuspectDirect(
     flatbuffers::FlatBufferBuilder &_fbb,
     uint64_t suspect = 0,
-    uint32_t clearances = 0,
+    const std::vector<uint64_t> *crashes = nullptr,
+    const std::vector<uint64_t> *cleared = nullptr,
     uint32_t trials = 0,
-    const std::vector<uint64_t> *crashes = nullptr) {
+    uint32_t cleared_trials = 0) {
   auto crashes__ = crashes ? _fbb.CreateVector<uint64_t>(*crashes) : 0;
+  auto cleared__ = cleared ? _fbb.CreateVector<uint64_t>(*cleared) : 0;
   return Mangofall::Wire::CreateCrashSuspect(
       _fbb,
       suspect,
-      clearances,
+      crashes__,
+      cleared__,
       trials,
-      crashes__);
+      cleared_trials);
 }
 
 flatbuffers::Offset<CrashSuspect> CreateCrashSuspect(flatbuffers::FlatBufferBuilder &_fbb, const CrashSuspectT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -5624,7 +5639,7 @@
   CrashUpdateT &operator=(CrashUpdateT o) FLATBUFFERS_NOEXCEPT;
 };
 
-/// Sent after each change to all connected hosts, and whole after the hello, in both directions.
+/// What a host has learned, or everything that it knows after the hello, in both directions.
 struct CrashUpdate FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
   typedef CrashUpdateT NativeTableType;
   typedef CrashUpdateBuilder Builder;
@@ -8126,9 +8141,10 @@
   (void)_o;
   (void)_resolver;
   { auto _e = suspect(); _o->suspect = _e; }
-  { auto _e = clearances(); _o->clearances = _e; }
-  { auto _e = trials(); _o->trials = _e; }
   { auto _e = crashes(); if (_e) { _o->crashes.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->crashes[_i] = _e->Get(_i); } } }
+  { auto _e = cleared(); if (_e) { _o->cleared.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->cleared[_i] = _e->Get(_i); } } }
+  { auto _e = trials(); _o->trials = _e; }
+  { auto _e = cleared_trials(); _o->cleared_trials = _e; }
 }
 
 inline flatbuffers::Offset<CrashSuspect> CrashSuspect::Pack(flatbuffers::FlatBufferBuilder &_fbb, const CrashSuspectT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -8140,15 +8156,17 @@
   (void)_o;
   struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const CrashSuspectT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
   auto _suspect = _o->suspect;
-  auto _clearances = _o->clearances;
-  auto _trials = _o->trials;
   auto _crashes = _o->crashes.size() ? _fbb.CreateVector(_o->crashes) : 0;
+  auto _cleared = _o->cleared.size() ? _fbb.CreateVector(_o->cleared) : 0;
+  auto _trials = _o->trials;
+  auto _cleared_trials = _o->cleared_trials;
   return Mangofall::Wire::CreateCrashSuspect(
       _fbb,
       _suspect,
-      _clearances,
+      _crashes,
+      _cleared,
       _trials,
-      _crashes);
+      _cleared_trials);
 }
 
 inline CrashUpdateT::CrashUpdateT(const CrashUpdateT &o) {
--- a/Source/Placement/CrashRecord.cpp
+++ b/Source/Placement/CrashRecord.cpp
@@ -10,9 +10,7 @@
 namespace {
 
 // Crashes without a success in between after which a suspect is held.
-constexpr std::size_t maxCrashes = 3;
-// Bounds the memory that a suspect takes and the size of messages.
-constexpr std::size_t maxListedCrashes = 32;
+constexpr std::size_t heldCrashes = 3;
 constexpr std::size_t maxEntries = 10'000;
 constexpr std::size_t evictionDivisor = 10;
 // An upstream that crashed has restarted after this time, even if its list entry does not tell.
@@ -41,19 +39,6 @@
     return std::find(ids.begin(), ids.end(), id) != ids.end();
 }
 
-bool insertCrash(std::vector<CrashId> &crashes, CrashId crash)
-{
-    const auto position = std::lower_bound(crashes.begin(), crashes.end(), crash);
-    if (position != crashes.end() && *position == crash) {
-        return false;
-    }
-    crashes.insert(position, crash);
-    // All hosts drop the greatest, so that merging stays independent of the order.
-    const bool dropped = crashes.size() > maxListedCrashes && crashes.back() == crash;
-    crashes.resize(std::min(crashes.size(), maxListedCrashes));
-    return !dropped;
-}
-
 CrashId nextCrash(CrashId crash)
 {
     return hash64("crash after " + std::to_string(crash));
@@ -70,7 +55,9 @@
     m_crashes.try_emplace(*crash, now);
     for (const SuspectId suspect : suspects) {
         Entry &entry = entryFor(suspect, now);
-        if (insertCrash(entry.state.crashes, *crash)) {
+        const SuspectState before = entry.state;
+        entry.state.addCrash(*crash);
+        if (entry.state != before) {
             changed(entry, true, now);
         }
     }
@@ -80,12 +67,10 @@
 {
     for (const SuspectId suspect : suspects) {
         const auto position = m_entries.find(suspect);
-        if (position == m_entries.end() || position->second.state.crashes.empty()) {
-            continue;
+        if (position != m_entries.end() && !position->second.state.crashes.empty()) {
+            position->second.state.clear();
+            changed(position->second, true, now);
         }
-        SuspectState &state = position->second.state;
-        state = {suspect, state.clearances + 1, 0, {}};
-        changed(position->second, true, now);
     }
 }
 
@@ -124,36 +109,25 @@
 
 SuspectState CrashRecord::merge(const SuspectState &other, TimePoint now)
 {
-    if (other.clearances == 0 && other.crashes.empty()) {
-        return other;
-    }
     Entry &entry = entryFor(other.suspect, now);
-    SuspectState &state = entry.state;
-    if (other.clearances < state.clearances) {
-        return state;
-    }
-    const SuspectState before = state;
-    if (other.clearances > state.clearances) {
-        state = {other.suspect, other.clearances, 0, {}};
-    }
-    state.trials = std::max(state.trials, other.trials);
+    const SuspectState before = entry.state;
+    entry.state.merge(other);
     for (const CrashId crash : other.crashes) {
         m_crashes.try_emplace(crash, now);
-        insertCrash(state.crashes, crash);
     }
-    if (state != before) {
+    if (entry.state != before) {
         changed(entry, false, now);
     }
-    return state;
+    return entry.state;
 }
 
 std::vector<CrashRecord::Change> CrashRecord::takeChanges()
 {
     std::vector<Change> changes;
-    for (const auto &[suspect, local] : m_changes) {
+    for (const auto &[suspect, flags] : m_changes) {
         const auto position = m_entries.find(suspect);
         if (position != m_entries.end()) {
-            changes.push_back({position->second.state, local, m_held.contains(suspect)});
+            changes.push_back({position->second.state, flags.local, flags.concernsAll});
         }
     }
     m_changes.clear();
@@ -237,18 +211,20 @@
 void CrashRecord::changed(Entry &entry, bool local, TimePoint now)
 {
     const SuspectId suspect = entry.state.suspect;
+    const bool wasHeld = m_held.contains(suspect);
     entry.lastChange = now;
-    if (entry.state.crashes.size() >= maxCrashes) {
+    if (entry.state.crashes.size() >= heldCrashes) {
         m_held.insert(suspect);
-        entry.nextTrial = now + trialPause(entry.state.trials);
+        entry.nextTrial = now + trialPause(entry.state.trials - entry.state.clearedTrials);
     } else {
         m_held.erase(suspect);
     }
     if (entry.state.crashes.empty()) {
         entry.exonerations = 0;
     }
-    bool &madeHere = m_changes[suspect];
-    madeHere = madeHere || local;
+    ChangeFlags &flags = m_changes[suspect];
+    flags.local = flags.local || local;
+    flags.concernsAll = flags.concernsAll || wasHeld || m_held.contains(suspect);
 }
 
 void CrashRecord::removeLeastSuspicious(TimePoint now)
--- a/Source/Placement/CrashRecord.h
+++ b/Source/Placement/CrashRecord.h
@@ -5,6 +5,7 @@
 #include "Placement/SuspectState.h"
 
 #include <cstddef>
+#include <cstdint>
 #include <map>
 #include <optional>
 #include <set>
@@ -43,8 +44,8 @@
     /// A state that has changed since the last call of takeChanges().
     struct Change {
         SuspectState state;
-        bool local = false; ///< Whether this host made the change, so that it is not the state of another host as it came.
-        bool held = false;
+        bool local = false; ///< Whether this host made the change, rather than another one.
+        bool concernsAll = false; ///< Whether the suspect is held, or was held before the change.
     };
 
     /// Records that a process of \p upstream, which \p start tells from others of the same id, ended while a request with the suspects ran there. A request
@@ -61,7 +62,7 @@
     SuspectState merge(const SuspectState &other, TimePoint now);
     /// The states that were changed since the last call.
     std::vector<Change> takeChanges();
-    /// All states with a crash or a clearance on record.
+    /// All states.
     std::vector<SuspectState> states() const;
 
     std::size_t heldCount() const;
@@ -72,7 +73,12 @@
         TimePoint lastChange;
         TimePoint nextTrial; ///< Set while the suspect is held.
         TimePoint nextExoneration; ///< When a request whose crashes others explain may test the suspect again.
-        std::uint32_t exonerations = 0; ///< Such tests since the last clearance.
+        std::uint32_t exonerations = 0; ///< Such tests since the last success.
+    };
+
+    struct ChangeFlags {
+        bool local = false;
+        bool concernsAll = false;
     };
 
     /// The crash that ended a request; empty if the upstream was known to be down when the request was sent.
@@ -90,7 +96,7 @@
     std::map<SuspectId, Entry> m_entries;
     std::set<SuspectId> m_held;
     std::map<CrashId, TimePoint> m_crashes; ///< When this host first knew of each crash.
-    std::map<SuspectId, bool> m_changes; ///< The suspects to return from takeChanges(), and whether this host made the change.
+    std::map<SuspectId, ChangeFlags> m_changes; ///< The suspects to return from takeChanges().
 };
 
 }
--- a/Source/Placement/SuspectState.h
+++ b/Source/Placement/SuspectState.h
@@ -21,9 +21,19 @@
  */
 struct SuspectState {
     SuspectId suspect = 0;
-    std::uint32_t clearances = 0; ///< How often a success has shown the suspect harmless. The state with more of them replaces the others.
-    std::uint32_t trials = 0; ///< Requests that were admitted to test a held suspect, since the last clearance.
-    std::vector<CrashId> crashes; ///< Crashes while a request with the suspect ran, since the last clearance; ascending.
+    std::vector<CrashId> crashes; ///< Crashes while a request with the suspect ran, without those that are cleared; ascending.
+    std::vector<CrashId> cleared; ///< Crashes that the suspect did not cause, because requests with it ran without harm later; ascending.
+    std::uint32_t trials = 0; ///< Requests that were admitted to test the suspect while it was held.
+    std::uint32_t clearedTrials = 0; ///< Those of the trials that came before the last success.
+
+    /// Adds a crash unless it is cleared.
+    void addCrash(CrashId crash);
+    /// Records a success, which clears all crashes.
+    void clear();
+    /// Adds what \p other knows.
+    void merge(const SuspectState &other);
+    /// Whether \p other lists a crash that is cleared here.
+    bool refutes(const SuspectState &other) const;
 
     friend bool operator==(const SuspectState &, const SuspectState &) = default;
 };
--- a/Tests/Forwarding/FleetPlacementTest.cpp
+++ b/Tests/Forwarding/FleetPlacementTest.cpp
@@ -333,7 +333,7 @@
 {
     Fleet fleet(2, 3);
     const Placement::PlacementRequest request = requestWithFingerprint(7);
-    fleet.hosts.begin()->second->addSuspect({7, 0, 0, {1, 2, 3}});
+    fleet.hosts.begin()->second->addSuspect({7, {1, 2, 3}, {}, 0, 0});
     CHECK(isHeldBack(fleet.answerTo(HostId("h0"), request)));
     CHECK_FALSE(isHeldBack(fleet.answerTo(HostId("h0"), requestWithFingerprint(8))));
 }
--- a/Tests/PlatformAdapter/SuspectQueueTest.cpp
+++ b/Tests/PlatformAdapter/SuspectQueueTest.cpp
@@ -8,8 +8,8 @@
 
 namespace {
 
-const SuspectState twoCrashes{7, 0, 0, {11, 12}};
-const SuspectState threeCrashes{7, 0, 0, {11, 12, 13}};
+const SuspectState twoCrashes{7, {11, 12}, {}, 0, 0};
+const SuspectState threeCrashes{7, {11, 12, 13}, {}, 0, 0};
 
 }
 
@@ -18,7 +18,7 @@
 // Guards against a state that changes on its way through the store.
 TEST(SuspectQueueTest, AStateIsReadAsItWasWritten)
 {
-    const SuspectState state{0xf000000000000001, 3, 2, {1, 0xffffffffffffffff}};
+    const SuspectState state{0xf000000000000001, {1, 0xffffffffffffffff}, {3}, 2, 1};
     const std::optional<SuspectState> read = decodeSuspect(Placement::suspectName(state.suspect), encodeSuspect(state));
     CHECK(read == state);
 }
@@ -31,14 +31,14 @@
     CHECK_FALSE(decodeSuspect("7x", "{}").has_value());
     CHECK_FALSE(decodeSuspect("", "{}").has_value());
     CHECK_FALSE(decodeSuspect("7", R"({"crashes":["a"]})").has_value());
-    CHECK(decodeSuspect("7", R"({"crashes":1,"trials":-1,"clearances":99999999999})").has_value());
+    CHECK(decodeSuspect("7", R"({"crashes":1,"trials":-1,"cleared_trials":99999999999})").has_value());
 }
 
 // Guards against a write for each request that was near a crash.
 TEST(SuspectQueueTest, ASuspectWithOneCrashIsNotWritten)
 {
     SuspectQueue queue;
-    queue.changed({7, 0, 0, {11}});
+    queue.changed({7, {11}, {}, 0, 0});
     CHECK_FALSE(queue.next().has_value());
     queue.changed(twoCrashes);
     CHECK(queue.next() == twoCrashes);
@@ -48,7 +48,7 @@
 TEST(SuspectQueueTest, AClearanceIsWrittenIfTheStoreHoldsTheSuspect)
 {
     SuspectQueue queue;
-    const SuspectState cleared{7, 1, 0, {}};
+    const SuspectState cleared{7, {}, {11, 12, 13}, 0, 0};
     queue.changed(cleared);
     CHECK_FALSE(queue.next().has_value());
     queue.listed(threeCrashes, threeCrashes);
@@ -63,7 +63,7 @@
     queue.changed(twoCrashes);
     queue.written(twoCrashes);
     CHECK_FALSE(queue.next().has_value());
-    queue.listed({7, 0, 0, {11, 13}}, threeCrashes);
+    queue.listed({7, {11, 13}, {}, 0, 0}, threeCrashes);
     CHECK(queue.next() == threeCrashes);
     queue.written(threeCrashes);
     queue.listed(threeCrashes, threeCrashes);
