Tell every host of held suspects, also those without a connection

A host that had made no placement request for a service had no connection on which to learn that a request is held back. When it became the owner, it granted copies that reached it directly: in a test with three hosts two more upstreams ended. While the store is away nothing else would tell it.

ACrashingRequestStaysHeldBackWhenTheOwnerEnds was red since the entry host refuses held requests by itself, and passes (ForwardingTest: 65 tests).

--- a/Source/Forwarding/FleetPlacement.cpp
+++ b/Source/Forwarding/FleetPlacement.cpp
@@ -1,6 +1,7 @@
 #include "Forwarding/FleetPlacement.h"
 
 #include "Base/ErrorAnswer.h"
+#include "Forwarding/RelayTargets.h"
 #include "Forwarding/WirePlacement.h"
 #include "Peer/PeerConnection.h"
 #include "Peer/PeerLink.h"
@@ -416,6 +417,7 @@
     if (!update.forAll) {
         return;
     }
+    connectRelayTargets();
     for (const auto &[host, link] : m_links) {
         link->send(toPeerMessage(*update.forAll));
     }
@@ -426,6 +428,20 @@
     }
 }
 
+void FleetPlacement::connectRelayTargets()
+{
+    std::vector<HostId> hosts;
+    hosts.reserve(m_hosts.size());
+    for (const auto &[id, host] : m_hosts) {
+        hosts.push_back(id);
+    }
+    for (const HostId &target : relayTargets(hosts, m_self)) {
+        if (!m_owners.isSkipped(target) && !m_answerConnections.contains(target)) {
+            link(target);
+        }
+    }
+}
+
 void FleetPlacement::onCrashUpdate(const std::shared_ptr<PeerConnection> &connection, const Wire::CrashUpdateT &update)
 {
     if (std::optional<Wire::CrashUpdateT> reply = m_crashes.apply(update, Clock::now())) {
--- a/Source/Forwarding/FleetPlacement.h
+++ b/Source/Forwarding/FleetPlacement.h
@@ -108,6 +108,8 @@
     void refuseAssignment(std::uint64_t number, const Placement::Refusal &refusal);
     /// Sends what has changed in the crash record to the hosts that need it.
     void publishCrashes();
+    /// Makes links to the hosts that pass on what all hosts must learn.
+    void connectRelayTargets();
     void onCrashUpdate(const std::shared_ptr<PeerConnection> &connection, const Wire::CrashUpdateT &update);
     void sendReport(const HostId &owner, const Wire::PlacementReportT &report);
     void scheduleTick();
