End a begun stream as broken if the next upstream sends no events

Reported by another operator of a like system: a stream had begun and broke off, and the next runner's answer ended it as if it were complete. Here this happened with a signed answer 2xx other than 200, and with a 200 without any event: the stream was finished with its last chunk. Cause: completeness was judged by whether the caller's answer had begun, not by what this attempt had brought.

--- a/Source/Forwarding/ForwardingSession.cpp
+++ b/Source/Forwarding/ForwardingSession.cpp
@@ -353,6 +353,8 @@
         result = failedAttempt(AttemptOutcome::MayHaveRun, GrantOutcome::Failed, "refusal without proof");
     } else if (answer.status == okStatus && isStream()) {
         result = co_await relayStream(call, answer);
+    } else if (answer.status < firstErrorStatus && m_exchange.started()) {
+        result = failedAttempt(AttemptOutcome::MayHaveRun, GrantOutcome::Broken, "no stream where one had begun");
     } else {
         result = co_await receiveWhole(call, answer);
     }
@@ -419,8 +421,8 @@
             co_return failedAttempt(AttemptOutcome::MayHaveRun, GrantOutcome::Cancelled, "caller left");
         }
     }
-    if (!splitter.pending().empty() || !m_exchange.started()) {
-        co_return failedAttempt(AttemptOutcome::MayHaveRun, GrantOutcome::Broken, "stream ended inside an event");
+    if (!splitter.pending().empty() || first) {
+        co_return failedAttempt(AttemptOutcome::MayHaveRun, GrantOutcome::Broken, "stream ended inside an event or without one");
     }
     co_return AttemptResult{AttemptOutcome::Answered, GrantOutcome::Completed, {}, answer.status, {}, {}, {}};
 }
--- a/Tests/Forwarding/ForwardingSessionTest.cpp
+++ b/Tests/Forwarding/ForwardingSessionTest.cpp
@@ -412,3 +412,91 @@
     CHECK_EQUAL(1, host.placement.outcomes.size());
     CHECK(host.placement.outcomes.front() == GrantOutcome::Cancelled);
 }
+
+// Guards against telling a caller that its order did not run because the upstream repeated an earlier refusal. Another operator met this on a kept
+// connection; each attempt here has a connection of its own, and the refusal names another request.
+TEST(ForwardingSessionTest, ARefusalOfAnotherRequestIsNoProof)
+{
+    Host host;
+    host.add(wholeAnswer(503, "Id: 8\r\nNot-Run: 1\r\n", ""));
+    ScriptedUpstream &second = host.add(wholeAnswer(200, "Id: 7\r\nSigned: s\r\n", "hello"));
+    CHECK(host.call("POST", "/order/1").starts_with("HTTP/1.1 502"));
+    LONGS_EQUAL(0, second.requests().size());
+}
+
+// Guards against a refusal that arrives a second time, in front of the next answer: an upstream's connection is used for one request only.
+TEST(ForwardingSessionTest, EachAttemptHasAConnectionOfItsOwn)
+{
+    Host host;
+    ScriptedUpstream &upstream = host.add(wholeAnswer(200, "Id: 7\r\nSigned: s\r\n", "hello") + wholeAnswer(503, "Id: 7\r\nNot-Run: 1\r\n", ""));
+    host.placement.ports.push_back(upstream.port());
+    CHECK(contains(host.call("POST", "/order/1"), "hello"));
+    host.io.restart();
+    CHECK(host.call("POST", "/order/1").starts_with("HTTP/1.1 502"));
+    LONGS_EQUAL(2, upstream.requests().size());
+}
+
+// Guards against an error answer, its head or an answer of another kind in the middle of a stream that another upstream had begun, and against a stream that
+// then looks complete.
+TEST(ForwardingSessionTest, ABrokenStreamEndsBrokenIfTheNextUpstreamSendsNoEvents)
+{
+    const std::vector<std::string> answers{
+        wholeAnswer(500, "Id: 7\r\nSigned: s\r\n", "internal error"),
+        wholeAnswer(502, "Id: 7\r\n", "internal error"),
+        wholeAnswer(201, "Id: 7\r\nSigned: s\r\n", "internal error"),
+        wholeAnswer(204, "Id: 7\r\nSigned: s\r\n", ""),
+        wholeAnswer(200, "Id: 7\r\nSigned: s\r\n", "internal error"),
+        wholeAnswer(200, "Id: 7\r\nSigned: s\r\n", ""),
+        streamHead + "0\r\n\r\n",
+        streamHead + chunk("HTTP/1.1 500 X\r\n\r\ninternal error\n\n") + "0\r\n\r\n",
+    };
+    for (const std::string &second : answers) {
+        Host host;
+        host.add(streamHead + chunk(event(1) + event(2)));
+        host.add(second);
+        const std::string answer = host.call("POST", "/stream/1");
+        CHECK_TEXT(contains(answer, event(2)), second.c_str());
+        CHECK_TEXT(!contains(answer, "0\r\n\r\n"), second.c_str());
+        CHECK_TEXT(!contains(answer, "internal error"), second.c_str());
+        LONGS_EQUAL_TEXT(1, count(answer, "HTTP/1.1"), second.c_str());
+    }
+}
+
+// Guards against a 200 with an empty or short body, framed as whole, after an upstream that stopped inside its answer's head.
+TEST(ForwardingSessionTest, AnAnswerThatEndsInsideItsHeadIsNotRelayed)
+{
+    const std::string head = "HTTP/1.1 200 OK\r\nId: 7\r\nSigned: s\r\nContent-Length: 5\r\n\r\n";
+    for (std::size_t length = 1; length < head.size(); ++length) {
+        Host host;
+        host.add(head.substr(0, length));
+        const std::string answer = host.call("POST", "/order/1");
+        CHECK_TEXT(answer.starts_with("HTTP/1.1 502"), head.substr(0, length).c_str());
+    }
+}
+
+// Guards against taking a stream for complete, or for broken, because it ends with its connection.
+TEST(ForwardingSessionTest, AStreamMayEndWithItsConnectionBetweenEvents)
+{
+    const std::string head = "HTTP/1.1 200 OK\r\nId: 7\r\nSigned: s\r\n\r\n";
+    Host complete;
+    complete.add(head + event(1) + event(2));
+    const std::string answer = complete.call("POST", "/once/1");
+    CHECK(contains(answer, event(2)));
+    CHECK(contains(answer, "0\r\n\r\n"));
+    Host broken;
+    broken.add(head + event(1) + "id: 2\ndata: ha");
+    const std::string brokenAnswer = broken.call("POST", "/once/1");
+    CHECK(contains(brokenAnswer, event(1)));
+    CHECK_FALSE(contains(brokenAnswer, "data: ha"));
+    CHECK_FALSE(contains(brokenAnswer, "0\r\n\r\n"));
+}
+
+// Guards against a whole answer that loses its body, or never ends, because it has no length.
+TEST(ForwardingSessionTest, AWholeAnswerMayEndWithItsConnection)
+{
+    Host host;
+    host.add("HTTP/1.1 200 OK\r\nId: 7\r\nSigned: s\r\n\r\nhello");
+    const std::string answer = host.call("POST", "/order/1");
+    CHECK(answer.starts_with("HTTP/1.1 200"));
+    CHECK(contains(answer, "hello"));
+}
