Take only a connection that ended for a crash, not an answer that can't be read

A faulty upstream that answers with wrong bytes, without its signature or with another request's answer counted as crashed, and parts of prompts and requests could be held back for it. The new outcome Malformed counts as a failure of the upstream like Broken and says nothing against the request; hosts of an earlier version take it for Cancelled.

OnlyAConnectionThatEndsCountsAsACrash came with the change; before it, the four malformed answers gave Broken.

--- a/Source/Forwarding/ForwardingSession.cpp
+++ b/Source/Forwarding/ForwardingSession.cpp
@@ -15,6 +15,7 @@
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/beast/core/error.hpp>
+#include <boost/beast/http/error.hpp>
 
 #include <algorithm>
 #include <random>
@@ -73,6 +74,14 @@
     return attempt;
 }
 
+// Whether the bytes that arrived are no HTTP message, rather than a part of one.
+bool isParseError(const boost::system::error_code &error)
+{
+    namespace BeastHttp = boost::beast::http;
+    const bool ended = error == BeastHttp::error::end_of_stream || error == BeastHttp::error::partial_message;
+    return !ended && error.category() == make_error_code(BeastHttp::error::end_of_stream).category();
+}
+
 std::string milliseconds(Duration duration)
 {
     return std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(duration).count());
@@ -337,7 +346,7 @@
     const UpstreamAnswer answer = m_context.translator.decodeAnswer(call, m_request);
     AttemptResult result;
     if (answer.answersOtherRequest || answer.encoded) {
-        result = failedAttempt(AttemptOutcome::MayHaveRun, GrantOutcome::Broken, "answer of another request or encoded answer");
+        result = failedAttempt(AttemptOutcome::MayHaveRun, GrantOutcome::Malformed, "answer of another request or encoded answer");
     } else if (answer.wrongUpstream) {
         result = failedAttempt(AttemptOutcome::NotExecuted, GrantOutcome::WrongUpstream, "another upstream has the address");
     } else if (answer.provenNotExecuted) {
@@ -348,13 +357,13 @@
             }
         }
     } else if (answer.status < firstErrorStatus && !answer.authentic) {
-        result = failedAttempt(AttemptOutcome::MayHaveRun, GrantOutcome::Broken, "answer without signature");
+        result = failedAttempt(AttemptOutcome::MayHaveRun, GrantOutcome::Malformed, "answer without signature");
     } else if (assertsNotRun(answer.status)) {
         result = failedAttempt(AttemptOutcome::MayHaveRun, GrantOutcome::Failed, "refusal without proof");
     } else if (answer.status == okStatus && isStream()) {
         result = co_await relayStream(call, answer);
     } else if (answer.status < firstErrorStatus && m_exchange.started()) {
-        result = failedAttempt(AttemptOutcome::MayHaveRun, GrantOutcome::Broken, "no stream where one had begun");
+        result = failedAttempt(AttemptOutcome::MayHaveRun, GrantOutcome::Malformed, "no stream where one had begun");
     } else {
         result = co_await receiveWhole(call, answer);
     }
@@ -401,7 +410,7 @@
         std::string events;
         while (const std::optional<SseRawEvent> event = splitter.next()) {
             if (!event->wellFormed || !event->id) {
-                co_return failedAttempt(AttemptOutcome::MayHaveRun, GrantOutcome::Broken, "malformed event");
+                co_return failedAttempt(AttemptOutcome::MayHaveRun, GrantOutcome::Malformed, "malformed event");
             }
             if (m_progress.markReceived(*event->id)) {
                 events += event->bytes;
@@ -519,8 +528,10 @@
 
 AttemptResult ForwardingSession::interruptedAttempt(const boost::system::error_code &error) const
 {
-    const bool silent = m_retryCharged || error == boost::beast::error::timeout;
-    return failedAttempt(AttemptOutcome::MayHaveRun, silent ? GrantOutcome::Silent : GrantOutcome::Broken, silent ? "silent" : error.message());
+    if (m_retryCharged || error == boost::beast::error::timeout) {
+        return failedAttempt(AttemptOutcome::MayHaveRun, GrantOutcome::Silent, "silent");
+    }
+    return failedAttempt(AttemptOutcome::MayHaveRun, isParseError(error) ? GrantOutcome::Malformed : GrantOutcome::Broken, error.message());
 }
 
 Duration ForwardingSession::answerTimeout(const Assignment &assignment, TimePoint now) const
--- a/Source/Forwarding/WirePlacement.cpp
+++ b/Source/Forwarding/WirePlacement.cpp
@@ -132,7 +132,7 @@
 
 Placement::GrantOutcome outcomeFromWire(std::uint8_t value)
 {
-    constexpr auto last = static_cast<std::uint8_t>(Placement::GrantOutcome::Silent);
+    constexpr auto last = static_cast<std::uint8_t>(Placement::GrantOutcome::Malformed);
     return value <= last ? static_cast<Placement::GrantOutcome>(value) : Placement::GrantOutcome::Cancelled;
 }
 
--- a/Source/Placement/FailureRecord.cpp
+++ b/Source/Placement/FailureRecord.cpp
@@ -20,9 +20,9 @@
 constexpr double failureCost = 2;
 constexpr double avoidedCost = 10;
 
-bool isFailure(GrantOutcome outcome)
+bool isUnusable(GrantOutcome outcome)
 {
-    return outcome == GrantOutcome::Unreachable || outcome == GrantOutcome::Failed || outcome == GrantOutcome::Broken || outcome == GrantOutcome::Silent;
+    return outcome == GrantOutcome::Unreachable || outcome == GrantOutcome::Silent || outcome == GrantOutcome::Broken || outcome == GrantOutcome::Malformed;
 }
 
 }
@@ -40,7 +40,8 @@
         avoidFor(longestPause, now);
         return;
     }
-    const bool failed = isFailure(outcome);
+    const bool unusable = isUnusable(outcome);
+    const bool failed = unusable || outcome == GrantOutcome::Failed;
     m_failureShare += newestWeight * ((failed ? 1.0 : 0.0) - m_failureShare);
     if (!failed) {
         m_consecutive = 0;
@@ -48,7 +49,6 @@
         return;
     }
     ++m_consecutive;
-    const bool unusable = outcome == GrantOutcome::Unreachable || outcome == GrantOutcome::Silent || outcome == GrantOutcome::Broken;
     if (unusable || m_consecutive > 1 || m_failureShare > tolerableShare) {
         const std::uint32_t doublings = std::min(m_consecutive - 1, maxDoublings);
         avoidFor(std::min<Duration>(longestPause, firstPause * (1U << doublings)), now);
--- a/Source/Placement/GrantOutcome.h
+++ b/Source/Placement/GrantOutcome.h
@@ -10,8 +10,9 @@
     Rejected, ///< The upstream refused the request before it started it.
     WrongUpstream, ///< Another upstream answered at the address.
     Failed, ///< The upstream started the request and answered with an error.
-    Broken, ///< The connection broke or the answer could not be parsed.
+    Broken, ///< The connection ended before the answer was complete.
     Silent, ///< Nothing arrived from the upstream for too long.
+    Malformed, ///< The answer could not be parsed or was not the answer to the request.
 };
 
 }
--- a/Tests/Forwarding/ForwardingSessionTest.cpp
+++ b/Tests/Forwarding/ForwardingSessionTest.cpp
@@ -500,3 +500,27 @@
     CHECK(answer.starts_with("HTTP/1.1 200"));
     CHECK(contains(answer, "hello"));
 }
+
+// Guards against holding back a request, or a part of its prompt, because of upstreams that answer with wrong bytes and did not crash.
+TEST(ForwardingSessionTest, OnlyAConnectionThatEndsCountsAsACrash)
+{
+    const std::vector<std::string> malformed{
+        wholeAnswer(200, "Id: 7\r\n", "hello"),
+        wholeAnswer(200, "Id: 8\r\nSigned: s\r\n", "hello"),
+        "not http at all\r\n\r\n",
+        streamHead + chunk("no event\n\n"),
+    };
+    for (const std::string &answer : malformed) {
+        Host host;
+        host.add(answer);
+        host.call("POST", "/once/1");
+        CHECK_TEXT(host.placement.outcomes == std::vector{GrantOutcome::Malformed}, answer.c_str());
+    }
+    const std::vector<std::string> ended{"", "HTTP/1.1 200 OK\r\nId: 7", streamHead, streamHead + chunk(event(1))};
+    for (const std::string &answer : ended) {
+        Host host;
+        host.add(answer);
+        host.call("POST", "/once/1");
+        CHECK_TEXT(host.placement.outcomes == std::vector{GrantOutcome::Broken}, answer.c_str());
+    }
+}
