Leave upstreams alone that say they are leaving or want a pause

The users' new rules: an upstream that leaves says so in all its answers (Server-Leaving), and one that turns a request away may say for how long it wants nothing from the host (Retry-After with 503). Nothing read either; after a rejection an upstream was avoided for 100 ms only.

The owner grants a leaving upstream to nobody and one that wants a pause to all hosts but that one, and refuses a request at once if no upstream takes it before its deadline. A notice ends with the process that gave it. A pause is cut at five minutes.

--- a/Source/Forwarding/FleetPlacement.cpp
+++ b/Source/Forwarding/FleetPlacement.cpp
@@ -191,6 +191,21 @@
     sendReport(placement->second.owner, report);
 }
 
+void FleetPlacement::noticeReceived(const Placement::PlacementRequestId &id, const Placement::UpstreamNotice &notice)
+{
+    const auto placement = m_localPlacements.find(id.number);
+    if (placement == m_localPlacements.end() || !placement->second.assignment) {
+        return;
+    }
+    const Placement::Assignment &assignment = *placement->second.assignment;
+    const HostId &owner = placement->second.owner;
+    if (owner == m_self) {
+        m_table.noticeReceived(m_self, assignment.upstream, assignment.upstreamStart, notice, Clock::now());
+    } else if (m_hosts.contains(owner)) {
+        link(owner)->send(toPeerMessage(toWire(assignment, notice)));
+    }
+}
+
 void FleetPlacement::ended(const Placement::PlacementRequestId &id, Placement::GrantOutcome outcome, const std::optional<UpstreamId> &faulty)
 {
     const auto placement = m_localPlacements.find(id.number);
@@ -251,6 +266,8 @@
         onReport(from, *report);
     } else if (const Wire::PlacementAdoptionT *adoption = message.body.AsPlacementAdoption()) {
         onAdoption(from, *adoption);
+    } else if (const Wire::UpstreamNoticeT *notice = message.body.AsUpstreamNotice()) {
+        onUpstreamNotice(from, *notice);
     } else if (const Wire::MembershipProbeT *probe = message.body.AsMembershipProbe()) {
         Wire::MembershipProbeAnswerT answer;
         answer.probe = probe->probe;
@@ -502,6 +519,11 @@
     applyActions(m_table.ended(id, outcomeFromWire(report.outcome), faulty, Clock::now()));
 }
 
+void FleetPlacement::onUpstreamNotice(const HostId &from, const Wire::UpstreamNoticeT &notice)
+{
+    m_table.noticeReceived(from, UpstreamId(notice.upstream), notice.start, fromWire(notice), Clock::now());
+}
+
 void FleetPlacement::onAdoption(const HostId &from, const Wire::PlacementAdoptionT &adoption)
 {
     const TimePoint now = Clock::now();
--- a/Source/Forwarding/FleetPlacement.h
+++ b/Source/Forwarding/FleetPlacement.h
@@ -29,6 +29,7 @@
 struct PlacementCallT;
 struct PlacementReportT;
 struct PlacementAdoptionT;
+struct UpstreamNoticeT;
 }
 
 namespace Mangofall::Forwarding {
@@ -70,6 +71,7 @@
     Placement::PlacementRequestId nextId() override;
     void submit(const Placement::PlacementRequest &placementRequest, Handler handler) override;
     void firstEventReceived(const Placement::PlacementRequestId &id) override;
+    void noticeReceived(const Placement::PlacementRequestId &id, const Placement::UpstreamNotice &notice) override;
     void ended(const Placement::PlacementRequestId &id, Placement::GrantOutcome outcome, const std::optional<UpstreamId> &faulty) override;
 
     void handleMessage(const std::shared_ptr<PeerConnection> &connection, Wire::PeerMessageT &&message) override;
@@ -103,6 +105,7 @@
     void onCall(const std::shared_ptr<PeerConnection> &connection, const HostId &from, const Wire::PlacementCallT &call);
     void onAnswer(const HostId &from, const Wire::PlacementAnswerT &answer);
     void onReport(const HostId &from, const Wire::PlacementReportT &report);
+    void onUpstreamNotice(const HostId &from, const Wire::UpstreamNoticeT &notice);
     void onAdoption(const HostId &from, const Wire::PlacementAdoptionT &adoption);
     /// Refuses a request that got an assignment from an owner which does not know that the request is held back.
     void refuseAssignment(std::uint64_t number, const Placement::Refusal &refusal);
--- a/Source/Forwarding/ForwardingContext.h
+++ b/Source/Forwarding/ForwardingContext.h
@@ -24,7 +24,7 @@
     const MessageTranslator &translator;
     PlacementGateway &placement;
     EngineMemoryClient &engineMemory;
-    const UpstreamAvailability &upstreams;
+    UpstreamAvailability &upstreams;
     RetryBudgets &budgets;
     EventLog &log;
     ForwardingMetrics &metrics;
--- a/Source/Forwarding/ForwardingSession.cpp
+++ b/Source/Forwarding/ForwardingSession.cpp
@@ -184,9 +184,9 @@
             break;
         }
         const Assignment &assignment = std::get<Assignment>(*answer);
-        if (!m_context.upstreams.mayUse(assignment.upstream)) {
-            logDecision("stale_place", assignment.upstream.value());
-            m_excluded.insert(assignment.upstream);
+        if (const std::optional<UpstreamId> unusable = unusableUpstream(assignment)) {
+            logDecision("stale_place", unusable->value());
+            m_excluded.insert(*unusable);
             m_context.placement.ended(m_placementRequestId, GrantOutcome::Cancelled, std::nullopt);
             if (++staleAssignments < maxStaleAssignments) {
                 continue;
@@ -291,6 +291,20 @@
     co_return attempt;
 }
 
+std::optional<UpstreamId> ForwardingSession::unusableUpstream(const Assignment &assignment) const
+{
+    const TimePoint now = Clock::now();
+    if (!m_context.upstreams.mayUse(assignment.upstream, now)) {
+        return assignment.upstream;
+    }
+    for (const UpstreamId &helper : assignment.helpers) {
+        if (!m_context.upstreams.mayUse(helper, now)) {
+            return helper;
+        }
+    }
+    return std::nullopt;
+}
+
 std::vector<MemoryReservation> ForwardingSession::reservationsFor(const Assignment &assignment) const
 {
     std::vector<MemoryReservation> reservations;
@@ -344,6 +358,7 @@
 Asio::awaitable<AttemptResult> ForwardingSession::receive(UpstreamCall &call, const Assignment &assignment)
 {
     const UpstreamAnswer answer = m_context.translator.decodeAnswer(call, m_request);
+    recordNotice(assignment.upstream, answer);
     AttemptResult result;
     if (answer.answersOtherRequest || answer.encoded) {
         result = failedAttempt(AttemptOutcome::MayHaveRun, GrantOutcome::Malformed, "answer of another request or encoded answer");
@@ -370,6 +385,17 @@
     co_return result;
 }
 
+// At an address that another upstream has taken over, the notice is not the assigned upstream's.
+void ForwardingSession::recordNotice(const UpstreamId &upstream, const UpstreamAnswer &answer)
+{
+    if (answer.notice.empty() || answer.wrongUpstream) {
+        return;
+    }
+    logDecision(answer.notice.leaving ? "upstream_says_leaving" : "upstream_wants_pause", upstream.value());
+    m_context.upstreams.recordNotice(upstream, answer.notice, Clock::now());
+    m_context.placement.noticeReceived(m_placementRequestId, answer.notice);
+}
+
 Asio::awaitable<AttemptResult> ForwardingSession::receiveWhole(UpstreamCall &call, const UpstreamAnswer &answer)
 {
     std::string body;
--- a/Source/Forwarding/ForwardingSession.h
+++ b/Source/Forwarding/ForwardingSession.h
@@ -73,6 +73,10 @@
     /// Breaks off an answer that has started, so that the caller sees that it is incomplete.
     boost::asio::awaitable<void> failStream(ErrorKind kind);
 
+    /// An upstream of the assignment that this host may not use; empty if there is none.
+    std::optional<UpstreamId> unusableUpstream(const Assignment &assignment) const;
+    /// Records what the upstream says about itself, here and at the owner.
+    void recordNotice(const UpstreamId &upstream, const UpstreamAnswer &answer);
     std::vector<MemoryReservation> reservationsFor(const Assignment &assignment) const;
     Placement::PlacementRequest makePlacementRequest();
     /// Result of an attempt whose answer timed out or broke off with \p error.
--- a/Source/Forwarding/PlacementGateway.h
+++ b/Source/Forwarding/PlacementGateway.h
@@ -3,6 +3,7 @@
 #include "Placement/GrantOutcome.h"
 #include "Placement/PlacementActions.h"
 #include "Placement/PlacementRequest.h"
+#include "Placement/UpstreamNotice.h"
 
 #include <functional>
 #include <optional>
@@ -34,6 +35,9 @@
     /// Reports that the first event of the answer has arrived, which ends the prefill.
     virtual void firstEventReceived(const Placement::PlacementRequestId &id) = 0;
 
+    /// Reports what the assigned upstream says about itself in its answer.
+    virtual void noticeReceived(const Placement::PlacementRequestId &id, const Placement::UpstreamNotice &notice) = 0;
+
     /// Releases the assignment, or withdraws the placement request if there is no assignment yet.
     virtual void ended(const Placement::PlacementRequestId &id, Placement::GrantOutcome outcome, const std::optional<UpstreamId> &faulty) = 0;
 };
--- a/Source/Forwarding/UpstreamAnswer.h
+++ b/Source/Forwarding/UpstreamAnswer.h
@@ -3,6 +3,7 @@
 #include "Base/Ids.h"
 #include "Config/NetworkAddress.h"
 #include "Http/HttpExchange.h"
+#include "Placement/UpstreamNotice.h"
 
 #include <optional>
 
@@ -19,6 +20,7 @@
     bool provenNotExecuted = false; ///< Proves that the request did not run and never will.
     bool wrongUpstream = false; ///< An upstream other than the assigned one answered at the address.
     bool encoded = false; ///< The body has a content encoding although none was requested.
+    Placement::UpstreamNotice notice; ///< What the upstream says about itself.
     std::optional<NetworkAddress> faultyHelper; ///< Address of the helper engine that caused a refusal.
     HeaderFields fields; ///< Header fields to pass on to the caller.
 };
--- a/Source/Forwarding/UpstreamAvailability.h
+++ b/Source/Forwarding/UpstreamAvailability.h
@@ -1,6 +1,8 @@
 #pragma once
 
 #include "Base/Ids.h"
+#include "Base/Time.h"
+#include "Placement/UpstreamNotice.h"
 
 namespace Mangofall::Forwarding {
 
@@ -16,8 +18,11 @@
     UpstreamAvailability &operator=(const UpstreamAvailability &) = delete;
     virtual ~UpstreamAvailability() = default;
 
-    /// False if this host knows that the upstream is leaving, was removed or is out of service.
-    virtual bool mayUse(const UpstreamId &upstream) const = 0;
+    /// False if this host knows that the upstream is leaving, was removed, is out of service or wants no request from this host at \p now.
+    virtual bool mayUse(const UpstreamId &upstream, TimePoint now) const = 0;
+
+    /// Records what the upstream says about itself in an answer to this host.
+    virtual void recordNotice(const UpstreamId &upstream, const Placement::UpstreamNotice &notice, TimePoint now) = 0;
 };
 
 }
--- a/Source/Forwarding/UpstreamDirectory.cpp
+++ b/Source/Forwarding/UpstreamDirectory.cpp
@@ -16,6 +16,10 @@
 void UpstreamDirectory::listed(const ListedUpstream &upstream)
 {
     m_removedIds.erase(upstream.entry.id);
+    const auto known = m_upstreams.find(upstream.entry.id);
+    if (known != m_upstreams.end() && !isSameStart(known->second.upstream.entry, upstream.entry)) {
+        m_notices.forget(upstream.entry.id);
+    }
     m_upstreams[upstream.entry.id] = KnownUpstream{upstream, std::nullopt};
 }
 
@@ -74,15 +78,24 @@
 }
 
 // An upstream that this host does not know may be on a more recent version of the list.
-bool UpstreamDirectory::mayUse(const UpstreamId &upstream) const
+bool UpstreamDirectory::mayUse(const UpstreamId &upstream, TimePoint now) const
 {
+    if (m_notices.refuses(upstream, now)) {
+        return false;
+    }
     const auto known = m_upstreams.find(upstream);
     return known == m_upstreams.end() ? !m_removedIds.contains(upstream) : accepting(known->second);
 }
 
+void UpstreamDirectory::recordNotice(const UpstreamId &upstream, const Placement::UpstreamNotice &notice, TimePoint now)
+{
+    m_notices.record(upstream, notice, now);
+}
+
 void UpstreamDirectory::removePermanently(const UpstreamId &id)
 {
     m_upstreams.erase(id);
+    m_notices.forget(id);
     if (m_removedIds.size() >= maxRemovedIds) {
         m_removedIds.erase(m_removedIds.begin());
     }
@@ -91,7 +104,8 @@
 
 bool UpstreamDirectory::accepting(const KnownUpstream &known) const
 {
-    return !known.upstream.leaving && !m_outOfService.contains(known.upstream.entry.dataCentre);
+    const UpstreamId &id = known.upstream.entry.id;
+    return !known.upstream.leaving && !m_notices.leaving(id) && !m_outOfService.contains(known.upstream.entry.dataCentre);
 }
 
 }
--- a/Source/Forwarding/UpstreamDirectory.h
+++ b/Source/Forwarding/UpstreamDirectory.h
@@ -4,6 +4,7 @@
 #include "Base/Time.h"
 #include "Forwarding/ListedUpstream.h"
 #include "Forwarding/UpstreamAvailability.h"
+#include "Forwarding/UpstreamNotices.h"
 
 #include <map>
 #include <optional>
@@ -38,7 +39,8 @@
     std::vector<Placement::UpstreamEntry> entries() const;
     std::size_t size() const;
 
-    bool mayUse(const UpstreamId &upstream) const override;
+    bool mayUse(const UpstreamId &upstream, TimePoint now) const override;
+    void recordNotice(const UpstreamId &upstream, const Placement::UpstreamNotice &notice, TimePoint now) override;
 
 private:
     struct KnownUpstream {
@@ -51,6 +53,7 @@
     bool accepting(const KnownUpstream &known) const;
 
     std::map<UpstreamId, KnownUpstream> m_upstreams;
+    UpstreamNotices m_notices;
     std::set<UpstreamId> m_removedIds; ///< Upstreams that were removed and not listed again; an id is reused only with a new listing.
     std::set<DataCentreId> m_outOfService;
     std::optional<TimePoint> m_relistPeriodStart; ///< Empty before the first call of restartRelistPeriod().
--- a/Source/Forwarding/WirePlacement.cpp
+++ b/Source/Forwarding/WirePlacement.cpp
@@ -136,6 +136,21 @@
     return value <= last ? static_cast<Placement::GrantOutcome>(value) : Placement::GrantOutcome::Cancelled;
 }
 
+Wire::UpstreamNoticeT toWire(const Placement::Assignment &assignment, const Placement::UpstreamNotice &notice)
+{
+    Wire::UpstreamNoticeT message;
+    message.upstream = assignment.upstream.value();
+    message.start = assignment.upstreamStart;
+    message.leaving = notice.leaving;
+    message.pause_ms = toMilliseconds(notice.pause);
+    return message;
+}
+
+Placement::UpstreamNotice fromWire(const Wire::UpstreamNoticeT &notice)
+{
+    return {notice.leaving, milliseconds(notice.pause_ms)};
+}
+
 Wire::CrashSuspectT toWire(const Placement::SuspectState &state)
 {
     Wire::CrashSuspectT suspect;
--- a/Source/Forwarding/WirePlacement.h
+++ b/Source/Forwarding/WirePlacement.h
@@ -5,6 +5,7 @@
 #include "Placement/PlacementRequest.h"
 #include "Placement/PlacementTable.h"
 #include "Placement/SuspectState.h"
+#include "Placement/UpstreamNotice.h"
 
 namespace Mangofall::Forwarding {
 
@@ -21,6 +22,9 @@
 /// Decodes the refusal of an answer whose result is Refused.
 Placement::Refusal refusalFromWire(const Wire::PlacementAnswerT &answer, const Placement::PlacementRequestId &id);
 
+Wire::UpstreamNoticeT toWire(const Placement::Assignment &assignment, const Placement::UpstreamNotice &notice);
+Placement::UpstreamNotice fromWire(const Wire::UpstreamNoticeT &notice);
+
 Wire::CrashSuspectT toWire(const Placement::SuspectState &state);
 Placement::SuspectState fromWire(const Wire::CrashSuspectT &suspect);
 
--- a/Source/Peer/PeerMessages_generated.h
+++ b/Source/Peer/PeerMessages_generated.h
@@ -158,6 +158,10 @@
 struct PlacementReportBuilder;
 struct PlacementReportT;
 
+struct UpstreamNotice;
+struct UpstreamNoticeBuilder;
+struct UpstreamNoticeT;
+
 struct PlacementAdoption;
 struct PlacementAdoptionBuilder;
 struct PlacementAdoptionT;
@@ -418,11 +422,12 @@
   FeedCall = 30,
   FeedAnswer = 31,
   CrashUpdate = 32,
+  UpstreamNotice = 33,
   MIN = NONE,
-  MAX = CrashUpdate
+  MAX = UpstreamNotice
 };
 
-inline const Body (&EnumValuesBody())[33] {
+inline const Body (&EnumValuesBody())[34] {
   static const Body values[] = {
     Body::NONE,
     Body::Hello,
@@ -456,13 +461,14 @@
     Body::PlacementAdoption,
     Body::FeedCall,
     Body::FeedAnswer,
-    Body::CrashUpdate
+    Body::CrashUpdate,
+    Body::UpstreamNotice
   };
   return values;
 }
 
 inline const char * const *EnumNamesBody() {
-  static const char * const names[34] = {
+  static const char * const names[35] = {
     "NONE",
     "Hello",
     "Heartbeat",
@@ -496,13 +502,14 @@
     "FeedCall",
     "FeedAnswer",
     "CrashUpdate",
+    "UpstreamNotice",
     nullptr
   };
   return names;
 }
 
 inline const char *EnumNameBody(Body e) {
-  if (flatbuffers::IsOutRange(e, Body::NONE, Body::CrashUpdate)) return "";
+  if (flatbuffers::IsOutRange(e, Body::NONE, Body::UpstreamNotice)) return "";
   const size_t index = static_cast<size_t>(e);
   return EnumNamesBody()[index];
 }
@@ -639,6 +646,10 @@
   static const Body enum_value = Body::CrashUpdate;
 };
 
+template<> struct BodyTraits<Mangofall::Wire::UpstreamNotice> {
+  static const Body enum_value = Body::UpstreamNotice;
+};
+
 template<typename T> struct BodyUnionTraits {
   static const Body enum_value = Body::NONE;
 };
@@ -771,6 +782,10 @@
   static const Body enum_value = Body::CrashUpdate;
 };
 
+template<> struct BodyUnionTraits<Mangofall::Wire::UpstreamNoticeT> {
+  static const Body enum_value = Body::UpstreamNotice;
+};
+
 struct BodyUnion {
   Body type;
   void *value;
@@ -1057,6 +1072,14 @@
     return type == Body::CrashUpdate ?
       reinterpret_cast<const Mangofall::Wire::CrashUpdateT *>(value) : nullptr;
   }
+  Mangofall::Wire::UpstreamNoticeT *AsUpstreamNotice() {
+    return type == Body::UpstreamNotice ?
+      reinterpret_cast<Mangofall::Wire::UpstreamNoticeT *>(value) : nullptr;
+  }
+  const Mangofall::Wire::UpstreamNoticeT *AsUpstreamNotice() const {
+    return type == Body::UpstreamNotice ?
+      reinterpret_cast<const Mangofall::Wire::UpstreamNoticeT *>(value) : nullptr;
+  }
 };
 
 bool VerifyBody(flatbuffers::Verifier &verifier, const void *obj, Body type);
@@ -5402,6 +5425,110 @@
 
 flatbuffers::Offset<PlacementReport> CreatePlacementReport(flatbuffers::FlatBufferBuilder &_fbb, const PlacementReportT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
 
+struct UpstreamNoticeT : public flatbuffers::NativeTable {
+  typedef UpstreamNotice TableType;
+  std::string upstream{};
+  uint64_t start = 0;
+  bool leaving = false;
+  uint32_t pause_ms = 0;
+};
+
+/// What an upstream says about itself in an answer, from the host that it answered to the owner.
+struct UpstreamNotice FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef UpstreamNoticeT NativeTableType;
+  typedef UpstreamNoticeBuilder Builder;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_UPSTREAM = 4,
+    VT_START = 6,
+    VT_LEAVING = 8,
+    VT_PAUSE_MS = 10
+  };
+  const flatbuffers::String *upstream() const {
+    return GetPointer<const flatbuffers::String *>(VT_UPSTREAM);
+  }
+  /// Tells the process of the upstream from others with the same id.
+  uint64_t start() const {
+    return GetField<uint64_t>(VT_START, 0);
+  }
+  bool leaving() const {
+    return GetField<uint8_t>(VT_LEAVING, 0) != 0;
+  }
+  /// The upstream wants no request from the sender for this long; 0 if it does not say so.
+  uint32_t pause_ms() const {
+    return GetField<uint32_t>(VT_PAUSE_MS, 0);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffset(verifier, VT_UPSTREAM) &&
+           verifier.VerifyString(upstream()) &&
+           VerifyField<uint64_t>(verifier, VT_START, 8) &&
+           VerifyField<uint8_t>(verifier, VT_LEAVING, 1) &&
+           VerifyField<uint32_t>(verifier, VT_PAUSE_MS, 4) &&
+           verifier.EndTable();
+  }
+  UpstreamNoticeT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(UpstreamNoticeT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<UpstreamNotice> Pack(flatbuffers::FlatBufferBuilder &_fbb, const UpstreamNoticeT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct UpstreamNoticeBuilder {
+  typedef UpstreamNotice Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_upstream(flatbuffers::Offset<flatbuffers::String> upstream) {
+    fbb_.AddOffset(UpstreamNotice::VT_UPSTREAM, upstream);
+  }
+  void add_start(uint64_t start) {
+    fbb_.AddElement<uint64_t>(UpstreamNotice::VT_START, start, 0);
+  }
+  void add_leaving(bool leaving) {
+    fbb_.AddElement<uint8_t>(UpstreamNotice::VT_LEAVING, static_cast<uint8_t>(leaving), 0);
+  }
+  void add_pause_ms(uint32_t pause_ms) {
+    fbb_.AddElement<uint32_t>(UpstreamNotice::VT_PAUSE_MS, pause_ms, 0);
+  }
+  explicit UpstreamNoticeBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<UpstreamNotice> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<UpstreamNotice>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<UpstreamNotice> CreateUpstreamNotice(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::String> upstream = 0,
+    uint64_t start = 0,
+    bool leaving = false,
+    uint32_t pause_ms = 0) {
+  UpstreamNoticeBuilder builder_(_fbb);
+  builder_.add_start(start);
+  builder_.add_pause_ms(pause_ms);
+  builder_.add_upstream(upstream);
+  builder_.add_leaving(leaving);
+  return builder_.Finish();
+}
+
+inline flatbuffers::Offset<UpstreamNotice> CreateUpstreamNoticeDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const char *upstream = nullptr,
+    uint64_t start = 0,
+    bool leaving = false,
+    uint32_t pause_ms = 0) {
+  auto upstream__ = upstream ? _fbb.CreateString(upstream) : 0;
+  return Mangofall::Wire::CreateUpstreamNotice(
+      _fbb,
+      upstream__,
+      start,
+      leaving,
+      pause_ms);
+}
+
+flatbuffers::Offset<UpstreamNotice> CreateUpstreamNotice(flatbuffers::FlatBufferBuilder &_fbb, const UpstreamNoticeT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
 struct PlacementAdoptionT : public flatbuffers::NativeTable {
   typedef PlacementAdoption TableType;
   std::unique_ptr<Mangofall::Wire::PlacementCallT> call{};
@@ -6196,6 +6323,9 @@
   const Mangofall::Wire::CrashUpdate *body_as_CrashUpdate() const {
     return body_type() == Mangofall::Wire::Body::CrashUpdate ? static_cast<const Mangofall::Wire::CrashUpdate *>(body()) : nullptr;
   }
+  const Mangofall::Wire::UpstreamNotice *body_as_UpstreamNotice() const {
+    return body_type() == Mangofall::Wire::Body::UpstreamNotice ? static_cast<const Mangofall::Wire::UpstreamNotice *>(body()) : nullptr;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint8_t>(verifier, VT_BODY_TYPE, 1) &&
@@ -6336,6 +6466,10 @@
   return body_as_CrashUpdate();
 }
 
+template<> inline const Mangofall::Wire::UpstreamNotice *PeerMessage::body_as<Mangofall::Wire::UpstreamNotice>() const {
+  return body_as_UpstreamNotice();
+}
+
 struct PeerMessageBuilder {
   typedef PeerMessage Table;
   flatbuffers::FlatBufferBuilder &fbb_;
@@ -8081,6 +8215,41 @@
       _faulty);
 }
 
+inline UpstreamNoticeT *UpstreamNotice::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::unique_ptr<UpstreamNoticeT>(new UpstreamNoticeT());
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void UpstreamNotice::UnPackTo(UpstreamNoticeT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = upstream(); if (_e) _o->upstream = _e->str(); }
+  { auto _e = start(); _o->start = _e; }
+  { auto _e = leaving(); _o->leaving = _e; }
+  { auto _e = pause_ms(); _o->pause_ms = _e; }
+}
+
+inline flatbuffers::Offset<UpstreamNotice> UpstreamNotice::Pack(flatbuffers::FlatBufferBuilder &_fbb, const UpstreamNoticeT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateUpstreamNotice(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<UpstreamNotice> CreateUpstreamNotice(flatbuffers::FlatBufferBuilder &_fbb, const UpstreamNoticeT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const UpstreamNoticeT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _upstream = _o->upstream.empty() ? 0 : _fbb.CreateString(_o->upstream);
+  auto _start = _o->start;
+  auto _leaving = _o->leaving;
+  auto _pause_ms = _o->pause_ms;
+  return Mangofall::Wire::CreateUpstreamNotice(
+      _fbb,
+      _upstream,
+      _start,
+      _leaving,
+      _pause_ms);
+}
+
 inline PlacementAdoptionT::PlacementAdoptionT(const PlacementAdoptionT &o)
       : call((o.call) ? new Mangofall::Wire::PlacementCallT(*o.call) : nullptr),
         upstream(o.upstream),
@@ -8511,6 +8680,10 @@
       auto ptr = reinterpret_cast<const Mangofall::Wire::CrashUpdate *>(obj);
       return verifier.VerifyTable(ptr);
     }
+    case Body::UpstreamNotice: {
+      auto ptr = reinterpret_cast<const Mangofall::Wire::UpstreamNotice *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
     default: return true;
   }
 }
@@ -8658,6 +8831,10 @@
       auto ptr = reinterpret_cast<const Mangofall::Wire::CrashUpdate *>(obj);
       return ptr->UnPack(resolver);
     }
+    case Body::UpstreamNotice: {
+      auto ptr = reinterpret_cast<const Mangofall::Wire::UpstreamNotice *>(obj);
+      return ptr->UnPack(resolver);
+    }
     default: return nullptr;
   }
 }
@@ -8793,6 +8970,10 @@
       auto ptr = reinterpret_cast<const Mangofall::Wire::CrashUpdateT *>(value);
       return CreateCrashUpdate(_fbb, ptr, _rehasher).Union();
     }
+    case Body::UpstreamNotice: {
+      auto ptr = reinterpret_cast<const Mangofall::Wire::UpstreamNoticeT *>(value);
+      return CreateUpstreamNotice(_fbb, ptr, _rehasher).Union();
+    }
     default: return 0;
   }
 }
@@ -8927,6 +9108,10 @@
       value = new Mangofall::Wire::CrashUpdateT(*reinterpret_cast<Mangofall::Wire::CrashUpdateT *>(u.value));
       break;
     }
+    case Body::UpstreamNotice: {
+      value = new Mangofall::Wire::UpstreamNoticeT(*reinterpret_cast<Mangofall::Wire::UpstreamNoticeT *>(u.value));
+      break;
+    }
     default:
       break;
   }
@@ -9094,6 +9279,11 @@
       delete ptr;
       break;
     }
+    case Body::UpstreamNotice: {
+      auto ptr = reinterpret_cast<Mangofall::Wire::UpstreamNoticeT *>(value);
+      delete ptr;
+      break;
+    }
     default: break;
   }
   value = nullptr;
--- a/Source/Placement/PlacementTable.cpp
+++ b/Source/Placement/PlacementTable.cpp
@@ -38,11 +38,6 @@
     return std::clamp<Duration>(longest, shortestRetryAfter, longestRetryAfter);
 }
 
-bool isSameStart(const UpstreamEntry &left, const UpstreamEntry &right)
-{
-    return left.startedAt == right.startedAt && left.address == right.address && left.service == right.service;
-}
-
 }
 
 Duration quarantineRetryAfter(Duration wait)
@@ -183,6 +178,19 @@
     }
 }
 
+void PlacementTable::noticeReceived(const HostId &host, const UpstreamId &upstream, std::uint64_t start, const UpstreamNotice &notice, TimePoint now)
+{
+    UpstreamLoad *load = find(upstream);
+    if (load == nullptr || load->entry().startedAt != start) {
+        return;
+    }
+    const bool saidLeaving = load->saysLeaving();
+    load->recordNotice(host, notice, now);
+    if (load->saysLeaving() != saidLeaving) {
+        indexUpstreams();
+    }
+}
+
 void PlacementTable::pauseGrantsUntil(const ServiceId &service, TimePoint time)
 {
     const auto known = m_services.find(service);
@@ -267,7 +275,7 @@
     result.reserve(service.upstreams.size());
     for (UpstreamLoad *load : service.upstreams) {
         const bool excluded = !request.excluded.empty() && request.excluded.contains(load->entry().id);
-        if (excluded || !load->keepsColdLimit(now)) {
+        if (excluded || !load->keepsColdLimit(now) || now < load->acceptsFrom(request.id.host)) {
             continue;
         }
         const bool inOutage = !m_outages.empty() && m_outages.suspected(load->entry().dataCentre, now);
@@ -326,6 +334,18 @@
     return grant;
 }
 
+std::optional<TimePoint> PlacementTable::acceptedFrom(const Service &service, const HostId &host)
+{
+    std::optional<TimePoint> earliest;
+    for (const UpstreamLoad *load : service.upstreams) {
+        earliest = std::min(earliest.value_or(TimePoint::max()), load->acceptsFrom(host));
+        if (*earliest == TimePoint()) {
+            break;
+        }
+    }
+    return earliest;
+}
+
 std::optional<Refusal> PlacementTable::refusal(const Waiting &waiting, TimePoint now) const
 {
     const PlacementRequest &request = waiting.request;
@@ -333,7 +353,8 @@
     if (service == m_services.end()) {
         return Refusal{request.id, ErrorKind::NoUpstream, longestRetryAfter};
     }
-    if (request.deadline - now <= service->second.selector->leastServiceTime(request)) {
+    const TimePoint earliestStart = std::max(now, acceptedFrom(service->second, request.id.host).value_or(now));
+    if (request.deadline - earliestStart <= service->second.selector->leastServiceTime(request)) {
         return Refusal{request.id, ErrorKind::DeadlineUnreachable, retryAfter(request, now)};
     }
     if (service->second.upstreams.empty() && now >= request.arrivedAt + m_limits.noUpstreamWait) {
@@ -431,7 +452,7 @@
     }
     for (auto &[id, load] : m_upstreams) {
         const auto service = m_services.find(load.entry().service);
-        if (service != m_services.end() && load.entry().accepting) {
+        if (service != m_services.end() && load.entry().accepting && !load.saysLeaving()) {
             service->second.upstreams.push_back(&load);
         }
     }
--- a/Source/Placement/PlacementTable.h
+++ b/Source/Placement/PlacementTable.h
@@ -63,6 +63,8 @@
     /// The use of the grant ended, or the placement request was withdrawn while it waited. \p faulty is the helper that caused the failure; unset if it
     /// was the upstream itself.
     PlacementActions ended(const PlacementRequestId &id, GrantOutcome outcome, const std::optional<UpstreamId> &faulty, TimePoint now);
+    /// An upstream has said something about itself in an answer to \p host. Ignored if another process, with another \p start, has the id now.
+    void noticeReceived(const HostId &host, const UpstreamId &upstream, std::uint64_t start, const UpstreamNotice &notice, TimePoint now);
     /// Grants nothing for \p service before \p time, so that entry hosts can report the grants of the previous owner first.
     void pauseGrantsUntil(const ServiceId &service, TimePoint time);
     /// Adds a grant in use that this table did not give or no longer has.
@@ -109,6 +111,8 @@
     std::optional<Refusal> quarantine(const PlacementRequest &request, TimePoint now) const;
     /// Grants the request if an upstream is available. quarantine() must have let it pass.
     std::optional<Grant> tryGrant(const PlacementRequest &request, TimePoint now);
+    /// The earliest time at which an upstream of the service accepts a request of \p host; unset if there are no upstreams.
+    static std::optional<TimePoint> acceptedFrom(const Service &service, const HostId &host);
     std::optional<Refusal> refusal(const Waiting &waiting, TimePoint now) const;
     /// Returns whether the request may be placed in its turn. One that needs a low load may not while requests before it wait, nor right after a change
     /// of owner, when more requests are expected.
--- a/Source/Placement/UpstreamEntry.h
+++ b/Source/Placement/UpstreamEntry.h
@@ -25,4 +25,10 @@
     friend bool operator==(const UpstreamEntry &, const UpstreamEntry &) = default;
 };
 
+/// Whether both entries are of the same run of an upstream's process.
+inline bool isSameStart(const UpstreamEntry &left, const UpstreamEntry &right)
+{
+    return left.startedAt == right.startedAt && left.address == right.address && left.service == right.service;
+}
+
 }
--- a/Source/Placement/UpstreamLoad.cpp
+++ b/Source/Placement/UpstreamLoad.cpp
@@ -118,6 +118,29 @@
     return now >= m_entry.coldUntil || m_coldWindow.hasRoom(now);
 }
 
+void UpstreamLoad::recordNotice(const HostId &host, const UpstreamNotice &notice, TimePoint now)
+{
+    m_saysLeaving = m_saysLeaving || notice.leaving;
+    std::erase_if(m_pauses, [&](const auto &pause) {
+        return pause.second <= now;
+    });
+    if (notice.pause > Duration::zero()) {
+        TimePoint &until = m_pauses[host];
+        until = std::max(until, now + notice.pause);
+    }
+}
+
+bool UpstreamLoad::saysLeaving() const
+{
+    return m_saysLeaving;
+}
+
+TimePoint UpstreamLoad::acceptsFrom(const HostId &host) const
+{
+    const auto pause = m_pauses.find(host);
+    return pause == m_pauses.end() ? TimePoint() : pause->second;
+}
+
 FailureRecord &UpstreamLoad::failures()
 {
     return m_failures;
--- a/Source/Placement/UpstreamLoad.h
+++ b/Source/Placement/UpstreamLoad.h
@@ -5,6 +5,7 @@
 #include "Placement/PlacementRequest.h"
 #include "Placement/RateWindow.h"
 #include "Placement/UpstreamEntry.h"
+#include "Placement/UpstreamNotice.h"
 
 #include <cstdint>
 #include <map>
@@ -63,6 +64,13 @@
     /// Returns whether one more request would keep the rate limit of a cold upstream; always true once the upstream is warm.
     bool keepsColdLimit(TimePoint now) const;
 
+    /// Records what the upstream says about itself in an answer to \p host.
+    void recordNotice(const HostId &host, const UpstreamNotice &notice, TimePoint now);
+    /// Whether the upstream has said that it is leaving.
+    bool saysLeaving() const;
+    /// The time from which the upstream accepts requests of \p host, as far as it has said.
+    TimePoint acceptsFrom(const HostId &host) const;
+
     FailureRecord &failures();
     const FailureRecord &failures() const;
 
@@ -87,6 +95,8 @@
     Totals m_totals;
     RateWindow m_coldWindow;
     FailureRecord m_failures;
+    bool m_saysLeaving = false;
+    std::map<HostId, TimePoint> m_pauses; ///< Until when the upstream wants no request of each host.
 };
 
 }
--- a/Tests/Forwarding/FakePlacement.h
+++ b/Tests/Forwarding/FakePlacement.h
@@ -18,6 +18,8 @@
 public:
     std::vector<std::uint16_t> ports;
     std::vector<Placement::GrantOutcome> outcomes;
+    std::vector<Placement::UpstreamNotice> notices;
+    std::vector<UpstreamId> helpersOfFirst; ///< Helpers of the first assignment.
     std::size_t submitted = 0;
     std::function<void()> onWaiting; ///< If set, placement requests get no answer, and this is called for each of them.
 
@@ -41,6 +43,10 @@
         Placement::Assignment assignment;
         assignment.upstream = UpstreamId("u" + std::to_string(submitted));
         assignment.address = {"127.0.0.1", ports[submitted]};
+        if (submitted == 0) {
+            assignment.helpers = helpersOfFirst;
+            assignment.helperAddresses.resize(helpersOfFirst.size());
+        }
         ++submitted;
         handler(assignment);
     }
@@ -49,6 +55,11 @@
     {
     }
 
+    void noticeReceived(const Placement::PlacementRequestId &, const Placement::UpstreamNotice &notice) override
+    {
+        notices.push_back(notice);
+    }
+
     void ended(const Placement::PlacementRequestId &, Placement::GrantOutcome outcome, const std::optional<UpstreamId> &) override
     {
         outcomes.push_back(outcome);
--- a/Tests/Forwarding/FakeTranslator.h
+++ b/Tests/Forwarding/FakeTranslator.h
@@ -8,7 +8,7 @@
 
 /**
  * \class FakeTranslator
- * \brief A translator for tests that uses the header fields Id, Key, Signed, Not-Run, After and Target.
+ * \brief A translator for tests that uses the header fields Id, Key, Signed, Not-Run, Leaving, Pause (seconds), After and Target.
  */
 class FakeTranslator final : public Forwarding::MessageTranslator
 {
@@ -44,6 +44,8 @@
         answer.answersOtherRequest = !call.header("Id").empty() && call.header("Id") != request.id.value();
         answer.authentic = !call.header("Signed").empty() && !answer.answersOtherRequest;
         answer.provenNotExecuted = !call.header("Not-Run").empty();
+        answer.notice.leaving = !call.header("Leaving").empty();
+        answer.notice.pause = std::chrono::seconds(call.header("Pause").empty() ? 0 : std::stoi(call.header("Pause")));
         answer.fields.emplace_back("Signed", call.header("Signed"));
         return answer;
     }
--- a/Tests/Forwarding/ForwardingSessionTest.cpp
+++ b/Tests/Forwarding/ForwardingSessionTest.cpp
@@ -524,3 +524,44 @@
         CHECK_TEXT(host.placement.outcomes == std::vector{GrantOutcome::Broken}, answer.c_str());
     }
 }
+
+// Guards against further requests to an upstream that says it leaves: neither this host uses it again, nor does the owner grant it.
+TEST(ForwardingSessionTest, AnUpstreamThatSaysItLeavesGetsNoFurtherRequest)
+{
+    for (const std::string &answer :
+         {wholeAnswer(200, "Id: 7\r\nSigned: s\r\nLeaving: 1\r\n", "hello"), wholeAnswer(503, "Not-Run: 1\r\nLeaving: 1\r\n", "")}) {
+        Host host;
+        host.add(answer);
+        host.add(wholeAnswer(200, "Id: 7\r\nSigned: s\r\n", "hello"));
+        CHECK(contains(host.call("POST", "/order/1"), "hello"));
+        CHECK_FALSE(host.directory.mayUse(UpstreamId("u0"), std::chrono::steady_clock::now()));
+        CHECK(host.directory.mayUse(UpstreamId("u1"), std::chrono::steady_clock::now()));
+        LONGS_EQUAL(1, host.placement.notices.size());
+        CHECK(host.placement.notices.front().leaving);
+    }
+}
+
+// Guards against requests within the time for which an upstream that turned one away wants none.
+TEST(ForwardingSessionTest, AnUpstreamThatWantsAPauseIsLeftAlone)
+{
+    Host host;
+    host.add(wholeAnswer(503, "Not-Run: 1\r\nPause: 60\r\n", ""));
+    host.add(wholeAnswer(200, "Id: 7\r\nSigned: s\r\n", "hello"));
+    CHECK(contains(host.call("POST", "/order/1"), "hello"));
+    const TimePoint now = std::chrono::steady_clock::now();
+    CHECK_FALSE(host.directory.mayUse(UpstreamId("u0"), now + std::chrono::seconds(50)));
+    CHECK(host.directory.mayUse(UpstreamId("u0"), now + std::chrono::seconds(60)));
+    CHECK(host.placement.notices.front().pause == std::chrono::seconds(60));
+}
+
+// Guards against a helper that says it leaves, or wants a pause, and still gets parts of prompts from this host.
+TEST(ForwardingSessionTest, AnAssignmentWithAnUnusableHelperIsNotUsed)
+{
+    Host host;
+    ScriptedUpstream &first = host.add(wholeAnswer(200, "Id: 7\r\nSigned: s\r\n", "hello"));
+    host.add(wholeAnswer(200, "Id: 7\r\nSigned: s\r\n", "hello"));
+    host.placement.helpersOfFirst = {UpstreamId("helper")};
+    host.directory.recordNotice(UpstreamId("helper"), {true, {}}, std::chrono::steady_clock::now());
+    CHECK(contains(host.call("POST", "/order/1"), "hello"));
+    LONGS_EQUAL(0, first.requests().size());
+}
--- a/Tests/Forwarding/UpstreamDirectoryTest.cpp
+++ b/Tests/Forwarding/UpstreamDirectoryTest.cpp
@@ -28,9 +28,48 @@
 {
     UpstreamDirectory directory;
     directory.listed(listedUpstream());
-    CHECK(directory.mayUse(id));
+    CHECK(directory.mayUse(id, TimePoint()));
     directory.listed(listedUpstream(true));
-    CHECK_FALSE(directory.mayUse(id));
+    CHECK_FALSE(directory.mayUse(id, TimePoint()));
+}
+
+// Guards against requests to an upstream that said in an answer to this host that it leaves, before or without an entry that tells it.
+TEST(UpstreamDirectoryTest, AnUpstreamThatSaysItLeavesIsNotUsed)
+{
+    UpstreamDirectory directory;
+    const TimePoint now;
+    directory.listed(listedUpstream());
+    directory.recordNotice(id, {true, {}}, now);
+    CHECK_FALSE(directory.mayUse(id, now));
+    CHECK_FALSE(directory.entries().front().accepting);
+    directory.listed(listedUpstream());
+    CHECK_FALSE(directory.mayUse(id, now + std::chrono::hours(1)));
+}
+
+// Guards against an upstream that is never used again because its predecessor under the same id left.
+TEST(UpstreamDirectoryTest, ANoticeEndsWithTheProcessThatGaveIt)
+{
+    UpstreamDirectory directory;
+    const TimePoint now;
+    directory.listed(listedUpstream());
+    directory.recordNotice(id, {true, std::chrono::seconds(60)}, now);
+    ListedUpstream restarted = listedUpstream();
+    restarted.entry.startedAt = 5;
+    directory.listed(restarted);
+    CHECK(directory.mayUse(id, now));
+}
+
+// Guards against requests to an upstream within the time for which it wants none from this host, and against one that is avoided for longer.
+TEST(UpstreamDirectoryTest, AnUpstreamThatWantsAPauseIsNotUsedUntilItsEnd)
+{
+    UpstreamDirectory directory;
+    const TimePoint now;
+    directory.listed(listedUpstream());
+    directory.recordNotice(id, {false, milliseconds(800)}, now);
+    directory.recordNotice(id, {false, milliseconds(100)}, now);
+    CHECK_FALSE(directory.mayUse(id, now + milliseconds(799)));
+    CHECK(directory.mayUse(id, now + milliseconds(800)));
+    CHECK(directory.entries().front().accepting);
 }
 
 // Guards against requests to a data centre that the operator took out of service, and against one that is never used again afterwards.
@@ -39,10 +78,10 @@
     UpstreamDirectory directory;
     directory.listed(listedUpstream());
     directory.setOutOfService({DataCentreId("dc")});
-    CHECK_FALSE(directory.mayUse(id));
+    CHECK_FALSE(directory.mayUse(id, TimePoint()));
     CHECK_FALSE(directory.entries().front().accepting);
     directory.setOutOfService({});
-    CHECK(directory.mayUse(id));
+    CHECK(directory.mayUse(id, TimePoint()));
 }
 
 // Guards against losing all upstreams because their entries lapse while the list cannot be written.
@@ -53,10 +92,10 @@
     directory.listed(listedUpstream());
     directory.restartRelistPeriod(now);
     directory.removed(id, now);
-    CHECK(directory.mayUse(id));
+    CHECK(directory.mayUse(id, TimePoint()));
     now += milliseconds(2600);
     CHECK(directory.expire(now));
-    CHECK_FALSE(directory.mayUse(id));
+    CHECK_FALSE(directory.mayUse(id, TimePoint()));
 }
 
 // Guards against using an upstream that was removed while the list worked.
@@ -65,7 +104,7 @@
     UpstreamDirectory directory;
     directory.listed(listedUpstream());
     directory.removed(id, TimePoint());
-    CHECK_FALSE(directory.mayUse(id));
+    CHECK_FALSE(directory.mayUse(id, TimePoint()));
     LONGS_EQUAL(0, directory.size());
 }
 
@@ -73,7 +112,7 @@
 TEST(UpstreamDirectoryTest, AnUnknownUpstreamMayBeUsed)
 {
     const UpstreamDirectory directory;
-    CHECK(directory.mayUse(id));
+    CHECK(directory.mayUse(id, TimePoint()));
 }
 
 // Guards against any sequence of listings, removals, outages of the list and data centres out of service after which an upstream is used although it
@@ -116,9 +155,9 @@
                 lapsed = false;
             }
             if (outOfService || (!usable && !lapsed)) {
-                RC_ASSERT_FALSE(directory.mayUse(id));
+                RC_ASSERT_FALSE(directory.mayUse(id, TimePoint()));
             } else if (usable) {
-                RC_ASSERT(directory.mayUse(id));
+                RC_ASSERT(directory.mayUse(id, TimePoint()));
             }
         }
     });
--- a/Tests/Forwarding/WirePlacementTest.cpp
+++ b/Tests/Forwarding/WirePlacementTest.cpp
@@ -80,3 +80,23 @@
     CHECK(outcomeFromWire(static_cast<std::uint8_t>(Placement::GrantOutcome::Malformed)) == Placement::GrantOutcome::Malformed);
     CHECK(outcomeFromWire(200) == Placement::GrantOutcome::Cancelled);
 }
+
+// Guards against a notice, or the process that gave it, getting lost on the way to the owner.
+TEST(WirePlacementTest, ANoticeArrivesWhole)
+{
+    Placement::Assignment assignment;
+    assignment.upstream = UpstreamId("u0");
+    assignment.upstreamStart = 5;
+    const Wire::UpstreamNoticeT message = toWire(assignment, {true, milliseconds(1500)});
+    STRCMP_EQUAL("u0", message.upstream.c_str());
+    LONGS_EQUAL(5, message.start);
+    CHECK(fromWire(message).leaving);
+    CHECK(fromWire(message).pause == milliseconds(1500));
+}
+
+// Guards against states of suspects that change on the way, so that hosts never agree.
+TEST(WirePlacementTest, AStateOfASuspectArrivesWhole)
+{
+    const Placement::SuspectState state{7, {1, 2}, {3, 4}, 5, 2};
+    CHECK(fromWire(toWire(state)) == state);
+}
--- a/Tests/Placement/PlacementTableTest.cpp
+++ b/Tests/Placement/PlacementTableTest.cpp
@@ -269,6 +269,39 @@
     CHECK(refusalOf(actions, number)->kind == ErrorKind::Quarantined);
 }
 
+// Guards against an owner that gives a host an upstream which wants no request from that host; other hosts may use it.
+TEST(PlacementTableTest, AnUpstreamThatWantsAPauseIsKeptFromThatHostOnly)
+{
+    Table fixture;
+    fixture.table.noticeReceived(HostId("entry"), UpstreamId("o1"), 0, {false, milliseconds(1000)}, fixture.now);
+    CHECK(fixture.table.submit(orderRequest(1, fixture.now), fixture.now).empty());
+    PlacementRequest ofOtherHost = orderRequest(2, fixture.now);
+    ofOtherHost.id.host = HostId("other");
+    CHECK(grantOf(fixture.table.submit(ofOtherHost, fixture.now), 2) != nullptr);
+    fixture.now += milliseconds(1000);
+    CHECK(grantOf(fixture.table.tick(fixture.now), 1) != nullptr);
+}
+
+// Guards against a request that waits until its deadline although no upstream will take it before.
+TEST(PlacementTableTest, ARequestIsRefusedAtOnceIfEachUpstreamWantsAPauseBeyondItsDeadline)
+{
+    Table fixture;
+    fixture.table.noticeReceived(HostId("entry"), UpstreamId("o1"), 0, {false, std::chrono::seconds(30)}, fixture.now);
+    CHECK(refusalOf(fixture.table.submit(orderRequest(1, fixture.now), fixture.now), 1) != nullptr);
+}
+
+// Guards against grants at an upstream that has told another host that it leaves, and against taking a new process for the one that left.
+TEST(PlacementTableTest, AnUpstreamThatSaysItLeavesIsGrantedToNobody)
+{
+    Table fixture;
+    fixture.table.noticeReceived(HostId("other"), UpstreamId("o1"), 7, {true, {}}, fixture.now);
+    CHECK(grantOf(fixture.table.submit(orderRequest(1, fixture.now), fixture.now), 1) != nullptr);
+    fixture.table.noticeReceived(HostId("other"), UpstreamId("o1"), 0, {true, {}}, fixture.now);
+    CHECK(fixture.table.submit(orderRequest(2, fixture.now), fixture.now).empty());
+    fixture.now += milliseconds(1500);
+    CHECK(refusalOf(fixture.table.tick(fixture.now), 2)->kind == ErrorKind::NoUpstream);
+}
+
 // Guards against a prompt that exceeds one engine's memory and occupies most engines while short prompts wait. In the recorded incident trouble-1 a prompt
 // of 547,104 tokens came first after a restart of all hosts, and 4.5% of the requests were refused.
 TEST(PlacementTableTest, APromptThatNeedsLowLoadLetsOthersGoFirst)
--- a/Tests/PlatformAdapter/PlatformTranslatorTest.cpp
+++ b/Tests/PlatformAdapter/PlatformTranslatorTest.cpp
@@ -139,3 +139,23 @@
     STRCMP_EQUAL("acme", value(sent, "Tenant").c_str());
     STRCMP_EQUAL("10.0.0.2:80/t81,10.0.0.3:81", value(sent, "Helpers").c_str());
 }
+
+// Guards against a notice that is missed, and against a Retry-After that cannot be read, or that belongs to another status, taking an upstream out of use.
+TEST(PlatformTranslatorTest, AnUpstreamsNoticesAreDecoded)
+{
+    BeastHttp::fields fields;
+    CHECK(decodeNotice(503, fields).empty());
+    fields.set("Retry-After", "1.5");
+    CHECK(decodeNotice(503, fields).pause == std::chrono::milliseconds(1500));
+    CHECK(decodeNotice(500, fields).empty());
+    for (const char *unreadable : {"soon", "-1", "0", "1s", "", "nan"}) {
+        fields.set("Retry-After", unreadable);
+        CHECK_TEXT(decodeNotice(503, fields).empty(), unreadable);
+    }
+    fields.set("Retry-After", "1e30");
+    CHECK(decodeNotice(503, fields).pause == std::chrono::minutes(5));
+    fields.set("Server-Leaving", "0");
+    CHECK_FALSE(decodeNotice(200, fields).leaving);
+    fields.set("Server-Leaving", "1");
+    CHECK(decodeNotice(200, fields).leaving);
+}
