Bound what the crash record keeps and what hosts send to a new owner

A record kept entries until 10,000 were reached and sent all of them on each new connection: reckoned for the large fleets, up to 600 kB from each of 812 hosts after a change of owner. Entries without a change for 20 minutes go once a minute, a new connection gets at most the 1,000 suspects with the most crashes that are not cleared, and equal parts of a prompt count once.

--- a/Source/Forwarding/CrashReplica.cpp
+++ b/Source/Forwarding/CrashReplica.cpp
@@ -109,9 +109,9 @@
     return update;
 }
 
-std::optional<Wire::CrashUpdateT> CrashReplica::snapshot() const
+std::optional<Wire::CrashUpdateT> CrashReplica::snapshot(TimePoint now) const
 {
-    const std::vector<Placement::SuspectState> states = m_record.states();
+    const std::vector<Placement::SuspectState> states = m_record.states(now);
     std::optional<Wire::CrashUpdateT> update;
     for (const Placement::SuspectState &state : states) {
         append(update, state);
--- a/Source/Forwarding/CrashReplica.h
+++ b/Source/Forwarding/CrashReplica.h
@@ -59,7 +59,7 @@
     };
     Update takeUpdate();
     /// Everything that is known, for a host that may know nothing yet; empty if nothing is known.
-    std::optional<Wire::CrashUpdateT> snapshot() const;
+    std::optional<Wire::CrashUpdateT> snapshot(TimePoint now) const;
 
 private:
     void log(const Placement::SuspectState &state) const;
--- a/Source/Forwarding/FleetPlacement.cpp
+++ b/Source/Forwarding/FleetPlacement.cpp
@@ -110,7 +110,9 @@
 
 void FleetPlacement::setUpstreams(const std::vector<Placement::UpstreamEntry> &upstreams)
 {
-    applyActions(m_table.setUpstreams(upstreams, Clock::now()));
+    const TimePoint now = Clock::now();
+    m_crashes.record().expire(now);
+    applyActions(m_table.setUpstreams(upstreams, now));
 }
 
 void FleetPlacement::setLentRetryShare(const RetryShare &share)
@@ -238,7 +240,7 @@
     if (const Wire::HelloT *hello = message.body.AsHello()) {
         m_acceptedConnections[connection] = HostId(hello->host);
         m_answerConnections[HostId(hello->host)] = connection;
-        if (std::optional<Wire::CrashUpdateT> snapshot = m_crashes.snapshot()) {
+        if (std::optional<Wire::CrashUpdateT> snapshot = m_crashes.snapshot(Clock::now())) {
             connection->send(toPeerMessage(std::move(*snapshot)));
         }
         return;
@@ -416,7 +418,7 @@
     Handler handler = std::move(placement->second.handler);
     const HostId owner = placement->second.owner;
     m_log.write("crash_record_missing_at_owner", {{"peer", owner.value()}, {"demand", std::to_string(number)}});
-    if (const std::optional<Wire::CrashUpdateT> snapshot = m_crashes.snapshot(); snapshot && owner != m_self && m_hosts.contains(owner)) {
+    if (const std::optional<Wire::CrashUpdateT> snapshot = m_crashes.snapshot(Clock::now()); snapshot && owner != m_self && m_hosts.contains(owner)) {
         link(owner)->send(toPeerMessage(*snapshot));
     }
     ended(refusal.id, Placement::GrantOutcome::Cancelled, std::nullopt);
@@ -610,7 +612,7 @@
     if (!link) {
         const NetworkAddress &address = m_hosts.at(host).address;
         link = std::make_shared<PeerLink>(m_io, address.address, address.port, m_hello, *this, [](std::size_t) {});
-        if (std::optional<Wire::CrashUpdateT> snapshot = m_crashes.snapshot()) {
+        if (std::optional<Wire::CrashUpdateT> snapshot = m_crashes.snapshot(Clock::now())) {
             link->send(toPeerMessage(std::move(*snapshot)));
         }
     }
--- a/Source/Forwarding/ForwardingSession.cpp
+++ b/Source/Forwarding/ForwardingSession.cpp
@@ -115,6 +115,8 @@
     for (const std::string &part : parts) {
         hashes.push_back(hash64("part " + part));
     }
+    std::sort(hashes.begin(), hashes.end());
+    hashes.erase(std::unique(hashes.begin(), hashes.end()), hashes.end());
     return hashes;
 }
 
--- a/Source/Placement/CrashRecord.cpp
+++ b/Source/Placement/CrashRecord.cpp
@@ -13,6 +13,9 @@
 constexpr std::size_t heldCrashes = 3;
 constexpr std::size_t maxEntries = 10'000;
 constexpr std::size_t evictionDivisor = 10;
+// Bounds what each host sends to each new owner.
+constexpr std::size_t maxStates = 1000;
+constexpr std::chrono::minutes expiryInterval{1};
 // An upstream that crashed has restarted after this time, even if its list entry does not tell.
 constexpr std::chrono::seconds restartTime{3};
 constexpr std::chrono::milliseconds firstTrialPause{1500};
@@ -134,16 +137,40 @@
     return changes;
 }
 
-std::vector<SuspectState> CrashRecord::states() const
+std::vector<SuspectState> CrashRecord::states(TimePoint now) const
 {
     std::vector<SuspectState> result;
-    result.reserve(m_entries.size());
     for (const auto &[suspect, entry] : m_entries) {
-        result.push_back(entry.state);
+        if (!entry.state.crashes.empty() && isRecent(entry, now)) {
+            result.push_back(entry.state);
+        }
+    }
+    if (result.size() > maxStates) {
+        std::stable_sort(result.begin(), result.end(), [](const SuspectState &left, const SuspectState &right) {
+            return left.crashes.size() > right.crashes.size();
+        });
+        result.resize(maxStates);
     }
     return result;
 }
 
+void CrashRecord::expire(TimePoint now)
+{
+    if (now < m_expiredAt + expiryInterval) {
+        return;
+    }
+    m_expiredAt = now;
+    std::erase_if(m_crashes, [&](const auto &crash) {
+        return crash.second + retention < now;
+    });
+    std::erase_if(m_entries, [&](const auto &entry) {
+        return !isRecent(entry.second, now);
+    });
+    std::erase_if(m_held, [&](SuspectId suspect) {
+        return !m_entries.contains(suspect);
+    });
+}
+
 std::size_t CrashRecord::heldCount() const
 {
     return m_held.size();
@@ -191,20 +218,16 @@
 
 CrashRecord::Entry &CrashRecord::entryFor(SuspectId suspect, TimePoint now)
 {
-    const auto position = m_entries.find(suspect);
-    if (position != m_entries.end() && position->second.lastChange + retention >= now) {
-        return position->second;
-    }
-    if (position != m_entries.end()) {
-        m_held.erase(suspect);
-        m_entries.erase(position);
+    expire(now);
+    if (!m_entries.contains(suspect) && m_entries.size() >= maxEntries) {
+        removeLeastSuspicious();
     }
-    if (m_entries.size() >= maxEntries) {
-        removeLeastSuspicious(now);
+    const auto [position, isNew] = m_entries.try_emplace(suspect);
+    Entry &entry = position->second;
+    if (isNew) {
+        entry.state.suspect = suspect;
+        entry.lastChange = now;
     }
-    Entry &entry = m_entries[suspect];
-    entry.state.suspect = suspect;
-    entry.lastChange = now;
     return entry;
 }
 
@@ -227,23 +250,16 @@
     flags.concernsAll = flags.concernsAll || wasHeld || m_held.contains(suspect);
 }
 
-void CrashRecord::removeLeastSuspicious(TimePoint now)
+void CrashRecord::removeLeastSuspicious()
 {
-    std::erase_if(m_crashes, [&](const auto &crash) {
-        return crash.second + retention < now;
-    });
     std::vector<const Entry *> order;
     order.reserve(m_entries.size());
     for (const auto &[suspect, entry] : m_entries) {
         order.push_back(&entry);
     }
-    const auto rank = [&](const Entry *entry) {
-        const bool recent = entry->lastChange + retention >= now;
-        return std::make_tuple(recent, recent ? entry->state.crashes.size() : 0, entry->lastChange);
-    };
     const auto last = order.begin() + static_cast<std::ptrdiff_t>(order.size() / evictionDivisor);
-    std::nth_element(order.begin(), last, order.end(), [&](const Entry *left, const Entry *right) {
-        return rank(left) < rank(right);
+    std::nth_element(order.begin(), last, order.end(), [](const Entry *left, const Entry *right) {
+        return std::make_pair(left->state.crashes.size(), left->lastChange) < std::make_pair(right->state.crashes.size(), right->lastChange);
     });
     std::vector<SuspectId> removed;
     std::transform(order.begin(), last, std::back_inserter(removed), [](const Entry *entry) {
@@ -255,4 +271,9 @@
     }
 }
 
+bool CrashRecord::isRecent(const Entry &entry, TimePoint now)
+{
+    return entry.lastChange + retention >= now;
+}
+
 }
--- a/Source/Placement/CrashRecord.h
+++ b/Source/Placement/CrashRecord.h
@@ -62,8 +62,10 @@
     SuspectState merge(const SuspectState &other, TimePoint now);
     /// The states that were changed since the last call.
     std::vector<Change> takeChanges();
-    /// All states.
-    std::vector<SuspectState> states() const;
+    /// The states with crashes that are not cleared; of many, those with the most crashes.
+    std::vector<SuspectState> states(TimePoint now) const;
+    /// Forgets what has not changed for long. Cheap to call often.
+    void expire(TimePoint now);
 
     std::size_t heldCount() const;
 
@@ -90,12 +92,14 @@
     Entry &entryFor(SuspectId suspect, TimePoint now);
     /// Updates what depends on the state after a change.
     void changed(Entry &entry, bool local, TimePoint now);
-    /// Makes room for a new entry: removes those without a recent change, then those with the fewest crashes.
-    void removeLeastSuspicious(TimePoint now);
+    /// Makes room for new entries by removing those with the fewest crashes.
+    void removeLeastSuspicious();
+    static bool isRecent(const Entry &entry, TimePoint now);
 
     std::map<SuspectId, Entry> m_entries;
     std::set<SuspectId> m_held;
     std::map<CrashId, TimePoint> m_crashes; ///< When this host first knew of each crash.
+    TimePoint m_expiredAt;
     std::map<SuspectId, ChangeFlags> m_changes; ///< The suspects to return from takeChanges().
 };
 
