--- a/Source/Forwarding/FleetPlacement.cpp
+++ b/Source/Forwarding/FleetPlacement.cpp
@@ -5,7 +5,6 @@
 #include "Forwarding/WirePlacement.h"
 #include "Peer/PeerConnection.h"
 #include "Peer/PeerLink.h"
-#include "Peer/TcpListener.h"
 #include "Telemetry/EventLog.h"
 
 #include <random>
@@ -33,52 +32,27 @@
     return static_cast<std::uint64_t>(device()) << counterBits;
 }
 
-template<class Body>
-Wire::PeerMessageT toPeerMessage(Body body)
-{
-    Wire::PeerMessageT message;
-    message.body.Set(std::move(body));
-    return message;
-}
-
 }
 
 FleetPlacement::FleetPlacement(boost::asio::io_context &io, HostId self, DataCentreId dataCentre, EventLog &log)
-    : m_io(io)
-    , m_self(self)
+    : m_self(self)
     , m_dataCentre(std::move(dataCentre))
     , m_log(log)
     , m_owners(std::move(self))
     , m_crashes(log)
     , m_table(Placement::PlacementLimits(), m_crashes.record())
     , m_retryLender(std::random_device{}())
+    , m_connections(io, m_self, m_dataCentre, *this)
     , m_nextNumber(firstNumber())
     , m_timer(io)
 {
-    auto hello = std::make_shared<Wire::HelloT>();
-    hello->host = m_self.value();
-    hello->data_centre = m_dataCentre.value();
-    m_hello = std::move(hello);
 }
 
-FleetPlacement::~FleetPlacement()
-{
-    for (const auto &[host, link] : m_links) {
-        link->closeSilently();
-    }
-    for (const auto &[connection, host] : m_acceptedConnections) {
-        connection->closeSilently();
-    }
-}
+FleetPlacement::~FleetPlacement() = default;
 
 std::error_code FleetPlacement::listen(const NetworkAddress &address)
 {
-    m_listener = std::make_unique<TcpListener>(m_io, [this](boost::asio::ip::tcp::socket socket) {
-        auto connection = std::make_shared<PeerConnection>(std::move(socket), [](std::size_t) {});
-        m_acceptedConnections[connection] = HostId();
-        connection->start(*this);
-    });
-    return m_listener->listen(address.address, address.port, false);
+    return m_connections.listen(address);
 }
 
 void FleetPlacement::setHosts(const std::vector<FleetHost> &hosts)
@@ -92,7 +66,7 @@
         const auto position = next.find(id);
         if (position == next.end() || !(position->second == known)) {
             m_table.hostLost(id, now);
-            if (const std::shared_ptr<PeerLink> removedLink = removeLink(id)) {
+            if (const std::shared_ptr<PeerLink> removedLink = m_connections.removeLink(id)) {
                 removedLink->close();
             }
         }
@@ -122,11 +96,7 @@
 
 void FleetPlacement::closePeerLinks()
 {
-    auto links = std::move(m_links);
-    m_links.clear();
-    for (const auto &[host, link] : links) {
-        link->close();
-    }
+    m_connections.closeLinks();
 }
 
 void FleetPlacement::setSuspectObserver(SuspectObserver &observer)
@@ -204,7 +174,7 @@
     if (owner == m_self) {
         m_table.noticeReceived(m_self, assignment.upstream, assignment.upstreamStart, notice, Clock::now());
     } else if (m_hosts.contains(owner)) {
-        link(owner)->send(toPeerMessage(toWire(assignment, notice)));
+        link(owner).send(toPeerMessage(toWire(assignment, notice)));
     }
 }
 
@@ -238,8 +208,7 @@
 void FleetPlacement::handleMessage(const std::shared_ptr<PeerConnection> &connection, Wire::PeerMessageT &&message)
 {
     if (const Wire::HelloT *hello = message.body.AsHello()) {
-        m_acceptedConnections[connection] = HostId(hello->host);
-        m_answerConnections[HostId(hello->host)] = connection;
+        m_connections.helloReceived(connection, HostId(hello->host));
         if (std::optional<Wire::CrashUpdateT> snapshot = m_crashes.snapshot(Clock::now())) {
             connection->send(toPeerMessage(std::move(*snapshot)));
         }
@@ -249,19 +218,15 @@
         onCrashUpdate(connection, *update);
         return;
     }
-    for (const auto &[host, link] : m_links) {
-        if (link->connection() == connection) {
-            const HostId from = host;
-            onLinkMessage(from, message);
-            return;
-        }
+    if (const HostId linked = m_connections.linkedHost(connection); !linked.empty()) {
+        onLinkMessage(linked, message);
+        return;
     }
-    const auto accepted = m_acceptedConnections.find(connection);
-    if (accepted == m_acceptedConnections.end() || accepted->second.empty()) {
+    const HostId from = m_connections.acceptedHost(connection);
+    if (from.empty()) {
         m_log.write("peer_message_without_hello", {});
         return;
     }
-    const HostId from = accepted->second;
     if (const Wire::PlacementCallT *call = message.body.AsPlacementCall()) {
         onCall(connection, from, *call);
     } else if (const Wire::PlacementReportT *report = message.body.AsPlacementReport()) {
@@ -289,29 +254,20 @@
 void FleetPlacement::handleClosed(const std::shared_ptr<PeerConnection> &connection)
 {
     const TimePoint now = Clock::now();
-    if (const auto accepted = m_acceptedConnections.find(connection); accepted != m_acceptedConnections.end()) {
-        const HostId from = accepted->second;
-        m_acceptedConnections.erase(accepted);
-        if (const auto answerConnection = m_answerConnections.find(from);
-            answerConnection != m_answerConnections.end() && answerConnection->second == connection) {
-            m_answerConnections.erase(answerConnection);
-            m_table.hostLost(from, now);
+    if (const std::optional<HostId> from = m_connections.removeAccepted(connection)) {
+        if (!from->empty()) {
+            m_table.hostLost(*from, now);
             std::erase_if(m_waitingPeerRequests, [&](const Placement::PlacementRequestId &id) {
-                return id.host == from;
+                return id.host == *from;
             });
         }
         return;
     }
-    for (const auto &[host, link] : m_links) {
-        if (link->connection() == connection) {
-            const HostId lost = host;
-            if (m_owners.isSkipped(lost)) {
-                removeLink(lost);
-            } else {
-                onOwnerSilent(lost, now);
-            }
-            return;
-        }
+    const HostId lost = m_connections.linkedHost(connection);
+    if (m_owners.isSkipped(lost)) {
+        m_connections.removeLink(lost);
+    } else if (!lost.empty()) {
+        onOwnerSilent(lost, now);
     }
 }
 
@@ -326,7 +282,7 @@
         applyActions(place(placement.placementRequest, now));
         return;
     }
-    link(placement.owner)->send(toPeerMessage(toWire(placement.placementRequest, now)));
+    link(placement.owner).send(toPeerMessage(toWire(placement.placementRequest, now)));
 }
 
 void FleetPlacement::recordOwnership(const ServiceId &service, TimePoint now)
@@ -379,9 +335,8 @@
             const std::string kind(errorAnswer(std::get<Placement::Refusal>(action).kind).name);
             m_log.write("placement_refused", {{"entry", id.host.value()}, {"demand", std::to_string(id.number)}, {"kind", kind}});
         }
-        const auto answerConnection = m_answerConnections.find(id.host);
-        if (answerConnection != m_answerConnections.end()) {
-            answerConnection->second->send(toPeerMessage(grant != nullptr ? toWire(*grant) : toWire(std::get<Placement::Refusal>(action))));
+        if (const std::shared_ptr<PeerConnection> answerConnection = m_connections.answerConnection(id.host)) {
+            answerConnection->send(toPeerMessage(grant != nullptr ? toWire(*grant) : toWire(std::get<Placement::Refusal>(action))));
         } else if (grant != nullptr) {
             applyActions(m_table.ended(id, Placement::GrantOutcome::Cancelled, std::nullopt, Clock::now()));
         }
@@ -419,7 +374,7 @@
     const HostId owner = placement->second.owner;
     m_log.write("crash_record_missing_at_owner", {{"peer", owner.value()}, {"demand", std::to_string(number)}});
     if (const std::optional<Wire::CrashUpdateT> snapshot = m_crashes.snapshot(Clock::now()); snapshot && owner != m_self && m_hosts.contains(owner)) {
-        link(owner)->send(toPeerMessage(*snapshot));
+        link(owner).send(toPeerMessage(*snapshot));
     }
     ended(refusal.id, Placement::GrantOutcome::Cancelled, std::nullopt);
     handler(refusal);
@@ -429,21 +384,11 @@
 {
     const CrashReplica::Update update = m_crashes.takeUpdate();
     if (update.forOwners) {
-        for (const auto &[host, link] : m_links) {
-            link->send(toPeerMessage(*update.forOwners));
-        }
-    }
-    if (!update.forAll) {
-        return;
-    }
-    connectRelayTargets();
-    for (const auto &[host, link] : m_links) {
-        link->send(toPeerMessage(*update.forAll));
+        m_connections.sendToLinked(toPeerMessage(*update.forOwners));
     }
-    for (const auto &[host, connection] : m_answerConnections) {
-        if (!m_links.contains(host)) {
-            connection->send(toPeerMessage(*update.forAll));
-        }
+    if (update.forAll) {
+        connectRelayTargets();
+        m_connections.sendToAll(toPeerMessage(*update.forAll));
     }
 }
 
@@ -455,7 +400,7 @@
         hosts.push_back(id);
     }
     for (const HostId &target : relayTargets(hosts, m_self)) {
-        if (!m_owners.isSkipped(target) && !m_answerConnections.contains(target)) {
+        if (!m_owners.isSkipped(target) && !m_connections.answerConnection(target)) {
             link(target);
         }
     }
@@ -535,7 +480,7 @@
 void FleetPlacement::sendReport(const HostId &owner, const Wire::PlacementReportT &report)
 {
     if (m_hosts.contains(owner)) {
-        link(owner)->send(toPeerMessage(report));
+        link(owner).send(toPeerMessage(report));
     }
 }
 
@@ -600,36 +545,29 @@
             if (owner == m_self) {
                 m_table.adopt(grant, now);
             } else {
-                link(owner)->send(toPeerMessage(toWire(grant, now)));
+                link(owner).send(toPeerMessage(toWire(grant, now)));
             }
         }
     }
 }
 
-std::shared_ptr<PeerLink> FleetPlacement::link(const HostId &host)
+PeerLink &FleetPlacement::link(const HostId &host)
 {
-    std::shared_ptr<PeerLink> &link = m_links[host];
-    if (!link) {
-        const NetworkAddress &address = m_hosts.at(host).address;
-        link = std::make_shared<PeerLink>(m_io, address.address, address.port, m_hello, *this, [](std::size_t) {});
+    const bool isNew = !m_connections.hasLink(host);
+    PeerLink &link = m_connections.link(host, m_hosts.at(host).address);
+    if (isNew) {
         if (std::optional<Wire::CrashUpdateT> snapshot = m_crashes.snapshot(Clock::now())) {
-            link->send(toPeerMessage(std::move(*snapshot)));
+            link.send(toPeerMessage(std::move(*snapshot)));
         }
     }
     return link;
 }
 
-std::shared_ptr<PeerLink> FleetPlacement::removeLink(const HostId &host)
-{
-    const auto entry = m_links.extract(host);
-    return entry.empty() ? nullptr : entry.mapped();
-}
-
 void FleetPlacement::onOwnerSilent(const HostId &host, TimePoint now)
 {
     m_log.write("owner_silent", {{"peer", host.value()}});
     m_owners.markUnresponsive(host, now);
-    if (const std::shared_ptr<PeerLink> removedLink = removeLink(host)) {
+    if (const std::shared_ptr<PeerLink> removedLink = m_connections.removeLink(host)) {
         removedLink->closeSilently();
     }
     for (auto &[number, placement] : m_localPlacements) {
@@ -643,7 +581,7 @@
 {
     for (const HostId &host : m_owners.takeDueProbes(now)) {
         if (m_hosts.contains(host)) {
-            link(host)->send(toPeerMessage(Wire::MembershipProbeT()));
+            link(host).send(toPeerMessage(Wire::MembershipProbeT()));
         }
     }
 }
--- a/Source/Forwarding/FleetPlacement.h
+++ b/Source/Forwarding/FleetPlacement.h
@@ -3,6 +3,7 @@
 #include "Forwarding/CrashReplica.h"
 #include "Forwarding/FleetHost.h"
 #include "Forwarding/OwnerSelector.h"
+#include "Forwarding/PeerConnections.h"
 #include "Forwarding/PlacementGateway.h"
 #include "Forwarding/RetryLender.h"
 #include "Peer/PeerMessageHandler.h"
@@ -20,11 +21,9 @@
 class EventLog;
 class PeerConnection;
 class PeerLink;
-class TcpListener;
 }
 
 namespace Mangofall::Wire {
-struct HelloT;
 struct PlacementAnswerT;
 struct PlacementCallT;
 struct PlacementReportT;
@@ -118,16 +117,14 @@
     void scheduleTick();
     void tick();
     void checkOwners(TimePoint now);
-    std::shared_ptr<PeerLink> link(const HostId &host);
-    /// Removes the link to \p host and returns it, null if there is none. The caller closes it after the removal, because closing may call back.
-    std::shared_ptr<PeerLink> removeLink(const HostId &host);
+    /// The link to a listed host. A new link begins with what this host knows of crashes.
+    PeerLink &link(const HostId &host);
     void onOwnerSilent(const HostId &host, TimePoint now);
     /// Probes the hosts that are skipped because they did not answer.
     void sendProbes(TimePoint now);
     /// Handles a message that arrived on the link to \p from.
     void onLinkMessage(const HostId &from, const Wire::PeerMessageT &message);
 
-    boost::asio::io_context &m_io;
     HostId m_self;
     DataCentreId m_dataCentre;
     EventLog &m_log;
@@ -139,12 +136,7 @@
     std::map<ServiceId, TimePoint> m_lastPlacedAt; ///< When this host last handled a placement request of each service as its owner.
     std::set<Placement::PlacementRequestId> m_waitingPeerRequests; ///< Placement requests of other hosts that wait in the table.
     std::map<HostId, FleetHost> m_hosts;
-    std::map<HostId, std::shared_ptr<PeerLink>> m_links;
-    /// Connections opened by peers, with the host named in the hello; empty before it.
-    std::map<std::shared_ptr<PeerConnection>, HostId> m_acceptedConnections;
-    std::map<HostId, std::shared_ptr<PeerConnection>> m_answerConnections; ///< The connections on which answers are sent to each peer.
-    std::unique_ptr<TcpListener> m_listener;
-    std::shared_ptr<const Wire::HelloT> m_hello;
+    PeerConnections m_connections;
     std::uint64_t m_nextNumber;
     boost::asio::steady_timer m_timer;
     bool m_tickScheduled = false;
