Let a part of prompts crash upstreams in the soak

From the middle of the faults on, one stream in some twelve has a part that crashes each upstream which begins to answer it; the first part is shared with sound requests. The soak checks that hosts without a fault pass on at most three such requests later than the stabilisation time after the fifth crash, and that at least 97% of the sound ones are answered after the recovery while harmful ones still come. The callers' random choices stay those of their seeds.

--- a/Tests/Soak/RunLedger.h
+++ b/Tests/Soak/RunLedger.h
@@ -2,6 +2,7 @@
 
 #include "Base/Time.h"
 
+#include <cstddef>
 #include <cstdint>
 #include <map>
 #include <optional>
@@ -42,6 +43,7 @@
         std::chrono::milliseconds deadline{};
         std::uint32_t runs = 0; ///< How often an upstream has begun to run it.
         std::optional<CallerOutcome> outcome; ///< Empty while the caller waits.
+        bool harmful = false; ///< Whether it crashes each upstream that begins to answer it; nobody misses its answer.
     };
 
     void recordSent(const std::string &attempt, const Attempt &details);
@@ -49,18 +51,26 @@
     const Attempt *find(const std::string &attempt) const;
     /// Records that an upstream begins to run the attempt.
     void recordRun(const std::string &attempt);
+    /// Records that an upstream, which begins to run the attempt, is about to crash because of it.
+    void recordHarmfulRun(const std::string &attempt, TimePoint now);
     void recordOutcome(const std::string &attempt, CallerOutcome outcome);
     void reportViolation(const std::string &violation);
+    /// Checks that hosts without a fault have passed on few harmful attempts since they had to know of them; to be called after all requests have ended.
+    void checkHarmfulRuns();
     /// Checks that no attempt of kind Once has run although it was refused as not run; to be called after all requests have ended.
     void checkRefusals();
 
     const std::vector<std::string> &violations() const;
     std::uint64_t count(CallerOutcome outcome) const;
-    /// The answered share, from 0 to 1, of the attempts that were sent at \p from or later and have ended; 1 if there are none.
+    /// How often an upstream has crashed because of a harmful attempt.
+    std::size_t harmfulCrashes() const;
+    /// The answered share, from 0 to 1, of the harmless attempts that were sent at \p from or later and have ended; 1 if there are none.
     double answeredShare(TimePoint from) const;
 
 private:
     std::map<std::string, Attempt> m_attempts;
+    std::vector<TimePoint> m_harmfulCrashes;
+    std::vector<std::string> m_lateHarmfulRuns; ///< Harmful attempts that ran although their hosts had to know of them.
     std::vector<std::string> m_violations;
 };
 
--- a/Tests/Soak/SoakCaller.cpp
+++ b/Tests/Soak/SoakCaller.cpp
@@ -38,6 +38,10 @@
 constexpr unsigned httpVersion = 11;
 constexpr int maxPauseMs = 120;
 constexpr std::uint64_t maxEvents = 40;
+// One of so many requests of a caller is harmful if it is a stream. A fixed number, so that the callers' random choices stay those of their seeds.
+constexpr std::uint64_t harmfulInterval = 12;
+// Prompts share their first part with those of other callers.
+constexpr std::size_t sharedParts = 4;
 
 bool statesNotRun(unsigned status)
 {
@@ -74,6 +78,11 @@
     }
 }
 
+void SoakCaller::sendHarmfulFrom(TimePoint time)
+{
+    m_harmfulFrom = time;
+}
+
 Asio::awaitable<bool> SoakCaller::connect()
 {
     if (m_stream) {
@@ -94,7 +103,7 @@
 Asio::awaitable<void> SoakCaller::sendRequest()
 {
     const RequestPlan plan = nextRequestPlan();
-    m_ledger.recordSent(plan.attempt, {plan.kind, plan.sentAt, m_fleet.hosts()[m_host]->faultFreeSince(), deadline, 0, std::nullopt});
+    m_ledger.recordSent(plan.attempt, {plan.kind, plan.sentAt, m_fleet.hosts()[m_host]->faultFreeSince(), deadline, 0, std::nullopt, plan.harmful});
     const Request request = makeRequest(plan);
     m_stream->expires_after(deadline + lateAnswerTolerance);
     const auto [writeError, written] = co_await Http::async_write(*m_stream, request, awaitTuple);
@@ -125,6 +134,7 @@
     plan.kind = static_cast<SoakRequestKind>(std::discrete_distribution<int>({6, 2, 2})(m_random)); // Weights in the order of SoakRequestKind.
     plan.events = std::uniform_int_distribution<std::uint64_t>(1, maxEvents)(m_random);
     plan.sentAt = Clock::now();
+    plan.harmful = plan.kind == SoakRequestKind::Stream && plan.sentAt >= m_harmfulFrom && (m_requests + m_index) % harmfulInterval == 0;
     return plan;
 }
 
@@ -138,6 +148,8 @@
     request.set(toBeast(Header::authorization), std::string(Header::credentialScheme) + Names::credential);
     if (plan.kind == SoakRequestKind::Stream) {
         request.set(toBeast(Header::tokenCounts), "2000," + std::to_string(plan.events));
+        const std::string harmful = plan.harmful ? std::string(Names::harmfulPart) + ":100," : std::string();
+        request.set(toBeast(Header::promptPrefix), "a" + std::to_string(m_index % sharedParts) + ":900," + harmful + plan.attempt + ":1000");
     }
     if (request.method() == Http::verb::post) {
         request.body() = "prompt of " + plan.attempt;
--- a/Tests/Soak/SoakCaller.h
+++ b/Tests/Soak/SoakCaller.h
@@ -29,6 +29,8 @@
 
     /// Sends requests until \p end and then finishes the last one.
     boost::asio::awaitable<void> run(TimePoint end);
+    /// From \p time on, some of the prompts have a part that crashes upstreams.
+    void sendHarmfulFrom(TimePoint time);
 
 private:
     using Request = boost::beast::http::request<boost::beast::http::string_body>;
@@ -39,6 +41,7 @@
         SoakRequestKind kind = SoakRequestKind::Stream;
         std::uint64_t events = 0; ///< Length of the answer; for streams only.
         TimePoint sentAt;
+        bool harmful = false; ///< Whether its prompt has a part that crashes upstreams.
     };
 
     boost::asio::awaitable<bool> connect();
@@ -55,6 +58,7 @@
     RandomEngine m_random;
     std::size_t m_index;
     std::uint64_t m_requests = 0;
+    TimePoint m_harmfulFrom = TimePoint::max();
     std::size_t m_host = 0; ///< Index of the host that the connection leads to.
     std::unique_ptr<boost::beast::tcp_stream> m_stream; ///< The connection, kept between requests; null if there is none.
 };
--- a/Tests/Soak/SoakFleet.cpp
+++ b/Tests/Soak/SoakFleet.cpp
@@ -86,6 +86,11 @@
     for (std::size_t index = 0; index < options.plainUpstreams; ++index) {
         m_upstreams.push_back(std::make_unique<SoakUpstream>(io, "plain" + std::to_string(index), Names::plainService, dataCentre(index), m_store, ledger));
     }
+    for (const std::unique_ptr<SoakUpstream> &upstream : m_upstreams) {
+        upstream->setCrashHandler([this]() {
+            recordFaultChange();
+        });
+    }
 }
 
 void SoakFleet::start()
--- a/Tests/Soak/SoakNames.h
+++ b/Tests/Soak/SoakNames.h
@@ -10,6 +10,7 @@
 inline constexpr const char *hostName = "soak.example";
 inline constexpr const char *organisation = "organisation-a";
 inline constexpr const char *credential = "soak-key";
+inline constexpr const char *harmfulPart = "dead"; ///< The part of a prompt that crashes each upstream which begins to answer it.
 
 }
 
--- a/Tests/Soak/SoakRun.cpp
+++ b/Tests/Soak/SoakRun.cpp
@@ -53,6 +53,7 @@
     });
     m_io.run();
     m_ledger.checkRefusals();
+    m_ledger.checkHarmfulRuns();
     return m_ledger.violations();
 }
 
@@ -76,6 +77,7 @@
     callers.reserve(m_options.callers);
     for (std::size_t index = 0; index < m_options.callers; ++index) {
         callers.push_back(std::make_unique<SoakCaller>(m_io, m_fleet, m_ledger, m_options.seed, index));
+        callers.back()->sendHarmfulFrom(faultStart + m_options.faultTime / 2);
         Asio::co_spawn(m_io, callers.back()->run(measurementStart + measurementTime), Asio::detached);
     }
     for (const FaultStep &step : plan) {
@@ -195,6 +197,7 @@
 
 void SoakRun::checkRecovery(TimePoint measurementStart)
 {
+    addReportLine(std::to_string(m_ledger.harmfulCrashes()) + " crashes of upstreams by a part of prompts");
     const double share = m_ledger.answeredShare(measurementStart);
     addReportLine("answered " + std::to_string(m_ledger.count(CallerOutcome::Answered)) + ", refused " + std::to_string(m_ledger.count(CallerOutcome::Refused))
                   + ", failed " + std::to_string(m_ledger.count(CallerOutcome::Failed)) + ", incomplete "
--- a/Tests/Soak/SoakUpstream.cpp
+++ b/Tests/Soak/SoakUpstream.cpp
@@ -33,6 +33,7 @@
 constexpr std::chrono::milliseconds processingTime{40};
 constexpr std::chrono::milliseconds unresponsiveTime{6000};
 constexpr std::chrono::milliseconds drainTime{3500};
+constexpr std::chrono::milliseconds harmfulCrashTime{1000};
 // By how much a request may exceed its deadline or drainNoticeLimit before it is a violation.
 constexpr std::chrono::milliseconds checkTolerance{500};
 constexpr unsigned statusOk = 200;
@@ -109,6 +110,11 @@
 
 SoakUpstream::~SoakUpstream() = default;
 
+void SoakUpstream::setCrashHandler(std::function<void()> onCrash)
+{
+    m_onCrash = std::move(onCrash);
+}
+
 void SoakUpstream::setFault(UpstreamFault fault)
 {
     m_fault = fault;
@@ -207,6 +213,12 @@
     const std::uint64_t last = eventCount(request);
     Asio::steady_timer timer(m_io, firstEventTime);
     co_await timer.async_wait(awaitTuple);
+    if (field(request, Header::promptPrefix).find(Names::harmfulPart) != std::string::npos) {
+        m_ledger.recordHarmfulRun(attempt, Clock::now());
+        m_onCrash();
+        crash(harmfulCrashTime);
+        co_return false;
+    }
     std::string bytes = responseHead(request, statusOk, true, m_leaving) + "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n";
     for (std::uint64_t event = number(field(request, Header::lastEventId)) + 1; event <= last; ++event) {
         bytes += chunk("id: " + std::to_string(event) + "\ndata: " + eventData(attempt, event) + "\n\n");
--- a/Tests/Soak/SoakUpstream.h
+++ b/Tests/Soak/SoakUpstream.h
@@ -7,6 +7,7 @@
 #include <boost/beast/http/string_body.hpp>
 
 #include <cstdint>
+#include <functional>
 #include <memory>
 #include <optional>
 #include <string>
@@ -37,6 +38,8 @@
     SoakUpstream(boost::asio::io_context &io, std::string name, std::string service, std::string dataCentre, SoakStore &store, RunLedger &ledger);
     ~SoakUpstream();
 
+    /// \p onCrash is called when a request crashes this upstream.
+    void setCrashHandler(std::function<void()> onCrash);
     void setFault(UpstreamFault fault);
     void setLinkFault(bool silent);
     /// Resets all connections, refuses new ones, and comes back under another id after \p downTime.
@@ -62,6 +65,7 @@
     std::string m_dataCentre;
     SoakStore &m_store;
     RunLedger &m_ledger;
+    std::function<void()> m_onCrash;
     std::string m_id;
     std::uint32_t m_restarts = 0;
     bool m_alive = true;
