Log what holds back a request

The line refused with the detail quarantined did not tell which parts or which request were suspected. request_held_back has the fingerprint and the parts, like upstream_broke_off.

--- a/Source/Forwarding/ForwardingSession.cpp
+++ b/Source/Forwarding/ForwardingSession.cpp
@@ -182,6 +182,9 @@
             break;
         }
         if (const auto *refusal = std::get_if<Placement::Refusal>(&*answer)) {
+            if (refusal->kind == ErrorKind::Quarantined) {
+                logSuspects("request_held_back", UpstreamId());
+            }
             co_await answerError(unlessMayHaveRun(refusal->kind), refusal->retryAfter);
             break;
         }
@@ -208,7 +211,7 @@
             logDecision("attempt_failed", attempt.cause);
         }
         if (attempt.grantOutcome == GrantOutcome::Broken) {
-            logBrokenAttempt(assignment.upstream);
+            logSuspects("upstream_broke_off", assignment.upstream);
         }
         NextStep step = m_policy.decide(attempt.outcome, m_deadline - Clock::now());
         if (step == NextStep::Retry) {
@@ -625,13 +628,13 @@
     return m_route.kind == RequestKind::Stream;
 }
 
-void ForwardingSession::logBrokenAttempt(const UpstreamId &upstream) const
+void ForwardingSession::logSuspects(std::string_view event, const UpstreamId &upstream) const
 {
     std::string parts;
     for (const std::string &part : m_request.sharedPromptParts) {
         parts += (parts.empty() ? "" : ",") + part;
     }
-    m_context.log.write("upstream_broke_off",
+    m_context.log.write(event,
                         {{"request", m_request.id.value()},
                          {"upstream", upstream.value()},
                          {"answer_began", m_answerBegan ? "true" : "false"},
--- a/Source/Forwarding/ForwardingSession.h
+++ b/Source/Forwarding/ForwardingSession.h
@@ -91,8 +91,8 @@
     void onUpstreamSilent(Duration limit);
     void onCallerDisconnected();
     bool isStream() const;
-    /// Logs what the present attempt, which its upstream broke off, has in common with others.
-    void logBrokenAttempt(const UpstreamId &upstream) const;
+    /// Logs what the request has in common with others, because \p upstream broke it off or because it is held back.
+    void logSuspects(std::string_view event, const UpstreamId &upstream) const;
     void logDecision(std::string_view event, std::string_view detail) const;
 
     ForwardingContext &m_context;
