--- a/Tests/Forwarding/FleetPlacementTest.cpp
+++ b/Tests/Forwarding/FleetPlacementTest.cpp
@@ -310,6 +310,7 @@
     const HostId host("h0");
     const Placement::PlacementRequest request = requestWithFingerprint(7);
     std::vector<Placement::PlacementRequestId> granted;
+    granted.reserve(3);
     for (int copy = 0; copy < 3; ++copy) {
         granted.push_back(fleet.submit(host, request, [](const PlacementGateway::Answer &answer) {
             CHECK(std::holds_alternative<Assignment>(answer));
