Do not take a reader's cut for an outage of the store

Cause: a reader that was cut off told its followers of its own failed calls, although it had its view from a reader that the store answered; they kept removed entries as in an outage. Class of fault: a failure of one path is taken for a failure of what is behind it.

A host passes on the failures that its source knows of; its own count only if no peer has read the store since.

--- a/Source/Feed/ItemPage.h
+++ b/Source/Feed/ItemPage.h
@@ -27,7 +27,7 @@
     std::uint64_t revision = 0; ///< The source knows all changes up to this revision of the store.
     bool more = false; ///< Whether further keys follow the last item.
     Duration age{0}; ///< Time since the store last answered, directly or through other hosts.
-    std::optional<Duration> failureAge; ///< Time since the last failed call of the source to the store, if there was one.
+    std::optional<Duration> failureAge; ///< Time since the last failure of the store that the source knows of, if there was one.
 };
 
 }
--- a/Source/Feed/MirrorState.cpp
+++ b/Source/Feed/MirrorState.cpp
@@ -23,6 +23,8 @@
 // While the readers are still starting, the hosts are listed again at this interval, in case the list was incomplete.
 constexpr std::chrono::milliseconds relistInterval{700};
 constexpr std::chrono::milliseconds listRetryInterval{150};
+// If another host has read the store within this time, a failed call means that this host is cut off, not that the store is down.
+constexpr std::chrono::milliseconds storeAnswersOthersTime{1500};
 
 std::string describe(const SourceId &source)
 {
@@ -186,6 +188,9 @@
     m_selector.failed(source, now);
     if (source.isStore()) {
         m_storeFailing = true;
+        if (storeAnswersOthers(now)) {
+            return;
+        }
         m_storeFailedAt = now;
         m_observer.storeCallFailed();
         return;
@@ -224,15 +229,32 @@
         m_log.write("feed_source_old", {{"source", describe(source)}, {"revision", std::to_string(page.revision)}, {"age_ms", describe(page.age)}});
     }
     if (!source.isStore()) {
-        if (page.failureAge) {
-            m_observer.readerCallFailed(now - *page.failureAge);
-        }
+        recordFailuresOfPeer(page, now);
     } else if (m_storeFailing) {
         m_storeFailing = false;
         m_observer.storeRecovered();
     }
 }
 
+// This host passes on what it reads from the peer, and so the failures that tell how far removals can be trusted.
+void MirrorState::recordFailuresOfPeer(const ItemPage &page, TimePoint now)
+{
+    if (m_storeFailedAt && now - page.age > *m_storeFailedAt) {
+        m_storeFailedAt.reset();
+    }
+    if (!page.failureAge) {
+        return;
+    }
+    const TimePoint failedAt = now - *page.failureAge;
+    m_storeFailedAt = std::max(m_storeFailedAt.value_or(failedAt), failedAt);
+    m_observer.readerCallFailed(failedAt);
+}
+
+bool MirrorState::storeAnswersOthers(TimePoint now) const
+{
+    return followsPeer() && m_currentAt && now < *m_currentAt + storeAnswersOthersTime;
+}
+
 void MirrorState::applyItem(const StoreItem &item)
 {
     if (m_view.apply(item)) {
--- a/Source/Feed/MirrorState.h
+++ b/Source/Feed/MirrorState.h
@@ -60,7 +60,7 @@
     const StoreView &view() const;
     /// Time since the store last answered, directly or through other hosts; empty if it has not answered yet.
     std::optional<Duration> age(TimePoint now) const;
-    /// Time since the last failed call of this host to the store, if there was one.
+    /// Time since the last failure of the store, here or at a host that this one reads from; empty if there was none or the store has answered others since.
     std::optional<Duration> failureAge(TimePoint now) const;
     /// Whether the last answer came from a peer.
     bool followsPeer() const;
@@ -82,6 +82,9 @@
     void completeRead(TimePoint now);
     void startRead(TimePoint now);
     void recordAnswer(const SourceId &source, const ItemPage &page, TimePoint now);
+    void recordFailuresOfPeer(const ItemPage &page, TimePoint now);
+    /// Whether another host has read the store a short time ago.
+    bool storeAnswersOthers(TimePoint now) const;
     void applyItem(const StoreItem &item);
     Duration batchDelay(TimePoint now) const;
 
@@ -95,7 +98,7 @@
     bool m_storeFailing = false; ///< Whether the last call to the store failed.
     bool m_historyGoneAtPeer = false; ///< Whether the last answer of a peer was HistoryGone.
     TimePoint m_nextStoreCall; ///< No call is made to the store before this time.
-    std::optional<TimePoint> m_storeFailedAt;
+    std::optional<TimePoint> m_storeFailedAt; ///< The last failure of the store, as far as this host or those that it reads from know.
     std::optional<TimePoint> m_currentAt; ///< The view holds all changes that the store acknowledged before this time.
     std::optional<TimePoint> m_synchronisedAt; ///< When all keys were read for the first time.
     TimePoint m_nextListing;
--- a/Tests/Feed/MirrorStateTest.cpp
+++ b/Tests/Feed/MirrorStateTest.cpp
@@ -59,18 +59,38 @@
     }
 };
 
-std::string followerOf(const std::vector<FeedHost> &hosts)
+std::string hostWithRole(const std::vector<FeedHost> &hosts, FeedRole role)
 {
     for (const FeedHost &host : hosts) {
         SourceSelector selector(host.id, ReaderLimits(), milliseconds(2000), RandomEngine(1));
         selector.setHosts(hosts);
-        if (selector.role() == FeedRole::Follower) {
+        if (selector.role() == role) {
             return host.id.value();
         }
     }
     return {};
 }
 
+std::string followerOf(const std::vector<FeedHost> &hosts)
+{
+    return hostWithRole(hosts, FeedRole::Follower);
+}
+
+// Answers the next call to the store with a failure, and those to peers before it with recent views.
+void failStoreCall(Mirror &mirror)
+{
+    while (true) {
+        mirror.now += milliseconds(100);
+        const bool toStore = mirror.state.next(mirror.now).source.isStore();
+        ItemPage recent = answer({}, 10);
+        recent.age = milliseconds(50);
+        mirror.answerNext(toStore ? status(SourceStatus::Failed) : recent);
+        if (toStore) {
+            return;
+        }
+    }
+}
+
 }
 
 TEST_GROUP(MirrorStateTest){};
@@ -161,3 +181,47 @@
     mirror.answerNext(answer({written("a", 11)}, 11));
     CHECK(mirror.state.next(mirror.now).at >= mirror.now + milliseconds(400));
 }
+
+// Guards against hosts that keep upstreams which have left because the reader that they follow is cut off from the store: another one reads it, so that the
+// removal is no sign of an outage. On a deployment of 65 hosts, hosts sent requests to them 3.03 s after the removal.
+TEST(MirrorStateTest, AReaderThatIsCutOffReportsNoFailureOfTheStore)
+{
+    const std::vector<FeedHost> hosts = feedHosts(20);
+    Mirror mirror(hostWithRole(hosts, FeedRole::Reader), hosts);
+    mirror.answerNext(answer({written("a", 1)}, 10));
+    failStoreCall(mirror);
+    CHECK(mirror.state.failureAge(mirror.now).has_value());
+    for (int failure = 0; failure < 5; ++failure) {
+        failStoreCall(mirror);
+        CHECK_FALSE(mirror.state.failureAge(mirror.now).has_value());
+    }
+    LONGS_EQUAL(1, mirror.observer.failures);
+}
+
+// Guards against upstreams that count as gone because the store was down for all hosts when their entries lapsed.
+TEST(MirrorStateTest, AnOutageOfTheStoreIsReportedAlsoBesidePeers)
+{
+    const std::vector<FeedHost> hosts = feedHosts(20);
+    Mirror mirror(hostWithRole(hosts, FeedRole::Reader), hosts);
+    mirror.answerNext(answer({written("a", 1)}, 10));
+    const TimePoint outage = mirror.now;
+    for (int call = 0; call < 40; ++call) {
+        mirror.now += milliseconds(100);
+        ItemPage old = answer({}, 10);
+        old.age = mirror.now - outage;
+        mirror.answerNext(mirror.state.next(mirror.now).source.isStore() ? status(SourceStatus::Failed) : old);
+    }
+    CHECK(mirror.state.failureAge(mirror.now).has_value());
+    CHECK(mirror.observer.failures > 1);
+}
+
+// Guards against followers that are not told of an outage because their reader learned of the removals from another host.
+TEST(MirrorStateTest, FailuresOfTheSourceArePassedOn)
+{
+    const std::vector<FeedHost> hosts = feedHosts(20);
+    Mirror mirror(followerOf(hosts), hosts);
+    ItemPage page = answer({written("a", 1)}, 10);
+    page.failureAge = milliseconds(300);
+    mirror.answerNext(page);
+    CHECK(mirror.state.failureAge(mirror.now + milliseconds(200)) == std::optional<Duration>(milliseconds(500)));
+}
