--- a/review/standins/Runner.cpp
+++ b/review/standins/Runner.cpp
@@ -28,13 +28,6 @@
 constexpr std::size_t plainBodyBytes = 800;
 constexpr unsigned statusOk = 200;
 
-std::string chunk(const std::string &data)
-{
-    std::array<char, 20> size{};
-    std::snprintf(size.data(), size.size(), "%zx\r\n", data.size());
-    return size.data() + data + "\r\n";
-}
-
 std::string refusal(const Runner::Request &request, const std::string &statusLine, const std::string &fields)
 {
     return "HTTP/1.1 " + statusLine + "\r\nAttempt-Id: " + field(request, "Attempt-Id") + "\r\nNot-Executed: 1\r\n" + fields + "Content-Length: 0\r\n\r\n";
@@ -81,6 +74,13 @@
     return {value.data(), value.size()};
 }
 
+std::string chunk(const std::string &data)
+{
+    std::array<char, 20> size{};
+    std::snprintf(size.data(), size.size(), "%zx\r\n", data.size());
+    return size.data() + data + "\r\n";
+}
+
 std::string answerHead(const Runner::Request &request, unsigned status)
 {
     const std::string attempt = field(request, "Attempt-Id");
@@ -151,6 +151,11 @@
     return m_record;
 }
 
+const RunnerTimes &Runner::times() const
+{
+    return m_times;
+}
+
 Asio::awaitable<void> Runner::serve(SocketPointer socket)
 {
     boost::beast::flat_buffer buffer;
--- a/review/standins/Runner.h
+++ b/review/standins/Runner.h
@@ -74,6 +74,7 @@
     boost::asio::awaitable<bool> write(SocketPointer socket, std::string bytes);
     boost::asio::awaitable<void> pause(std::chrono::milliseconds time);
     Record &record();
+    const RunnerTimes &times() const;
 
 private:
     boost::asio::awaitable<void> serve(SocketPointer socket);
@@ -94,6 +95,9 @@
 /// Value of a header field; empty if absent.
 std::string field(const Runner::Request &request, std::string_view name);
 
+/// \p data as one chunk of a chunked answer.
+std::string chunk(const std::string &data);
+
 /// Start of an answer to \p request by a runner that has executed it, without its last empty line.
 std::string answerHead(const Runner::Request &request, unsigned status);
 
