--- a/review/2/Case.cpp
+++ b/review/2/Case.cpp
@@ -34,8 +34,8 @@
 constexpr std::chrono::milliseconds troubleTime{30000};
 // Of the prompts, about one in twenty has the harmful part.
 constexpr std::chrono::milliseconds harmfulInterval{1000};
-// "...the runner is back after some seconds."
-constexpr std::chrono::milliseconds downTime{3000};
+// "...the runner is back after some seconds." An entry is removed after three heartbeat intervals of silence; heartbeat_ms is 1200.
+constexpr std::chrono::milliseconds downTime{3600};
 constexpr std::chrono::milliseconds coldTime{3000};
 // "...later than contact_ms after the fifth crash."
 constexpr std::size_t crashesBeforeBound = 5;
