Limit what an answer of an upstream may hold in memory

Cause: an upstream call kept any number of bytes outside of the body. Boost.Beast limits the status line and the header, but not a chunk size line, a chunk extension or the trailers, and the read buffer had no maximum. An event without an end was kept in the same way, and searched again from its start with each part. A whole answer could take 64 MiB, each of them, without a limit for the process.

Change: a call's read buffer has a maximum (64 KiB), so that all framing has one; an event may have 1 MiB; a whole answer, with its framing, 16 MiB. SseEventSplitter searches each byte once.

--- a/Source/Forwarding/ForwardingContext.h
+++ b/Source/Forwarding/ForwardingContext.h
@@ -9,6 +9,7 @@
 
 namespace Mangofall::Forwarding {
 
+class AnswerMemory;
 class EngineMemoryClient;
 class MessageTranslator;
 class PlacementGateway;
@@ -26,6 +27,7 @@
     EngineMemoryClient &engineMemory;
     UpstreamAvailability &upstreams;
     RetryBudgets &budgets;
+    AnswerMemory &answerMemory;
     EventLog &log;
     ForwardingMetrics &metrics;
 };
--- a/Source/Forwarding/ForwardingSession.cpp
+++ b/Source/Forwarding/ForwardingSession.cpp
@@ -2,6 +2,7 @@
 
 #include "Base/ErrorAnswer.h"
 #include "Base/Hash.h"
+#include "Forwarding/AnswerMemory.h"
 #include "Forwarding/MemoryReservationSet.h"
 #include "Forwarding/MessageTranslator.h"
 #include "Forwarding/RetryBudgets.h"
@@ -29,7 +30,8 @@
 using Clock = std::chrono::steady_clock;
 
 constexpr auto awaitTuple = Asio::as_tuple(Asio::use_awaitable);
-constexpr std::size_t maxWholeAnswerBytes = 64UL * 1024 * 1024;
+constexpr std::size_t maxWholeAnswerBytes = 16UL * 1024 * 1024;
+constexpr std::size_t maxEventBytes = 1024UL * 1024;
 // An upstream that sends nothing for this multiple of the expected time counts as silent, if the request can be sent to another upstream.
 constexpr int silenceFactor = 2;
 // First event estimates are exceeded under load, and giving an upstream up wastes the prefill that it has done.
@@ -339,6 +341,9 @@
     UpstreamCall call(singleCallPool(m_context.io, assignment.address), m_deadline - now);
     m_call = &call;
     m_answerBegan = false;
+    m_answerShare.emplace(m_context.answerMemory, [this]() {
+        onAnswerMemoryRevoked();
+    });
     // Reserved memory of helpers must not stay in use for an upstream whose machine is gone.
     if (!assignment.helperMemory.empty()) {
         call.detectUnreachableUpstream();
@@ -404,11 +409,22 @@
 Asio::awaitable<AttemptResult> ForwardingSession::receiveWhole(UpstreamCall &call, const UpstreamAnswer &answer)
 {
     std::string body;
+    std::string part;
     call.setTimeout(m_deadline - Clock::now());
-    const boost::system::error_code error = co_await call.readAll(body, maxWholeAnswerBytes);
-    if (error) {
-        co_return interruptedAttempt(error);
-    }
+    do {
+        const boost::system::error_code error = co_await call.read(part);
+        if (error) {
+            co_return interruptedAttempt(error);
+        }
+        if (call.receivedBytes() > maxWholeAnswerBytes) {
+            co_return failedAttempt(AttemptOutcome::MayHaveRun, GrantOutcome::Malformed, "answer too large");
+        }
+        if (!m_answerShare->resize(body.size() + part.size())) {
+            co_return revokedAttempt();
+        }
+        body += part;
+    } while (!part.empty());
+    m_answerShare->complete();
     const bool failed = answer.status >= firstErrorStatus;
     AttemptResult result;
     result.outcome = failed ? AttemptOutcome::Failed : AttemptOutcome::Answered;
@@ -447,6 +463,12 @@
                 events += event->bytes;
             }
         }
+        if (splitter.pending().size() > maxEventBytes) {
+            co_return failedAttempt(AttemptOutcome::MayHaveRun, GrantOutcome::Malformed, "event too large");
+        }
+        if (!m_answerShare->resize(splitter.pending().size())) {
+            co_return revokedAttempt();
+        }
         if (events.empty()) {
             continue;
         }
@@ -557,8 +579,16 @@
     co_return;
 }
 
+AttemptResult ForwardingSession::revokedAttempt()
+{
+    return failedAttempt(AttemptOutcome::MayHaveRun, GrantOutcome::Failed, "no memory for the answer");
+}
+
 AttemptResult ForwardingSession::interruptedAttempt(const boost::system::error_code &error) const
 {
+    if (m_answerShare && m_answerShare->isRevoked()) {
+        return revokedAttempt();
+    }
     if (m_retryCharged || error == boost::beast::error::timeout) {
         return failedAttempt(AttemptOutcome::MayHaveRun, GrantOutcome::Silent, "silent");
     }
@@ -623,6 +653,14 @@
     }
 }
 
+void ForwardingSession::onAnswerMemoryRevoked()
+{
+    logDecision("answer_memory_revoked", std::to_string(m_context.answerMemory.usedBytes()));
+    if (m_call != nullptr) {
+        m_call->cancel();
+    }
+}
+
 bool ForwardingSession::isStream() const
 {
     return m_route.kind == RequestKind::Stream;
--- a/Source/Forwarding/ForwardingSession.h
+++ b/Source/Forwarding/ForwardingSession.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "Base/ErrorKind.h"
+#include "Forwarding/AnswerMemory.h"
 #include "Forwarding/AttemptResult.h"
 #include "Forwarding/CallerRequest.h"
 #include "Forwarding/EngineMemoryClient.h"
@@ -79,6 +80,8 @@
     void recordNotice(const UpstreamId &upstream, const UpstreamAnswer &answer);
     std::vector<MemoryReservation> reservationsFor(const Assignment &assignment) const;
     Placement::PlacementRequest makePlacementRequest();
+    /// Result of an attempt whose answer had to be given up for the memory that all answers take.
+    static AttemptResult revokedAttempt();
     /// Result of an attempt whose answer timed out or broke off with \p error.
     AttemptResult interruptedAttempt(const boost::system::error_code &error) const;
     /// Time without an answer or first event after which the upstream counts as silent.
@@ -90,6 +93,7 @@
     /// Cancels the call to an upstream that sent nothing for \p limit if the retry budget allows a retry; otherwise keeps waiting.
     void onUpstreamSilent(Duration limit);
     void onCallerDisconnected();
+    void onAnswerMemoryRevoked();
     bool isStream() const;
     /// Logs what the request has in common with others, because \p upstream broke it off or because it is held back.
     void logSuspects(std::string_view event, const UpstreamId &upstream) const;
@@ -112,6 +116,7 @@
     std::optional<PlacementGateway::Answer> m_answer; ///< To the current placement request.
     Placement::PlacementRequestId m_placementRequestId;
     UpstreamCall *m_call = nullptr; ///< The call of the attempt in progress.
+    std::optional<AnswerMemory::Share> m_answerShare; ///< Of the latest attempt; its answer may still be on the way to the caller.
     std::unordered_set<UpstreamId> m_excluded; ///< Upstreams that further placement requests exclude.
     bool m_answerBegan = false; ///< Whether the present attempt has brought an event.
     Duration m_firstEventEstimate{}; ///< Estimate from the current assignment.
--- a/Source/Http/SseEventSplitter.cpp
+++ b/Source/Http/SseEventSplitter.cpp
@@ -10,20 +10,6 @@
 
 constexpr std::string_view idField = "id";
 
-// Length of the first event including its blank line; npos if the event is incomplete.
-std::size_t eventLength(std::string_view text)
-{
-    std::size_t lineStart = 0;
-    for (std::size_t end = text.find('\n'); end != std::string_view::npos; end = text.find('\n', lineStart)) {
-        const std::string_view line = text.substr(lineStart, end - lineStart);
-        if (lineStart > 0 && (line.empty() || line == "\r")) {
-            return end + 1;
-        }
-        lineStart = end + 1;
-    }
-    return std::string_view::npos;
-}
-
 bool isFieldName(std::string_view name)
 {
     return std::all_of(name.begin(), name.end(), [](unsigned char character) {
@@ -59,12 +45,14 @@
 
 std::optional<SseRawEvent> SseEventSplitter::next()
 {
-    const std::size_t length = eventLength(m_buffer);
-    if (length == std::string_view::npos) {
+    const std::optional<std::size_t> length = eventLength();
+    if (!length) {
         return std::nullopt;
     }
-    SseRawEvent event{m_buffer.substr(0, length), {}, true};
-    m_buffer.erase(0, length);
+    SseRawEvent event{m_buffer.substr(0, *length), {}, true};
+    m_buffer.erase(0, *length);
+    m_lineStart = 0;
+    m_searchStart = 0;
     std::string_view rest = event.bytes;
     while (!rest.empty()) {
         const std::size_t end = rest.find('\n');
@@ -80,6 +68,21 @@
     return event;
 }
 
+std::optional<std::size_t> SseEventSplitter::eventLength()
+{
+    const std::string_view text = m_buffer;
+    for (std::size_t end = text.find('\n', m_searchStart); end != std::string_view::npos; end = text.find('\n', m_searchStart)) {
+        const std::string_view line = text.substr(m_lineStart, end - m_lineStart);
+        if (m_lineStart > 0 && (line.empty() || line == "\r")) {
+            return end + 1;
+        }
+        m_lineStart = end + 1;
+        m_searchStart = m_lineStart;
+    }
+    m_searchStart = text.size();
+    return std::nullopt;
+}
+
 std::string_view SseEventSplitter::pending() const
 {
     return m_buffer;
--- a/Source/Http/SseEventSplitter.h
+++ b/Source/Http/SseEventSplitter.h
@@ -34,7 +34,12 @@
     std::string_view pending() const;
 
 private:
+    /// Length of the first event including its blank line; empty if the event is incomplete. Bytes that were searched before are not searched again.
+    std::optional<std::size_t> eventLength();
+
     std::string m_buffer;
+    std::size_t m_lineStart = 0; ///< Start of the line that was incomplete at the last search.
+    std::size_t m_searchStart = 0; ///< End of what was searched.
 };
 
 }
--- a/Source/Http/UpstreamCall.cpp
+++ b/Source/Http/UpstreamCall.cpp
@@ -78,7 +78,8 @@
         auto &body = m_parser->get().body();
         body.data = data.data();
         body.size = data.size();
-        boost::system::error_code error = std::get<0>(co_await BeastHttp::async_read_some(*m_stream, m_buffer, *m_parser, awaitTuple));
+        const auto [error, bytes] = co_await BeastHttp::async_read_some(*m_stream, m_buffer, *m_parser, awaitTuple);
+        m_receivedBytes += bytes;
         if (error && error != BeastHttp::error::need_buffer) {
             co_return error;
         }
@@ -90,7 +91,7 @@
 Asio::awaitable<boost::system::error_code> UpstreamCall::readAll(std::string &body, std::size_t limitBytes)
 {
     std::string bodyPart;
-    while (body.size() <= limitBytes) {
+    while (m_receivedBytes <= limitBytes) {
         const boost::system::error_code error = co_await read(bodyPart);
         if (error || bodyPart.empty()) {
             co_return error;
@@ -100,6 +101,11 @@
     co_return BeastHttp::make_error_code(BeastHttp::error::body_limit);
 }
 
+std::size_t UpstreamCall::receivedBytes() const
+{
+    return m_receivedBytes;
+}
+
 void UpstreamCall::setTimeout(Duration timeout)
 {
     m_timeout = timeout;
--- a/Source/Http/UpstreamCall.h
+++ b/Source/Http/UpstreamCall.h
@@ -22,13 +22,18 @@
  * \class UpstreamCall
  * \brief One HTTP call to an upstream; the body of the response is read incrementally.
  *
- * After a failure, anyBytesSent() tells whether the upstream may have received any byte of the request.
+ * What arrives outside of the body (status line, header, chunk sizes, trailers) is limited in size, so that an upstream that never completes it cannot fill
+ * the memory. After a failure, anyBytesSent() tells whether the upstream may have received any byte of the
+ * request.
  */
 class UpstreamCall
 {
 public:
     using Request = boost::beast::http::request<boost::beast::http::string_body>;
 
+    /// The largest chunk size line or trailer section that is accepted.
+    static constexpr std::size_t maxFramingBytes = 64UL * 1024;
+
     UpstreamCall(std::shared_ptr<UpstreamConnectionPool> pool, Duration timeout);
     ~UpstreamCall();
 
@@ -42,9 +47,12 @@
     /// Reads the next part of the body into \p bodyPart; an empty \p bodyPart without error means that the body is complete.
     boost::asio::awaitable<boost::system::error_code> read(std::string &bodyPart);
 
-    /// Appends the whole body to \p body; fails with body_limit if \p body exceeds \p limitBytes.
+    /// Appends the whole body to \p body; fails with body_limit if the body with its framing exceeds \p limitBytes.
     boost::asio::awaitable<boost::system::error_code> readAll(std::string &body, std::size_t limitBytes);
 
+    /// Bytes of the body that were received, with the framing of its chunks.
+    std::size_t receivedBytes() const;
+
     /// Sets the timeout of each following write or read; the timeout of a pending read is not changed.
     void setTimeout(Duration timeout);
 
@@ -72,7 +80,8 @@
     std::shared_ptr<UpstreamConnectionPool> m_pool;
     Duration m_timeout;
     std::shared_ptr<boost::beast::tcp_stream> m_stream;
-    boost::beast::flat_buffer m_buffer;
+    boost::beast::flat_buffer m_buffer{maxFramingBytes};
+    std::size_t m_receivedBytes = 0;
     std::unique_ptr<Parser> m_parser;
     bool m_detectsUnreachable = false;
     bool m_anyBytesSent = false;
--- a/Tests/Forwarding/ScriptedUpstream.h
+++ b/Tests/Forwarding/ScriptedUpstream.h
@@ -35,6 +35,9 @@
 
     std::string rest; ///< Rest of each answer, sent after the scripted part and a pause; nothing is sent if empty.
     std::chrono::milliseconds pause{0};
+    std::string block; ///< Sent again and again after the scripted part, with the pause in between, until the host closes or `blockLimit` is reached.
+    std::size_t blockLimit = 0;
+    std::size_t blocksSent = 0;
 
     std::uint16_t port() const
     {
@@ -75,6 +78,7 @@
         m_requests.push_back(request);
         const std::string answer = m_requests.size() <= m_answers.size() ? m_answers[m_requests.size() - 1] : std::string();
         co_await boost::asio::async_write(socket, boost::asio::buffer(answer), boost::asio::as_tuple(boost::asio::use_awaitable));
+        co_await sendBlocks(socket);
         if (!rest.empty()) {
             boost::asio::steady_timer timer(m_acceptor.get_executor(), pause);
             co_await timer.async_wait(boost::asio::as_tuple(boost::asio::use_awaitable));
@@ -84,6 +88,23 @@
         socket.shutdown(boost::asio::ip::tcp::socket::shutdown_both, ignored);
     }
 
+    boost::asio::awaitable<void> sendBlocks(boost::asio::ip::tcp::socket &socket)
+    {
+        boost::asio::steady_timer timer(m_acceptor.get_executor());
+        while (blocksSent < blockLimit) {
+            const auto [error, bytes]
+                = co_await boost::asio::async_write(socket, boost::asio::buffer(block), boost::asio::as_tuple(boost::asio::use_awaitable));
+            if (error) {
+                co_return;
+            }
+            ++blocksSent;
+            if (pause.count() > 0) {
+                timer.expires_after(pause);
+                co_await timer.async_wait(boost::asio::as_tuple(boost::asio::use_awaitable));
+            }
+        }
+    }
+
     boost::asio::ip::tcp::acceptor m_acceptor;
     std::vector<std::string> m_answers;
     std::vector<std::string> m_requests;
--- a/Tests/PlatformAdapter/PlatformSettingsTest.cpp
+++ b/Tests/PlatformAdapter/PlatformSettingsTest.cpp
@@ -86,6 +86,7 @@
                                                             {"{{limits.link_mbps}}", "20.0"},
                                                             {"{{limits.cpu_share}}", "0.12"},
                                                             {"{{limits.cores}}", "1"},
+                                                            {"{{limits.memory_mb}}", "260"},
                                                             {"{{internal_ports.1}}", "7355"},
                                                             {"{{bounds.config_ms}}", "4000"},
                                                             {"{{bounds.drain_ms}}", "4000"},
@@ -96,5 +97,7 @@
         text.replace(position, std::string(name).size(), value);
     }
     std::string problem;
-    CHECK_TEXT(parseSettings(text, problem).has_value(), problem.c_str());
+    const std::optional<PlatformSettings> settings = parseSettings(text, problem);
+    CHECK_TEXT(settings.has_value(), problem.c_str());
+    CHECK_EQUAL(260ULL * 1024 * 1024, settings->memoryBytes);
 }
