Count crashes after the first event against the parts of a prompt

Cause: two lines cleared a part too early. The first event of an answer cleared the crashes of all parts of its prompt, and a connection that ended after the first event counted against none of them. So evidence was dropped at the moment at which it is gained.

Change: a crash counts against all parts of all requests that run at the upstream, however far their answers are. Only an answer that is complete clears its parts. Two kinds of sound parts must not wait for that: one whose crashes are all explained by held parts that its request does not have is cleared by the first event, as before; and crashes at one moment (500 ms) count as one against a part with which requests have ended well in the last half to whole minute, since many upstreams can end at once for another reason.

The test AnAnswerThatHadBegunSaysNothingAgainstItsParts asked for the fault: the users' rule speaks of upstreams that crash as they begin to write an answer. APartWhoseRequestsEndWellIsNotHeldBackForBegunAnswersThatBreak takes its place: eight begun answers with a part break, and no request with it is refused as long as others with it end well.

--- a/Source/Forwarding/CrashReplica.cpp
+++ b/Source/Forwarding/CrashReplica.cpp
@@ -38,12 +38,12 @@
 
 void CrashReplica::answerBegan(const Placement::PlacementRequest &request, TimePoint now)
 {
-    m_record.recordSuccess(request.sharedParts, now);
+    m_record.recordBegin(suspectsOf(request), now);
 }
 
 void CrashReplica::attemptEnded(const Attempt &attempt, GrantOutcome outcome, TimePoint now)
 {
-    const Placement::CrashRecord::Suspects suspects = suspectsOf(attempt.request, attempt.answerBegan);
+    const Placement::CrashRecord::Suspects suspects = suspectsOf(attempt.request);
     if (outcome == GrantOutcome::Broken) {
         m_record.recordCrash(suspects, attempt.assignment.upstream, attempt.assignment.upstreamStart, attempt.sentAt, now);
     } else if (outcome == GrantOutcome::Completed) {
--- a/Source/Forwarding/CrashReplica.h
+++ b/Source/Forwarding/CrashReplica.h
@@ -36,7 +36,6 @@
         const Placement::PlacementRequest &request;
         const Placement::Assignment &assignment;
         TimePoint sentAt;
-        bool answerBegan = false; ///< Whether it has brought an event.
     };
 
     /// Records that the answer of a request of this host has begun.
--- a/Source/Forwarding/FleetPlacement.cpp
+++ b/Source/Forwarding/FleetPlacement.cpp
@@ -188,7 +188,7 @@
     const HostId owner = placement->second.owner;
     if (placement->second.assignment) {
         const LocalPlacement &local = placement->second;
-        m_crashes.attemptEnded({local.placementRequest, *local.assignment, local.assignedAt, !local.prefilling}, outcome, now);
+        m_crashes.attemptEnded({local.placementRequest, *local.assignment, local.assignedAt}, outcome, now);
     }
     m_localPlacements.erase(placement);
     // The owner must know of a crash before it decides about the next attempt.
--- a/Source/Placement/CrashRecord.cpp
+++ b/Source/Placement/CrashRecord.cpp
@@ -27,6 +27,8 @@
 // A test by a request that others explain takes about as long as its prefill.
 constexpr std::chrono::milliseconds exonerationPause{250};
 constexpr std::uint32_t maxExonerations = 5;
+// Upstreams that crash within this time of each other may have lost the same machine, rack or release.
+constexpr std::chrono::milliseconds crashMoment{500};
 
 Duration trialPause(std::uint32_t trials)
 {
@@ -69,10 +71,23 @@
 void CrashRecord::recordSuccess(const Suspects &suspects, TimePoint now)
 {
     for (const SuspectId suspect : suspects) {
+        m_sound.add(suspect, now);
         const auto position = m_entries.find(suspect);
-        if (position != m_entries.end() && !position->second.state.crashes.empty()) {
-            position->second.state.clear();
-            changed(position->second, true, now);
+        if (position != m_entries.end()) {
+            clear(position->second, now);
+        }
+    }
+}
+
+void CrashRecord::recordBegin(const Suspects &suspects, TimePoint now)
+{
+    if (m_held.empty()) {
+        return;
+    }
+    for (const SuspectId suspect : suspects) {
+        const auto position = m_entries.find(suspect);
+        if (position != m_entries.end() && isExplained(position->second, suspects)) {
+            clear(position->second, now);
         }
     }
 }
@@ -203,17 +218,51 @@
 
 bool CrashRecord::explainedByOthers(const std::vector<const Entry *> &held, const Suspects &suspects) const
 {
-    const auto isExplained = [&](CrashId crash) {
+    return std::all_of(held.begin(), held.end(), [&](const Entry *entry) {
+        return entry->exonerations < maxExonerations && isExplained(*entry, suspects);
+    });
+}
+
+bool CrashRecord::isExplained(const Entry &entry, const Suspects &suspects) const
+{
+    const std::vector<CrashId> &crashes = entry.state.crashes;
+    return std::all_of(crashes.begin(), crashes.end(), [&](CrashId crash) {
         return std::any_of(m_held.begin(), m_held.end(), [&](SuspectId other) {
             return !contains(suspects, other) && contains(m_entries.at(other).state.crashes, crash);
         });
-    };
-    return std::all_of(held.begin(), held.end(), [&](const Entry *entry) {
-        const std::vector<CrashId> &crashes = entry->state.crashes;
-        return entry->exonerations < maxExonerations && std::all_of(crashes.begin(), crashes.end(), isExplained);
     });
 }
 
+std::size_t CrashRecord::countedCrashes(const SuspectState &state, TimePoint now) const
+{
+    if (state.crashes.size() < heldCrashes || !m_sound.contains(state.suspect, now)) {
+        return state.crashes.size();
+    }
+    std::vector<TimePoint> times;
+    for (const CrashId crash : state.crashes) {
+        const auto known = m_crashes.find(crash);
+        times.push_back(known == m_crashes.end() ? now : known->second);
+    }
+    std::sort(times.begin(), times.end());
+    std::size_t count = 0;
+    TimePoint momentEnd;
+    for (const TimePoint time : times) {
+        if (count == 0 || time >= momentEnd) {
+            ++count;
+            momentEnd = time + crashMoment;
+        }
+    }
+    return count;
+}
+
+void CrashRecord::clear(Entry &entry, TimePoint now)
+{
+    if (!entry.state.crashes.empty()) {
+        entry.state.clear();
+        changed(entry, true, now);
+    }
+}
+
 CrashRecord::Entry &CrashRecord::entryFor(SuspectId suspect, TimePoint now)
 {
     expire(now);
@@ -234,7 +283,7 @@
     const SuspectId suspect = entry.state.suspect;
     const bool wasHeld = m_held.contains(suspect);
     entry.lastChange = now;
-    if (entry.state.crashes.size() >= heldCrashes) {
+    if (countedCrashes(entry.state, now) >= heldCrashes) {
         m_held.insert(suspect);
         entry.nextTrial = now + trialPause(entry.state.trials - entry.state.clearedTrials);
     } else {
--- a/Source/Placement/CrashRecord.h
+++ b/Source/Placement/CrashRecord.h
@@ -2,6 +2,7 @@
 
 #include "Base/Ids.h"
 #include "Base/Time.h"
+#include "Placement/RecentSuspects.h"
 #include "Placement/SuspectState.h"
 
 #include <cstddef>
@@ -30,9 +31,10 @@
  * \class CrashRecord
  * \brief Counts the crashes of upstreams by suspect, and holds back requests with a suspect that appears to cause them.
  *
- * A crash breaks off all requests that run at the upstream, so that it is counted against each of their suspects. Harmless ones are cleared by the next
- * success. A held suspect is tested with pauses that grow, and sooner by a request that is not suspicious otherwise: one whose crashes are all explained by
- * held suspects that it does not have.
+ * A crash breaks off all requests that run at the upstream, however far their answers are, so that it is counted against each of their suspects. A harmful
+ * one may end the upstream at any moment of its answer; only an answer that is complete shows that its suspects are harmless, and clears them. Crashes at
+ * one moment, for example of all upstreams in a rack, count as one against a suspect with which requests have ended well lately. A held suspect is tested with
+ * pauses that grow, and sooner by a request that is not suspicious otherwise: one whose crashes are all explained by held suspects that it does not have.
  *
  * Hosts exchange the states of their records; the result does not depend on the order in which the states arrive, or on lost or repeated ones.
  */
@@ -53,6 +55,8 @@
     void recordCrash(const Suspects &suspects, const UpstreamId &upstream, std::uint64_t start, TimePoint sentAt, TimePoint now);
     /// Records that a request with the suspects ran without harm, which clears them.
     void recordSuccess(const Suspects &suspects, TimePoint now);
+    /// Records that the answer to a request with the suspects has begun, which clears those whose crashes are explained by held suspects that it does not have.
+    void recordBegin(const Suspects &suspects, TimePoint now);
 
     CrashVerdict check(const Suspects &suspects, TimePoint now) const;
     /// Records that a request whose test was due has been granted.
@@ -89,6 +93,11 @@
     std::vector<const Entry *> heldEntries(const Suspects &suspects) const;
     /// Returns whether each crash of the held entries is also one of a held suspect that is not among \p suspects. False after too many tests on that ground.
     bool explainedByOthers(const std::vector<const Entry *> &held, const Suspects &suspects) const;
+    /// Returns whether each crash of the entry is also one of a held suspect that is not among \p suspects.
+    bool isExplained(const Entry &entry, const Suspects &suspects) const;
+    /// The crashes that count against the suspect, those at one moment as one if it was sound lately.
+    std::size_t countedCrashes(const SuspectState &state, TimePoint now) const;
+    void clear(Entry &entry, TimePoint now);
     Entry &entryFor(SuspectId suspect, TimePoint now);
     /// Updates what depends on the state after a change.
     void changed(Entry &entry, bool local, TimePoint now);
@@ -98,6 +107,7 @@
 
     std::map<SuspectId, Entry> m_entries;
     std::set<SuspectId> m_held;
+    RecentSuspects m_sound; ///< Suspects with which requests have ended well lately.
     std::map<CrashId, TimePoint> m_crashes; ///< When this host first knew of each crash.
     TimePoint m_expiredAt;
     std::map<SuspectId, ChangeFlags> m_changes; ///< The suspects to return from takeChanges().
--- a/Source/Placement/PlacementRequest.h
+++ b/Source/Placement/PlacementRequest.h
@@ -50,11 +50,10 @@
     bool borrowsRetry = false; ///< Whether the entry host has no retry left and asks the owner for one.
 };
 
-/// What may be the cause if an upstream crashes while it runs the request. A part of the prompt can be it only until the answer has begun, the request as a
-/// whole at any time.
-inline std::vector<SuspectId> suspectsOf(const PlacementRequest &request, bool answerBegan = false)
+/// What may be the cause if an upstream crashes while it runs the request: a part of the prompt, or the request as a whole.
+inline std::vector<SuspectId> suspectsOf(const PlacementRequest &request)
 {
-    std::vector<SuspectId> suspects = answerBegan ? std::vector<SuspectId>() : request.sharedParts;
+    std::vector<SuspectId> suspects = request.sharedParts;
     if (request.fingerprint != 0) {
         suspects.push_back(request.fingerprint);
     }
--- a/Tests/Forwarding/FleetPlacementTest.cpp
+++ b/Tests/Forwarding/FleetPlacementTest.cpp
@@ -372,13 +372,29 @@
     CHECK(crashes <= 3 + testsWhileARun);
 }
 
-// Guards against parts that are taken for the cause of a crash although their answers had begun.
-TEST(FleetPlacementTest, AnAnswerThatHadBegunSaysNothingAgainstItsParts)
+// Guards against a part that crashes each upstream after the first event of its answer and is cleared by that event. Sound requests share another part.
+TEST(FleetPlacementTest, APartThatCrashesUpstreamsAfterTheFirstEventIsHeldBack)
+{
+    Fleet fleet(3, 8);
+    int crashes = 0;
+    for (int round = 0; round < 4; ++round) {
+        for (const HostId &host : fleet.hostIds()) {
+            const bool began = fleet.begins(host, fleet.requestWithParts({soundPart, harmfulPart}), Placement::GrantOutcome::Broken);
+            crashes += began ? 1 : 0;
+            CHECK(fleet.begins(host, fleet.requestWithParts({soundPart})));
+        }
+    }
+    CHECK(crashes <= 3 + testsWhileARun);
+}
+
+// Guards against parts that are taken for the cause of crashes although other requests with them have ended well.
+TEST(FleetPlacementTest, APartWhoseRequestsEndWellIsNotHeldBackForBegunAnswersThatBreak)
 {
     Fleet fleet(1, 8);
     const HostId host("h0");
     for (int round = 0; round < 4; ++round) {
         CHECK(fleet.begins(host, fleet.requestWithParts({soundPart}), Placement::GrantOutcome::Broken));
+        CHECK(fleet.begins(host, fleet.requestWithParts({soundPart}), Placement::GrantOutcome::Broken));
+        CHECK(fleet.begins(host, fleet.requestWithParts({soundPart})));
     }
-    CHECK(fleet.begins(host, fleet.requestWithParts({soundPart})));
 }
--- a/Tests/Placement/CrashRecordTest.cpp
+++ b/Tests/Placement/CrashRecordTest.cpp
@@ -311,3 +311,66 @@
     }
     CHECK(sent <= 5 + 2);
 }
+
+// Guards against a harmful part that is cleared by the first event of the answer that crashes the upstream.
+TEST(CrashRecordTest, AnAnswerThatHasBegunDoesNotClear)
+{
+    Crashes crashes;
+    for (int breaks = 0; breaks < 3; ++breaks) {
+        crashes.record.recordBegin({harmful}, crashes.now);
+        crashes.crash({harmful});
+    }
+    CHECK_FALSE(crashes.admit({harmful}));
+}
+
+// Guards against a sound part beside a harmful one that stays held for the whole length of a long answer.
+TEST(CrashRecordTest, AnAnswerThatHasBegunClearsWhatOthersExplain)
+{
+    Crashes crashes;
+    for (int breaks = 0; breaks < 3; ++breaks) {
+        crashes.crash({harmful, other});
+    }
+    CHECK(crashes.admit({other}));
+    crashes.record.recordBegin({other}, crashes.now);
+    CHECK(crashes.record.check({other}, crashes.now).standing == CrashStanding::Free);
+    crashes.record.recordBegin({harmful, other}, crashes.now);
+    CHECK(crashes.record.check({harmful}, crashes.now).standing == CrashStanding::Held);
+}
+
+// Guards against holding back the part that all prompts share because many upstreams ended at one moment.
+TEST(CrashRecordTest, CrashesAtOneMomentDoNotHoldAPartThatWasSound)
+{
+    Crashes crashes;
+    crashes.record.recordSuccess({other}, crashes.now);
+    for (int upstream = 0; upstream < 20; ++upstream) {
+        crashes.crash({other});
+        crashes.crash({harmful});
+    }
+    CHECK(crashes.admit({other}));
+    CHECK_FALSE(crashes.admit({harmful}));
+}
+
+// Guards against a part that turns harmful and is never held because requests with it ended well before.
+TEST(CrashRecordTest, APartThatTurnsHarmfulIsHeld)
+{
+    Crashes crashes;
+    crashes.record.recordSuccess({harmful}, crashes.now);
+    for (int breaks = 0; breaks < 3; ++breaks) {
+        crashes.now += seconds(1);
+        crashes.crash({harmful});
+    }
+    CHECK_FALSE(crashes.admit({harmful}));
+}
+
+// Guards against memory that fills with the parts of requests that ended well.
+TEST(CrashRecordTest, SoundPartsAreForgottenAfterAMinute)
+{
+    RecentSuspects sound;
+    const TimePoint now = TimePoint() + seconds(1000);
+    sound.add(harmful, now);
+    CHECK(sound.contains(harmful, now + seconds(29)));
+    sound.add(other, now + seconds(31));
+    CHECK(sound.contains(harmful, now + seconds(31)));
+    CHECK_FALSE(sound.contains(harmful, now + seconds(62)));
+    CHECK(sound.contains(other, now + seconds(62)));
+}
