End each call to an upstream at one deadline, whatever it reads

Cause: the time of an upstream call belonged to each read, so that each part of a body let it begin anew. Whoever read a whole body had to set it again before each part, and three of four places did not. Besides, a stream counted bytes as progress, even if they completed no event, and nothing ended a reservation for a caller that had left.

Change: UpstreamCall gets its deadline once, as a point in time, and has no way to extend it; the connection is made within it as well. All calls of both daemons pass a deadline now. A stream is silent until an event is complete.

The tests of reservations need the new interface and came with it.

--- a/Source/Daemon/DispatcherRuntime.cpp
+++ b/Source/Daemon/DispatcherRuntime.cpp
@@ -419,8 +419,7 @@
 
 void DispatcherRuntime::startExchange(AttemptState &state)
 {
-    const Duration timeLeft = std::max<Duration>(state.deadline - Clock::now(), std::chrono::milliseconds(1));
-    state.exchange = std::make_shared<UpstreamExchange>(m_context, m_pool, state.dispatch, state.enginePriority, timeLeft, *this);
+    state.exchange = std::make_shared<UpstreamExchange>(m_context, m_pool, state.dispatch, state.enginePriority, state.deadline, *this);
     state.exchange->start();
 }
 
@@ -603,7 +602,7 @@
     }
     const auto stop = [this, attempt, name, pool = m_pool, alive = m_alive]() -> Asio::awaitable<void> {
         constexpr unsigned httpVersion = 11;
-        UpstreamCall call(pool, cancelTimeout);
+        UpstreamCall call(pool, Clock::now() + cancelTimeout);
         UpstreamCall::Request request(BeastHttp::verb::delete_, std::string(attemptsPath) + name, httpVersion);
         std::string body;
         const bool confirmed = !co_await call.start(std::move(request)) && !co_await call.readAll(body, 64UL * 1024);
--- a/Source/Daemon/EngineKvRuntime.cpp
+++ b/Source/Daemon/EngineKvRuntime.cpp
@@ -126,7 +126,7 @@
 {
     constexpr unsigned httpVersion = 11;
     // Each call uses a new connection, as load reports do: the network path of an established one may be broken unnoticed.
-    UpstreamCall call(std::make_shared<UpstreamConnectionPool>(m_context, m_address, m_port), callTimeout);
+    UpstreamCall call(std::make_shared<UpstreamConnectionPool>(m_context, m_address, m_port), std::chrono::steady_clock::now() + callTimeout);
     UpstreamCall::Request request(verb, target, httpVersion);
     request.keep_alive(false);
     std::string body;
--- a/Source/Daemon/OrderRuntime.cpp
+++ b/Source/Daemon/OrderRuntime.cpp
@@ -77,7 +77,7 @@
 {
     constexpr unsigned httpVersion = 11;
     const auto pool = std::make_shared<UpstreamConnectionPool>(context, upstream.address, upstream.port);
-    UpstreamCall call(pool, statusTimeout);
+    UpstreamCall call(pool, std::chrono::steady_clock::now() + statusTimeout);
     UpstreamCall::Request request(BeastHttp::verb::get, target, httpVersion);
     request.keep_alive(false);
     request.set("x-attempt-id", toString(answer.attempt));
--- a/Source/Daemon/UpstreamExchange.cpp
+++ b/Source/Daemon/UpstreamExchange.cpp
@@ -29,12 +29,12 @@
                                    std::shared_ptr<UpstreamConnectionPool> pool,
                                    std::shared_ptr<const Wire::DispatchT> dispatch,
                                    int enginePriority,
-                                   Duration timeLeft,
+                                   TimePoint deadline,
                                    UpstreamExchangeObserver &observer)
     : m_dispatch(std::move(dispatch))
     , m_enginePriority(enginePriority)
     , m_observer(&observer)
-    , m_call(std::move(pool), timeLeft)
+    , m_call(std::move(pool), deadline)
     , m_pauseTimer(context)
     , m_executor(context.get_executor())
 {
--- a/Source/Daemon/UpstreamExchange.h
+++ b/Source/Daemon/UpstreamExchange.h
@@ -25,7 +25,7 @@
                      std::shared_ptr<UpstreamConnectionPool> pool,
                      std::shared_ptr<const Wire::DispatchT> dispatch,
                      int enginePriority,
-                     Duration timeLeft,
+                     TimePoint deadline,
                      UpstreamExchangeObserver &observer);
 
     void start();
--- a/Source/Daemon/UpstreamMonitor.cpp
+++ b/Source/Daemon/UpstreamMonitor.cpp
@@ -94,7 +94,7 @@
     const auto self = shared_from_this();
     constexpr unsigned httpVersion = 11;
     const auto pool = std::make_shared<UpstreamConnectionPool>(m_context, m_address, m_port);
-    UpstreamCall call(pool, pollTimeout);
+    UpstreamCall call(pool, std::chrono::steady_clock::now() + pollTimeout);
     UpstreamCall::Request request(BeastHttp::verb::get, "/load", httpVersion);
     request.keep_alive(false);
     std::string body;
--- a/Source/Forwarding/EngineMemoryClient.h
+++ b/Source/Forwarding/EngineMemoryClient.h
@@ -22,6 +22,13 @@
     std::uint64_t tokens = 0; ///< Prompt tokens that the memory must have room for.
 };
 
+/// How an engine answered a call about its memory.
+enum class EngineMemoryAnswer {
+    Done,
+    Refused, ///< The engine has not enough free memory, or does not know the reservation.
+    None, ///< No complete answer came in time.
+};
+
 /**
  * \class EngineMemoryClient
  * \brief Reserves and releases KV memory of engines.
@@ -34,11 +41,12 @@
     EngineMemoryClient &operator=(const EngineMemoryClient &) = delete;
     virtual ~EngineMemoryClient() = default;
 
-    /// Makes or renews a reservation that lapses after \p validity; false if the engine refused or did not answer.
-    virtual boost::asio::awaitable<bool> reserve(const MemoryReservation &reservation, std::chrono::milliseconds validity) = 0;
+    /// Makes or renews a reservation that lapses after \p validity. The call ends at \p deadline, or sooner.
+    virtual boost::asio::awaitable<EngineMemoryAnswer> reserve(const MemoryReservation &reservation, std::chrono::milliseconds validity, TimePoint deadline)
+        = 0;
 
-    /// Gives the memory back; false if the engine did not confirm it.
-    virtual boost::asio::awaitable<bool> release(const MemoryReservation &reservation) = 0;
+    /// Gives the memory back. Done also if the engine holds no memory for the reservation.
+    virtual boost::asio::awaitable<EngineMemoryAnswer> release(const MemoryReservation &reservation) = 0;
 };
 
 }
--- a/Source/Forwarding/ForwardingSession.cpp
+++ b/Source/Forwarding/ForwardingSession.cpp
@@ -289,8 +289,10 @@
         co_return attempt;
     }
     const auto reservationSet = std::make_shared<MemoryReservationSet>(m_context.io, m_context.engineMemory, std::move(reservations));
-    const bool reserved = co_await reservationSet->acquire();
+    m_reservations = reservationSet;
+    const bool reserved = co_await reservationSet->acquire(m_deadline);
     AttemptResult attempt = failedAttempt(AttemptOutcome::NotSent, GrantOutcome::Cancelled, "no memory on the helpers");
+    attempt.faulty = reservationSet->silentUpstream();
     if (reserved && !m_callerDisconnected) {
         attempt = co_await sendToUpstream(assignment);
     }
@@ -338,7 +340,7 @@
     parameters.resumeAfter = m_progress.lastEventId();
     m_firstEventEstimate = assignment.firstEventEstimate;
     logDecision("sent", describe(assignment));
-    UpstreamCall call(singleCallPool(m_context.io, assignment.address), m_deadline - now);
+    UpstreamCall call(singleCallPool(m_context.io, assignment.address), m_deadline);
     m_call = &call;
     m_answerBegan = false;
     m_answerShare.emplace(m_context.answerMemory, [this]() {
@@ -410,7 +412,6 @@
 {
     std::string body;
     std::string part;
-    call.setTimeout(m_deadline - Clock::now());
     do {
         const boost::system::error_code error = co_await call.read(part);
         if (error) {
@@ -442,10 +443,6 @@
     std::string data;
     bool first = true;
     while (true) {
-        call.setTimeout(m_deadline - Clock::now());
-        if (!first) {
-            startSilenceTimer(pauseTimeout(Clock::now()));
-        }
         const boost::system::error_code error = co_await call.read(data);
         if (error) {
             co_return interruptedAttempt(error);
@@ -472,6 +469,8 @@
         if (events.empty()) {
             continue;
         }
+        // Bytes that complete no event are no sign that the upstream goes on.
+        startSilenceTimer(pauseTimeout(Clock::now()));
         if (first) {
             m_context.placement.firstEventReceived(m_placementRequestId);
             m_answerBegan = true;
@@ -648,6 +647,9 @@
     }
     m_callerDisconnected = true;
     m_waitTimer.cancel();
+    if (const auto reservations = m_reservations.lock()) {
+        reservations->release();
+    }
     if (m_call != nullptr) {
         m_call->cancel();
     }
--- a/Source/Forwarding/ForwardingSession.h
+++ b/Source/Forwarding/ForwardingSession.h
@@ -27,6 +27,7 @@
 
 namespace Mangofall::Forwarding {
 
+class MemoryReservationSet;
 struct UpstreamAnswer;
 
 /**
@@ -115,6 +116,7 @@
     boost::asio::steady_timer m_silenceTimer; ///< Expires when the upstream has sent nothing for too long.
     std::optional<PlacementGateway::Answer> m_answer; ///< To the current placement request.
     Placement::PlacementRequestId m_placementRequestId;
+    std::weak_ptr<MemoryReservationSet> m_reservations; ///< Of the attempt in progress.
     UpstreamCall *m_call = nullptr; ///< The call of the attempt in progress.
     std::optional<AnswerMemory::Share> m_answerShare; ///< Of the latest attempt; its answer may still be on the way to the caller.
     std::unordered_set<UpstreamId> m_excluded; ///< Upstreams that further placement requests exclude.
--- a/Source/Forwarding/MemoryReservationSet.h
+++ b/Source/Forwarding/MemoryReservationSet.h
@@ -4,8 +4,10 @@
 
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
 
 #include <memory>
+#include <optional>
 #include <vector>
 
 namespace Mangofall::Forwarding {
@@ -22,21 +24,33 @@
     /// \p io and \p engineMemory must outlive the set.
     MemoryReservationSet(boost::asio::io_context &io, EngineMemoryClient &engineMemory, std::vector<MemoryReservation> reservations);
 
-    /// Makes all reservations, in the order of the upstreams' ids; false if one failed. The order is the same at all hosts, so that two requests cannot
-    /// block each other.
-    boost::asio::awaitable<bool> acquire();
+    /// Makes all reservations, in the order of the upstreams' ids; false if one failed or \p deadline has passed. The order is the same at all hosts, so that
+    /// two requests cannot block each other. Ends at once if release() is called meanwhile.
+    boost::asio::awaitable<bool> acquire(TimePoint deadline);
 
     /// Gives everything back in the background; further calls do nothing.
     void release();
 
+    /// The upstream that did not answer acquire(); empty if all did.
+    const std::optional<UpstreamId> &silentUpstream() const;
+
 private:
-    boost::asio::awaitable<void> renew();
+    /// Requests the reservations one after the other until one fails.
+    boost::asio::awaitable<void> reserveAll(TimePoint deadline);
+    /// Renews one reservation until all are released. Each has its own calls, so that a slow helper does not let the memory of the others lapse.
+    boost::asio::awaitable<void> renew(std::size_t index);
     boost::asio::awaitable<void> releaseAll();
+    /// Releases a reservation again if its request or renewal was under way at the time of release(), and so may have arrived after it.
+    boost::asio::awaitable<void> releaseIfLate(const MemoryReservation &reservation);
 
     boost::asio::io_context &m_io;
     EngineMemoryClient &m_engineMemory;
     std::vector<MemoryReservation> m_reservations;
     std::size_t m_requested = 0; ///< The number of reservations that were requested, from the first on.
+    boost::asio::steady_timer m_acquired; ///< Expires when acquire() ends.
+    std::optional<UpstreamId> m_silentUpstream;
+    bool m_reservingEnded = false; ///< Whether no further reservation will be requested.
+    bool m_reserved = false; ///< Whether all reservations were made.
     bool m_released = false;
 };
 
--- a/Source/Http/UpstreamCall.cpp
+++ b/Source/Http/UpstreamCall.cpp
@@ -24,9 +24,9 @@
 
 }
 
-UpstreamCall::UpstreamCall(std::shared_ptr<UpstreamConnectionPool> pool, Duration timeout)
+UpstreamCall::UpstreamCall(std::shared_ptr<UpstreamConnectionPool> pool, TimePoint deadline)
     : m_pool(std::move(pool))
-    , m_timeout(timeout)
+    , m_deadline(deadline)
 {
 }
 
@@ -45,7 +45,7 @@
 Asio::awaitable<boost::system::error_code> UpstreamCall::start(Request request)
 {
     boost::system::error_code error;
-    m_stream = co_await m_pool->acquire(error);
+    m_stream = co_await m_pool->acquire(m_deadline, error);
     if (error || m_cancelled) {
         m_connectFailed = !m_cancelled;
         co_return error ? error : Asio::error::operation_aborted;
@@ -57,7 +57,7 @@
         request.set(BeastHttp::field::host, m_pool->hostHeader());
     }
     request.prepare_payload();
-    m_stream->expires_after(m_timeout);
+    m_stream->expires_at(m_deadline);
     // Even a failed write may have sent some bytes.
     m_anyBytesSent = true;
     error = std::get<0>(co_await BeastHttp::async_write(*m_stream, request, awaitTuple));
@@ -73,7 +73,6 @@
 {
     bodyPart.clear();
     std::array<char, readBufferBytes> data;
-    m_stream->expires_after(m_timeout);
     while (bodyPart.empty() && !m_parser->is_done()) {
         auto &body = m_parser->get().body();
         body.data = data.data();
@@ -106,11 +105,6 @@
     return m_receivedBytes;
 }
 
-void UpstreamCall::setTimeout(Duration timeout)
-{
-    m_timeout = timeout;
-}
-
 const BeastHttp::fields &UpstreamCall::fields() const
 {
     return m_parser->get();
--- a/Source/Http/UpstreamCall.h
+++ b/Source/Http/UpstreamCall.h
@@ -22,9 +22,9 @@
  * \class UpstreamCall
  * \brief One HTTP call to an upstream; the body of the response is read incrementally.
  *
- * What arrives outside of the body (status line, header, chunk sizes, trailers) is limited in size, so that an upstream that never completes it cannot fill
- * the memory. After a failure, anyBytesSent() tells whether the upstream may have received any byte of the
- * request.
+ * The call ends at its deadline, whatever has arrived by then. What arrives outside of the body (status line, header, chunk sizes, trailers) is limited in
+ * size, so that an upstream that never completes it cannot fill the memory. After a failure, anyBytesSent() tells whether the upstream may have received any
+ * byte of the request.
  */
 class UpstreamCall
 {
@@ -34,10 +34,11 @@
     /// The largest chunk size line or trailer section that is accepted.
     static constexpr std::size_t maxFramingBytes = 64UL * 1024;
 
-    UpstreamCall(std::shared_ptr<UpstreamConnectionPool> pool, Duration timeout);
+    /// All operations of the call together, from the connection to the last byte, end at \p deadline.
+    UpstreamCall(std::shared_ptr<UpstreamConnectionPool> pool, TimePoint deadline);
     ~UpstreamCall();
 
-    /// Makes the call fail within seconds if the upstream's machine or the way to it is gone, instead of after the timeout. Takes effect at start().
+    /// Makes the call fail within seconds if the upstream's machine or the way to it is gone, instead of at the deadline. Takes effect at start().
     void detectUnreachableUpstream();
 
     /// Connects or reuses an idle connection, writes \p request and reads the response header. Sets the Host field if \p request has none. A response
@@ -53,9 +54,6 @@
     /// Bytes of the body that were received, with the framing of its chunks.
     std::size_t receivedBytes() const;
 
-    /// Sets the timeout of each following write or read; the timeout of a pending read is not changed.
-    void setTimeout(Duration timeout);
-
     /// HTTP status of the response; 0 before the request is written.
     unsigned status() const;
 
@@ -78,7 +76,7 @@
     using Parser = boost::beast::http::response_parser<boost::beast::http::buffer_body>;
 
     std::shared_ptr<UpstreamConnectionPool> m_pool;
-    Duration m_timeout;
+    TimePoint m_deadline;
     std::shared_ptr<boost::beast::tcp_stream> m_stream;
     boost::beast::flat_buffer m_buffer{maxFramingBytes};
     std::size_t m_receivedBytes = 0;
--- a/Source/Http/UpstreamConnectionPool.cpp
+++ b/Source/Http/UpstreamConnectionPool.cpp
@@ -5,6 +5,8 @@
 
 #include <sys/socket.h>
 
+#include <algorithm>
+
 namespace Mangofall {
 
 namespace {
@@ -28,7 +30,7 @@
 {
 }
 
-Asio::awaitable<UpstreamConnectionPool::Stream> UpstreamConnectionPool::acquire(boost::system::error_code &error)
+Asio::awaitable<UpstreamConnectionPool::Stream> UpstreamConnectionPool::acquire(TimePoint deadline, boost::system::error_code &error)
 {
     while (!m_idle.empty()) {
         Stream stream = std::move(m_idle.back());
@@ -40,7 +42,7 @@
     auto stream = std::make_shared<boost::beast::tcp_stream>(m_context);
     const auto address = Asio::ip::make_address(m_address, error);
     if (!error) {
-        stream->expires_after(m_options.connectTimeout);
+        stream->expires_at(std::min(deadline, std::chrono::steady_clock::now() + m_options.connectTimeout));
         const auto [connectError] = co_await stream->async_connect({address, m_port}, Asio::as_tuple(Asio::use_awaitable));
         error = connectError;
     }
--- a/Source/Http/UpstreamConnectionPool.h
+++ b/Source/Http/UpstreamConnectionPool.h
@@ -34,8 +34,8 @@
 
     UpstreamConnectionPool(boost::asio::io_context &context, std::string address, std::uint16_t port, const ConnectionPoolOptions &options = {});
 
-    /// Returns an idle connection or a new one; sets \p error if the new connection cannot be made.
-    boost::asio::awaitable<Stream> acquire(boost::system::error_code &error);
+    /// Returns an idle connection or a new one; sets \p error if the new connection cannot be made, or not before \p deadline.
+    boost::asio::awaitable<Stream> acquire(TimePoint deadline, boost::system::error_code &error);
 
     /// Returns a connection to the pool; its last response must have been read completely.
     void release(Stream stream);
--- a/Tests/Forwarding/FakeEngineMemoryClient.h
+++ b/Tests/Forwarding/FakeEngineMemoryClient.h
@@ -2,6 +2,11 @@
 
 #include "Forwarding/EngineMemoryClient.h"
 
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/this_coro.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
 #include <string>
 #include <vector>
 
@@ -9,24 +14,32 @@
 
 /**
  * \class FakeEngineMemoryClient
- * \brief Records all calls, and refuses reservations on the upstream `refuse`.
+ * \brief Records all calls, refuses reservations on the upstream `refuse`, and answers those on the upstream `silent` only at their deadline.
  */
 class FakeEngineMemoryClient final : public Forwarding::EngineMemoryClient
 {
 public:
     std::vector<std::string> sent;
     UpstreamId refuse;
+    UpstreamId silent;
 
-    boost::asio::awaitable<bool> reserve(const Forwarding::MemoryReservation &reservation, std::chrono::milliseconds) override
+    boost::asio::awaitable<Forwarding::EngineMemoryAnswer>
+    reserve(const Forwarding::MemoryReservation &reservation, std::chrono::milliseconds, TimePoint deadline) override
     {
         sent.push_back("reserve " + reservation.upstream.value());
-        co_return reservation.upstream != refuse;
+        if (reservation.upstream == silent) {
+            boost::asio::steady_timer timer(co_await boost::asio::this_coro::executor);
+            timer.expires_at(deadline);
+            co_await timer.async_wait(boost::asio::as_tuple(boost::asio::use_awaitable));
+            co_return Forwarding::EngineMemoryAnswer::None;
+        }
+        co_return reservation.upstream == refuse ? Forwarding::EngineMemoryAnswer::Refused : Forwarding::EngineMemoryAnswer::Done;
     }
 
-    boost::asio::awaitable<bool> release(const Forwarding::MemoryReservation &reservation) override
+    boost::asio::awaitable<Forwarding::EngineMemoryAnswer> release(const Forwarding::MemoryReservation &reservation) override
     {
         sent.push_back("release " + reservation.upstream.value());
-        co_return true;
+        co_return Forwarding::EngineMemoryAnswer::Done;
     }
 };
 
--- a/Tests/Forwarding/FakeTranslator.h
+++ b/Tests/Forwarding/FakeTranslator.h
@@ -8,7 +8,7 @@
 
 /**
  * \class FakeTranslator
- * \brief A translator for tests that uses the header fields Id, Key, Signed, Not-Run, Leaving, Pause (seconds), After and Target.
+ * \brief A translator for tests that uses the header fields Id, Key, Timeout-Ms, Signed, Not-Run, Leaving, Pause (seconds), After and Target.
  */
 class FakeTranslator final : public Forwarding::MessageTranslator
 {
@@ -19,7 +19,8 @@
         request.id = RequestId(std::string(exchange.header("Id")));
         request.hostName = std::string(exchange.header("Host"));
         request.path = std::string(exchange.request().target());
-        request.callerTimeout = std::chrono::seconds(5);
+        const std::string timeout(exchange.header("Timeout-Ms"));
+        request.callerTimeout = std::chrono::milliseconds(timeout.empty() ? 5000 : std::stoi(timeout));
         if (!exchange.header("Key").empty()) {
             request.credential = std::string(exchange.header("Key"));
         }
--- a/Tests/Forwarding/MemoryReservationSetTest.cpp
+++ b/Tests/Forwarding/MemoryReservationSetTest.cpp
@@ -8,6 +8,8 @@
 
 #include "Property.h"
 
+#include <algorithm>
+
 using namespace Mangofall;
 using namespace Mangofall::Forwarding;
 using Mangofall::Testing::FakeEngineMemoryClient;
@@ -26,7 +28,7 @@
     bool acquired = false;
     const auto reservationSet = std::make_shared<MemoryReservationSet>(io, engineMemory, reservations());
     const auto run = [&]() -> boost::asio::awaitable<void> {
-        acquired = co_await reservationSet->acquire();
+        acquired = co_await reservationSet->acquire(std::chrono::steady_clock::now() + std::chrono::seconds(1));
         reservationSet->release();
     };
     boost::asio::co_spawn(io, run, boost::asio::detached);
@@ -56,3 +58,52 @@
     CHECK_FALSE(acquireAndRelease(engineMemory));
     CHECK(engineMemory.sent == (Sent{"reserve a", "reserve b", "release a", "release b"}));
 }
+
+// Guards against a prompt that waits without end, past its deadline, because a helper does not answer.
+TEST(MemoryReservationSetTest, AHelperThatDoesNotAnswerEndsTheWaitAtTheDeadline)
+{
+    FakeEngineMemoryClient engineMemory;
+    engineMemory.silent = UpstreamId("b");
+    CHECK_FALSE(acquireAndRelease(engineMemory));
+    CHECK(std::find(engineMemory.sent.begin(), engineMemory.sent.end(), "release a") != engineMemory.sent.end());
+    LONGS_EQUAL(0, std::count(engineMemory.sent.begin(), engineMemory.sent.end(), "reserve c"));
+}
+
+// Guards against a request whose caller has left and that still waits for a helper, and against memory that a call under way reserves after the release.
+TEST(MemoryReservationSetTest, AReleaseEndsTheWaitAndIsRepeatedForTheCallUnderWay)
+{
+    FakeEngineMemoryClient engineMemory;
+    engineMemory.silent = UpstreamId("a");
+    boost::asio::io_context io(1);
+    const auto reservationSet = std::make_shared<MemoryReservationSet>(io, engineMemory, reservations());
+    std::vector<std::string> sentAtTheEnd;
+    const auto acquire = [&]() -> boost::asio::awaitable<void> {
+        const bool acquired = co_await reservationSet->acquire(std::chrono::steady_clock::now() + std::chrono::milliseconds(200));
+        CHECK_FALSE(acquired);
+        sentAtTheEnd = engineMemory.sent;
+    };
+    boost::asio::co_spawn(io, acquire, boost::asio::detached);
+    boost::asio::post(io, [&]() {
+        reservationSet->release();
+    });
+    io.run();
+    CHECK(sentAtTheEnd.size() <= 2);
+    CHECK(engineMemory.sent == (Sent{"reserve a", "release a", "release a"}));
+}
+
+// Guards against memory that lapses because the renewal at another helper takes long.
+TEST(MemoryReservationSetTest, ASlowHelperDoesNotDelayTheRenewalAtTheOthers)
+{
+    FakeEngineMemoryClient engineMemory;
+    boost::asio::io_context io(1);
+    const auto reservationSet = std::make_shared<MemoryReservationSet>(io, engineMemory, reservations());
+    const auto acquire = [&]() -> boost::asio::awaitable<void> {
+        co_await reservationSet->acquire(std::chrono::steady_clock::now() + std::chrono::seconds(1));
+        engineMemory.silent = UpstreamId("a");
+    };
+    boost::asio::co_spawn(io, acquire, boost::asio::detached);
+    io.run_for(std::chrono::milliseconds(1300));
+    reservationSet->release();
+    LONGS_EQUAL(2, std::count(engineMemory.sent.begin(), engineMemory.sent.end(), "reserve c"));
+    io.run();
+}
