--- a/Source/Feed/MirrorState.cpp
+++ b/Source/Feed/MirrorState.cpp
@@ -4,6 +4,7 @@
 #include "Telemetry/EventLog.h"
 
 #include <algorithm>
+#include <exception>
 
 namespace Mangofall::Feed {
 
@@ -170,7 +171,7 @@
 void MirrorState::completeRead(TimePoint now)
 {
     for (const StoreItem &item : m_view.removeMissing(m_read->present, m_read->revision)) {
-        m_observer.itemChanged(item);
+        notify(item);
     }
     m_view.setRevision(m_read->revision);
     m_log.write("store_read",
@@ -258,7 +259,16 @@
 void MirrorState::applyItem(const StoreItem &item)
 {
     if (m_view.apply(item)) {
+        notify(item);
+    }
+}
+
+void MirrorState::notify(const StoreItem &item)
+{
+    try {
         m_observer.itemChanged(item);
+    } catch (const std::exception &error) {
+        m_log.write("store_item_failed", {{"key", item.key}, {"revision", std::to_string(item.revision)}, {"problem", error.what()}});
     }
 }
 
--- a/Source/Feed/MirrorState.h
+++ b/Source/Feed/MirrorState.h
@@ -86,6 +86,8 @@
     /// Whether another host has read the store a short time ago.
     bool storeAnswersOthers(TimePoint now) const;
     void applyItem(const StoreItem &item);
+    /// Tells the observer of a change. An item that it cannot handle must not keep it from the others.
+    void notify(const StoreItem &item);
     Duration batchDelay(TimePoint now) const;
 
     SourceSelector &m_selector;
--- a/Source/Forwarding/UpstreamDirectory.cpp
+++ b/Source/Forwarding/UpstreamDirectory.cpp
@@ -37,6 +37,13 @@
     removePermanently(id);
 }
 
+void UpstreamDirectory::invalidated(const UpstreamId &id)
+{
+    if (m_upstreams.contains(id)) {
+        removePermanently(id);
+    }
+}
+
 void UpstreamDirectory::setOutOfService(std::set<DataCentreId> dataCentres)
 {
     m_outOfService = std::move(dataCentres);
--- a/Source/Forwarding/UpstreamDirectory.h
+++ b/Source/Forwarding/UpstreamDirectory.h
@@ -27,6 +27,8 @@
     void listed(const ListedUpstream &upstream);
     /// Removes an entry. Within the relist period it is kept until the end of the period instead, unless its upstream is leaving.
     void removed(const UpstreamId &id, TimePoint now);
+    /// Removes an upstream whose entry was overwritten with one that names none, also within the relist period.
+    void invalidated(const UpstreamId &id);
     void setOutOfService(std::set<DataCentreId> dataCentres);
 
     /// Starts the relist period at \p now, in place of an earlier one. To be called after each failed access to the list, and when the list is reachable again.
--- a/Tests/Feed/FeedFixtures.h
+++ b/Tests/Feed/FeedFixtures.h
@@ -7,6 +7,7 @@
 
 #include <map>
 #include <optional>
+#include <stdexcept>
 #include <string>
 #include <vector>
 
@@ -56,9 +57,13 @@
     bool wentBack = false;
     int failures = 0;
     std::optional<TimePoint> readerFailure;
+    std::string unusableKey; ///< Changes of this key throw.
 
     void itemChanged(const StoreItem &item) override
     {
+        if (!unusableKey.empty() && item.key == unusableKey) {
+            throw std::runtime_error("unusable item");
+        }
         changes.push_back((item.removed ? "-" : "+") + item.key + "@" + std::to_string(item.revision));
         std::uint64_t &revision = revisions[item.key];
         wentBack = wentBack || item.revision <= revision;
--- a/Tests/Feed/MirrorStateTest.cpp
+++ b/Tests/Feed/MirrorStateTest.cpp
@@ -225,3 +225,17 @@
     mirror.answerNext(page);
     CHECK(mirror.state.failureAge(mirror.now + milliseconds(200)) == std::optional<Duration>(milliseconds(500)));
 }
+
+// Guards against hosts that stop following the store because they cannot handle one of its items.
+TEST(MirrorStateTest, AnItemThatCannotBeHandledDoesNotStopTheOthers)
+{
+    Mirror mirror;
+    mirror.observer.unusableKey = "b";
+    mirror.answerNext(answer({written("a", 1), written("b", 2), written("c", 3)}, 3));
+    CHECK(mirror.state.synchronised());
+    mirror.answerNext(answer({written("b", 4), written("d", 5), removal("b", 6), written("e", 7)}, 7));
+    LONGS_EQUAL(7, mirror.state.view().revision());
+    for (const char *key : {"a", "c", "d", "e"}) {
+        CHECK_TEXT(mirror.observer.revisions.contains(key), key);
+    }
+}
--- a/Tests/Forwarding/UpstreamDirectoryTest.cpp
+++ b/Tests/Forwarding/UpstreamDirectoryTest.cpp
@@ -162,3 +162,16 @@
         }
     });
 }
+
+// Guards against requests to an upstream whose entry another writer has overwritten, for the time in which lapsed entries are kept.
+TEST(UpstreamDirectoryTest, AnOverwrittenEntryIsNotKeptForTheRelistPeriod)
+{
+    UpstreamDirectory directory;
+    directory.listed(listedUpstream());
+    directory.restartRelistPeriod(TimePoint());
+    directory.invalidated(id);
+    CHECK_FALSE(directory.mayUse(id, TimePoint()));
+    CHECK(directory.entries().empty());
+    directory.listed(listedUpstream());
+    CHECK(directory.mayUse(id, TimePoint()));
+}
--- a/Tests/PlatformAdapter/PlatformTranslatorTest.cpp
+++ b/Tests/PlatformAdapter/PlatformTranslatorTest.cpp
@@ -159,3 +159,17 @@
     fields.set("Server-Leaving", "1");
     CHECK(decodeNotice(200, fields).leaving);
 }
+
+// Guards against numbers of a caller that overflow when times and costs are calculated with them.
+TEST(PlatformTranslatorTest, NumbersOfACallerAreLimited)
+{
+    HttpExchange::Request request = callerMessage();
+    request.set("Deadline-Ms", "18446744073709551615");
+    request.set("Token-Counts", "18446744073709551615,18446744073709551615");
+    const Message message(std::move(request));
+    const auto decoded = PlatformTranslator().decodeRequest(message.exchange);
+    const CallerRequest &callerRequest = std::get<CallerRequest>(decoded);
+    CHECK(*callerRequest.callerTimeout > Duration::zero());
+    CHECK(*callerRequest.callerTimeout <= std::chrono::hours(24));
+    CHECK(callerRequest.promptTokens + callerRequest.outputTokens <= 2'000'000'000);
+}
--- a/Tests/Soak/SoakUpstream.cpp
+++ b/Tests/Soak/SoakUpstream.cpp
@@ -272,9 +272,11 @@
     entry["service"] = m_service;
     entry["address"] = "127.0.0.1:" + std::to_string(m_proxy->port());
     entry["zone"] = m_dataCentre;
+    entry["version"] = "v1";
     entry["slots"] = slots;
     entry["state"] = leaving ? "draining" : "ready";
     entry["cold_remaining_ms"] = 0;
+    entry["sequence"] = ++m_sequence;
     entry["born"] = m_restarts + 1;
     m_store.put("servers/" + m_id, entry.dump());
 }
--- a/Tests/Soak/SoakUpstream.h
+++ b/Tests/Soak/SoakUpstream.h
@@ -68,6 +68,7 @@
     std::function<void()> m_onCrash;
     std::string m_id;
     std::uint32_t m_restarts = 0;
+    std::uint64_t m_sequence = 0; ///< Of the entries that were published.
     bool m_alive = true;
     bool m_leaving = false;
     std::optional<TimePoint> m_leavingSince;
