Let no exception of one request, entry or connection end or silence a host

What callers would see: a host that ends, or that goes on without registering itself, without recording suspects, or without accepting connections.

Cause: what a timer's, a signal's or a socket's handler threw left io_context::run() and main, and ended the process. What ended a coroutine started with boost::asio::detached was dropped without a line, so that a loop stood still for good; a connection between hosts stayed open and was not read. A request that threw left its grant in use at the owner until its deadline, and its caller without an answer.

Change: runReportingErrors() runs the handlers of both daemons and logs what one throws (handler_failed). Coroutines that nobody awaits report their exception to it. Timers and the wait for signals are started again before the work that may throw. A connection whose message can't be handled is closed, a listener accepts the next connection, and a request that throws gives back its grant, its reservations and its memory and is answered 500 (request_failed).

AnswerMemory is now created before the io_context: requests in progress end with the latter and give their memory back.

--- a/Source/Daemon/ControlPlane.cpp
+++ b/Source/Daemon/ControlPlane.cpp
@@ -1,5 +1,6 @@
 #include "Daemon/ControlPlane.h"
 
+#include "Base/AsyncTasks.h"
 #include "Base/Hash.h"
 #include "Config/FleetJson.h"
 #include "Config/OperatorLists.h"
@@ -153,7 +154,9 @@
     });
     m_configuration.start();
     scheduleTick();
-    m_context.run();
+    runReportingErrors(m_context, [this](const char *problem) {
+        m_log.error(std::string("A handler failed: ") + problem);
+    });
     m_pool.stop();
     m_host.spans.flush();
 }
--- a/Source/Daemon/TrafficWorker.cpp
+++ b/Source/Daemon/TrafficWorker.cpp
@@ -1,5 +1,6 @@
 #include "Daemon/TrafficWorker.h"
 
+#include "Base/AsyncTasks.h"
 #include "Base/Hash.h"
 #include "Daemon/CallerHandler.h"
 #include "Daemon/TrafficPool.h"
@@ -125,7 +126,9 @@
         scheduleTick();
     });
     m_thread = std::thread([this] {
-        m_context.run();
+        runReportingErrors(m_context, [this](const char *problem) {
+            m_log.error(std::string("A handler failed: ") + problem);
+        });
     });
 }
 
--- a/Source/Feed/StoreFeed.cpp
+++ b/Source/Feed/StoreFeed.cpp
@@ -1,9 +1,9 @@
 #include "Feed/StoreFeed.h"
 
+#include "Base/AsyncTasks.h"
 #include "Telemetry/EventLog.h"
 
 #include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 
 #include <random>
 
@@ -48,7 +48,7 @@
 
 void StoreFeed::start()
 {
-    boost::asio::co_spawn(m_io, m_mirror.run(), boost::asio::detached);
+    boost::asio::co_spawn(m_io, m_mirror.run(), reportErrors);
 }
 
 void StoreFeed::setHosts(const std::vector<FeedHost> &hosts)
--- a/Source/Forwarding/FleetPlacement.cpp
+++ b/Source/Forwarding/FleetPlacement.cpp
@@ -1,6 +1,7 @@
 #include "Forwarding/FleetPlacement.h"
 
 #include "Base/ErrorAnswer.h"
+#include "Base/ScopeGuard.h"
 #include "Forwarding/RelayTargets.h"
 #include "Forwarding/WirePlacement.h"
 #include "Peer/PeerConnection.h"
@@ -495,6 +496,9 @@
     m_timer.async_wait([this](const boost::system::error_code &error) {
         m_tickScheduled = false;
         if (!error) {
+            const ScopeGuard scheduled([this]() {
+                scheduleTick();
+            });
             tick();
         }
     });
@@ -507,7 +511,6 @@
     expireOwnerships(now);
     checkOwners(now);
     sendProbes(now);
-    scheduleTick();
 }
 
 // Sends placement requests without an answer to the next owner, and reports grants whose use has not ended to owners that do not know them.
--- a/Source/Forwarding/Forwarder.cpp
+++ b/Source/Forwarding/Forwarder.cpp
@@ -1,5 +1,6 @@
 #include "Forwarding/Forwarder.h"
 
+#include "Base/AsyncTasks.h"
 #include "Base/ErrorAnswer.h"
 #include "Forwarding/ForwardingSession.h"
 #include "Forwarding/MessageTranslator.h"
@@ -13,6 +14,7 @@
 #include <boost/asio/use_awaitable.hpp>
 
 #include <algorithm>
+#include <exception>
 
 namespace Mangofall::Forwarding {
 
@@ -115,12 +117,36 @@
     if (m_leaving) {
         exchange.disableKeepAlive();
     }
-    co_await serve(exchange);
+    std::string problem;
+    try {
+        co_await serve(exchange);
+    } catch (const std::exception &error) {
+        problem = std::string("exception: ") + error.what();
+    }
+    if (!problem.empty()) {
+        co_await answerFailure(exchange, problem);
+    }
     if (m_leaving) {
         exchange.disableKeepAlive();
     }
 }
 
+boost::asio::awaitable<void> Forwarder::answerFailure(HttpExchange &exchange, const std::string &problem)
+{
+    m_context.log.write("request_failed", {{"problem", problem}});
+    exchange.disableKeepAlive();
+    if (exchange.started()) {
+        exchange.abortStream();
+        co_return;
+    }
+    const ErrorAnswer &answer = errorAnswer(ErrorKind::Internal);
+    m_context.metrics.recordRefusal(std::string(), std::string(answer.name));
+    std::string contentType = "application/json";
+    std::string body = errorBody(answer);
+    HeaderFields fields;
+    co_await exchange.respond(static_cast<unsigned>(answer.httpStatus), std::move(contentType), std::move(body), std::move(fields));
+}
+
 boost::asio::awaitable<void> Forwarder::serve(HttpExchange &exchange)
 {
     std::variant<CallerRequest, ErrorKind> decoded = m_context.translator.decodeRequest(exchange);
@@ -138,8 +164,15 @@
     if (admission.error == ErrorKind::None) {
         const auto session = std::make_shared<ForwardingSession>(m_context, exchange, std::move(request), m_routes, *admission.route, admission.organisation);
         const auto position = m_sessions.insert(m_sessions.end(), session);
-        co_await session->run();
+        std::exception_ptr failure;
+        try {
+            co_await session->run();
+        } catch (...) {
+            failure = std::current_exception();
+            session->abandon();
+        }
         m_sessions.erase(position);
+        reportErrors(failure);
         co_return;
     }
     const ErrorAnswer &answer = errorAnswer(admission.error);
--- a/Source/Forwarding/Forwarder.h
+++ b/Source/Forwarding/Forwarder.h
@@ -46,6 +46,8 @@
 
 private:
     boost::asio::awaitable<void> serve(HttpExchange &exchange);
+    /// Ends a request that could not be served because of an exception. Nothing is known about whether it ran.
+    boost::asio::awaitable<void> answerFailure(HttpExchange &exchange, const std::string &problem);
     /// Waits for the first configuration, for a share of the caller's timeout counted from \p receivedAt.
     boost::asio::awaitable<void> awaitRoutes(const CallerRequest &request, TimePoint receivedAt);
 
--- a/Source/Forwarding/ForwardingSession.cpp
+++ b/Source/Forwarding/ForwardingSession.cpp
@@ -163,6 +163,18 @@
     m_finished = true;
 }
 
+void ForwardingSession::abandon()
+{
+    m_finished = true;
+    m_call = nullptr;
+    m_waitTimer.cancel();
+    m_silenceTimer.cancel();
+    if (const auto reservations = m_reservations.lock()) {
+        reservations->release();
+    }
+    m_context.placement.ended(m_placementRequestId, GrantOutcome::Cancelled, std::nullopt);
+}
+
 void ForwardingSession::refuseWaiting()
 {
     m_hostStopping = true;
--- a/Source/Forwarding/ForwardingSession.h
+++ b/Source/Forwarding/ForwardingSession.h
@@ -48,6 +48,9 @@
     /// Serves the request; returns once its answer has ended or the caller has disconnected.
     boost::asio::awaitable<void> run();
 
+    /// Gives back what the request holds after an exception has ended run().
+    void abandon();
+
     /// Refuses the request if it waits for a grant now or would before a further attempt, because the host is shutting down.
     void refuseWaiting();
 
--- a/Source/Forwarding/MemoryReservationSet.cpp
+++ b/Source/Forwarding/MemoryReservationSet.cpp
@@ -1,8 +1,9 @@
 #include "Forwarding/MemoryReservationSet.h"
 
+#include "Base/AsyncTasks.h"
+
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
@@ -37,7 +38,7 @@
 {
     const auto self = shared_from_this();
     m_acquired.expires_at(deadline);
-    Asio::co_spawn(m_io, reserveAll(deadline), Asio::detached);
+    Asio::co_spawn(m_io, reserveAll(deadline), reportErrors);
     if (!m_reservingEnded) {
         co_await m_acquired.async_wait(Asio::as_tuple(Asio::use_awaitable));
     }
@@ -46,7 +47,7 @@
         co_return false;
     }
     for (std::size_t index = 0; index < m_reservations.size(); ++index) {
-        Asio::co_spawn(m_io, renew(index), Asio::detached);
+        Asio::co_spawn(m_io, renew(index), reportErrors);
     }
     co_return true;
 }
@@ -56,7 +57,7 @@
     if (!m_released) {
         m_released = true;
         m_acquired.cancel();
-        Asio::co_spawn(m_io, releaseAll(), Asio::detached);
+        Asio::co_spawn(m_io, releaseAll(), reportErrors);
     }
 }
 
--- a/Source/Http/HttpListener.cpp
+++ b/Source/Http/HttpListener.cpp
@@ -1,5 +1,6 @@
 #include "Http/HttpListener.h"
 
+#include "Base/AsyncTasks.h"
 #include "Http/HttpExchange.h"
 #include "Http/HttpHandler.h"
 #include "Http/HttpServerLimits.h"
@@ -7,7 +8,6 @@
 
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http/empty_body.hpp>
@@ -176,7 +176,7 @@
     Private(Asio::io_context &context, HttpHandler &handler, std::uint64_t maxBodyBytes)
         : listener(context, [this, &context, &handler](Asio::ip::tcp::socket socket) {
             auto connection = std::make_unique<Connection>(std::move(socket), handler, state);
-            Asio::co_spawn(context, Connection::run(std::move(connection)), Asio::detached);
+            Asio::co_spawn(context, Connection::run(std::move(connection)), reportErrors);
         })
     {
         state->limits.bodyBytes = maxBodyBytes;
--- a/Source/Peer/PeerConnection.cpp
+++ b/Source/Peer/PeerConnection.cpp
@@ -1,17 +1,19 @@
 #include "Peer/PeerConnection.h"
 
+#include "Base/AsyncTasks.h"
+#include "Base/ScopeGuard.h"
 #include "Peer/PeerCodec.h"
 #include "Peer/PeerMessageHandler.h"
 #include "Peer/PeerMessages_generated.h"
 
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/read.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/write.hpp>
 
 #include <array>
+#include <exception>
 
 namespace Mangofall {
 
@@ -40,7 +42,7 @@
         [self = shared_from_this()]() {
             return self->readFrames();
         },
-        Asio::detached);
+        reportErrors);
 }
 
 void PeerConnection::send(const Wire::PeerMessageT &message)
@@ -60,7 +62,7 @@
             [self = shared_from_this()]() {
                 return self->writeQueue();
             },
-            Asio::detached);
+            reportErrors);
     }
 }
 
@@ -91,6 +93,7 @@
 Asio::awaitable<void> PeerConnection::readFrames()
 {
     const auto self = shared_from_this();
+    std::exception_ptr failure;
     std::array<std::uint8_t, frameHeaderBytes> header{};
     std::vector<std::uint8_t> payload;
     while (!m_closed) {
@@ -104,11 +107,19 @@
         }
         payload.resize(frameLength(header));
         const auto [payloadError, payloadBytes] = co_await Asio::async_read(m_socket, Asio::buffer(payload), awaitTuple);
-        if (payloadError || !deliver(payload)) {
+        bool delivered = false;
+        try {
+            delivered = !payloadError && deliver(payload);
+        } catch (...) {
+            failure = std::current_exception();
+        }
+        if (!delivered) {
             break;
         }
     }
+    // A connection that is no longer read must not stay open.
     close();
+    reportErrors(failure);
 }
 
 bool PeerConnection::deliver(const std::vector<std::uint8_t> &payload)
@@ -135,6 +146,9 @@
 Asio::awaitable<void> PeerConnection::writeQueue()
 {
     const auto self = shared_from_this();
+    const ScopeGuard ended([&self]() {
+        self->m_writing = false;
+    });
     std::vector<std::uint8_t> batch;
     while (!m_closed && !m_queue.empty()) {
         batch.clear();
@@ -145,7 +159,6 @@
             close();
         }
     }
-    m_writing = false;
 }
 
 }
--- a/Source/Peer/PeerLink.cpp
+++ b/Source/Peer/PeerLink.cpp
@@ -1,11 +1,12 @@
 #include "Peer/PeerLink.h"
 
+#include "Base/AsyncTasks.h"
+#include "Base/ScopeGuard.h"
 #include "Peer/PeerMessageHandler.h"
 #include "Peer/PeerMessages_generated.h"
 
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
@@ -50,7 +51,7 @@
             [self = shared_from_this()]() {
                 return self->connect();
             },
-            Asio::detached);
+            reportErrors);
     }
 }
 
@@ -77,6 +78,9 @@
 Asio::awaitable<void> PeerLink::connect()
 {
     const auto self = shared_from_this();
+    const ScopeGuard ended([&self]() {
+        self->m_connecting = false;
+    });
     auto socket = std::make_shared<Asio::ip::tcp::socket>(m_context);
     boost::system::error_code error;
     const auto address = Asio::ip::make_address(m_address, error);
--- a/Source/Peer/TcpListener.cpp
+++ b/Source/Peer/TcpListener.cpp
@@ -1,14 +1,18 @@
 #include "Peer/TcpListener.h"
 
+#include "Base/AsyncTasks.h"
+
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
+#include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
 #include <sys/socket.h>
 
+#include <exception>
+
 namespace Mangofall {
 
 namespace {
@@ -27,12 +31,24 @@
     Asio::ip::tcp::acceptor acceptor;
     SocketHandler handler;
 
+    // What the handler throws concerns its connection only; it is reported, and the next connection is accepted.
+    void accepted(Asio::ip::tcp::socket socket)
+    {
+        try {
+            handler(std::move(socket));
+        } catch (...) {
+            Asio::post(context, [error = std::current_exception()]() {
+                std::rethrow_exception(error);
+            });
+        }
+    }
+
     static Asio::awaitable<void> acceptConnections(std::shared_ptr<Acceptor> self)
     {
         while (self->acceptor.is_open()) {
             auto [error, socket] = co_await self->acceptor.async_accept(Asio::as_tuple(Asio::use_awaitable));
             if (!error) {
-                self->handler(std::move(socket));
+                self->accepted(std::move(socket));
             } else if (self->acceptor.is_open()) {
                 Asio::steady_timer timer(self->context, acceptRetryDelay);
                 co_await timer.async_wait(Asio::as_tuple(Asio::use_awaitable));
@@ -75,7 +91,7 @@
     if (error) {
         return error;
     }
-    Asio::co_spawn(m_acceptor->context, Acceptor::acceptConnections(m_acceptor), Asio::detached);
+    Asio::co_spawn(m_acceptor->context, Acceptor::acceptConnections(m_acceptor), reportErrors);
     return {};
 }
 
--- a/Tests/Forwarding/FakeTranslator.h
+++ b/Tests/Forwarding/FakeTranslator.h
@@ -2,13 +2,14 @@
 
 #include "Forwarding/MessageTranslator.h"
 
+#include <stdexcept>
 #include <string>
 
 namespace Mangofall::Testing {
 
 /**
  * \class FakeTranslator
- * \brief A translator for tests that uses the header fields Id, Key, Timeout-Ms, Signed, Not-Run, Leaving, Pause (seconds), After and Target.
+ * \brief A translator for tests that uses the header fields Id, Key, Timeout-Ms, Fail (throws), Signed, Not-Run, Leaving, Pause (seconds), After and Target.
  */
 class FakeTranslator final : public Forwarding::MessageTranslator
 {
@@ -30,6 +31,9 @@
     UpstreamCall::Request
     encodeRequest(const HttpExchange &exchange, const Forwarding::CallerRequest &request, const Forwarding::AttemptParameters &parameters) const override
     {
+        if (!exchange.header("Fail").empty()) {
+            throw std::runtime_error("request that cannot be encoded");
+        }
         UpstreamCall::Request message(exchange.request().method(), exchange.request().target(), 11);
         message.set("Id", request.id.value());
         message.set("Target", parameters.upstream.value());
--- a/Tests/Forwarding/ForwardingHost.h
+++ b/Tests/Forwarding/ForwardingHost.h
@@ -66,6 +66,7 @@
 
 // A host that serves callers on loopback, with a caller that sends one request and reads until the connection closes.
 struct Host {
+    AnswerMemory answerMemory; ///< Before io, because requests in progress end with it.
     boost::asio::io_context io{1};
     DiscardingSink sink;
     EventLog log{"h", 0, sink};
@@ -75,7 +76,6 @@
     FakePlacement placement;
     UpstreamDirectory directory;
     RetryBudgets budgets{1};
-    AnswerMemory answerMemory;
     ForwardingContext context{io, translator, placement, engineMemory, directory, budgets, answerMemory, log, metrics};
     Forwarder forwarder{context};
     HttpListener listener{io, forwarder, 1'000'000};
--- a/Tests/Forwarding/ForwardingSessionTest.cpp
+++ b/Tests/Forwarding/ForwardingSessionTest.cpp
@@ -423,3 +423,16 @@
     CHECK(contains(host.call("POST", "/order/1"), "hello"));
     LONGS_EQUAL(0, first.requests().size());
 }
+
+// Guards against an exception for one request that leaves its caller without an answer, its grant in use, or the host without further requests.
+TEST(ForwardingSessionTest, AnExceptionEndsOnlyItsOwnRequest)
+{
+    Host host;
+    host.add(wholeAnswer(200, "Id: 7\r\nSigned: s\r\n", "hello"));
+    host.add(wholeAnswer(200, "Id: 7\r\nSigned: s\r\n", "hello"));
+    CHECK(host.call("POST", "/order/1", "Fail: 1\r\n").starts_with("HTTP/1.1 500"));
+    CHECK(host.placement.outcomes == std::vector{GrantOutcome::Cancelled});
+    LONGS_EQUAL(0, host.forwarder.activeRequestCount());
+    host.io.restart();
+    CHECK(contains(host.call("POST", "/order/1"), "hello"));
+}
--- a/Tests/Peer/PeerConnectionTest.cpp
+++ b/Tests/Peer/PeerConnectionTest.cpp
@@ -7,8 +7,13 @@
 #include "Peer/PeerMessages_generated.h"
 #include "Peer/TcpListener.h"
 
+#include "Base/AsyncTasks.h"
+
 #include <boost/asio/io_context.hpp>
 
+#include <stdexcept>
+#include <utility>
+
 using namespace Mangofall;
 
 namespace {
@@ -23,6 +28,9 @@
 
     void handleMessage(const std::shared_ptr<PeerConnection> &, Wire::PeerMessageT &&message) override
     {
+        if (failure) {
+            throw std::runtime_error(std::exchange(failure, nullptr));
+        }
         if (const Wire::StreamDataT *data = message.body.AsStreamData()) {
             indexes.push_back(data->index);
         } else if (message.body.type == Wire::Body::Hello) {
@@ -39,6 +47,7 @@
         m_context.stop();
     }
 
+    const char *failure = nullptr; ///< Thrown for the next message if set.
     std::vector<std::uint64_t> indexes;
     std::size_t expectedMessages = 0;
     int helloCount = 0;
@@ -106,3 +115,53 @@
     context.run();
     LONGS_EQUAL(1, sender.closedCount);
 }
+
+// Guards against a connection that stays open, although nobody reads it any more, because a message could not be handled.
+TEST(PeerConnectionTest, AMessageThatCannotBeHandledClosesItsConnection)
+{
+    boost::asio::io_context context(1);
+    RecordingHandler receiver(context);
+    receiver.failure = "message";
+    RecordingHandler sender(context);
+    std::shared_ptr<PeerConnection> accepted;
+    TcpListener listener(context, [&](boost::asio::ip::tcp::socket socket) {
+        accepted = std::make_shared<PeerConnection>(std::move(socket), ignoreBytes);
+        accepted->start(receiver);
+    });
+    CHECK_FALSE(listener.listen("127.0.0.1", 0, false));
+    const auto link = std::make_shared<PeerLink>(context, "127.0.0.1", listener.port(), std::make_shared<Wire::HelloT>(), sender, ignoreBytes);
+    link->send(dataMessage(1));
+    std::vector<std::string> problems;
+    runReportingErrors(context, [&](const char *problem) {
+        problems.emplace_back(problem);
+    });
+    LONGS_EQUAL(1, receiver.closedCount);
+    context.restart();
+    context.poll();
+    CHECK_FALSE(accepted->isOpen());
+}
+
+// Guards against a listener that accepts nothing any more because one connection could not be handled.
+TEST(PeerConnectionTest, AnExceptionForOneConnectionDoesNotStopTheListener)
+{
+    boost::asio::io_context context(1);
+    int accepted = 0;
+    TcpListener listener(context, [&](boost::asio::ip::tcp::socket) {
+        if (++accepted == 1) {
+            throw std::runtime_error("connection");
+        }
+        context.stop();
+    });
+    CHECK_FALSE(listener.listen("127.0.0.1", 0, false));
+    const boost::asio::ip::tcp::endpoint endpoint(boost::asio::ip::make_address("127.0.0.1"), listener.port());
+    boost::asio::ip::tcp::socket first(context);
+    first.connect(endpoint);
+    boost::asio::ip::tcp::socket second(context);
+    second.connect(endpoint);
+    std::vector<std::string> problems;
+    runReportingErrors(context, [&](const char *problem) {
+        problems.emplace_back(problem);
+    });
+    LONGS_EQUAL(2, accepted);
+    CHECK(problems.size() <= 1);
+}
