Answer the requests that a closing listener has already received

Causes: (1) a listening socket that closes resets the connections that wait to be accepted, with the requests that they carry; (2) a request that arrived on a kept connection in the moment of the close was discarded unread; (3) an answer that is written before the whole request is read, such as a 413, was followed by a close with unread bytes, so that the caller's further bytes were answered by a reset; (4) bytes of a caller where a chunk size is due were kept without limit.

Change: the listener accepts what waits before it closes; a connection that is idle at that moment is read for 100 ms more; after an early answer the rest of the request is read and dropped, for 500 ms and 4 MiB at most; the buffer of a connection has a maximum.

--- a/Source/Http/HttpListener.cpp
+++ b/Source/Http/HttpListener.cpp
@@ -15,6 +15,7 @@
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/write.hpp>
 
+#include <algorithm>
 #include <chrono>
 #include <unordered_set>
 
@@ -27,6 +28,14 @@
 namespace BeastHttp = boost::beast::http;
 
 constexpr std::size_t readAheadBytes = 4096;
+// The largest chunk size line or trailer section of a request.
+constexpr std::size_t maxFramingBytes = 64UL * 1024;
+// A request that crosses the close of its connection arrives within this time, and is then answered instead of lost.
+constexpr std::chrono::milliseconds lateRequestTime{100};
+// How long, and for how many bytes, a caller may go on sending a request that is answered already. Closing the connection with unread bytes would reset it,
+// and the caller might lose the answer.
+constexpr std::chrono::milliseconds drainTime{500};
+constexpr std::size_t maxDrainBytes = 4UL * 1024 * 1024;
 constexpr unsigned statusBadRequest = 400;
 constexpr unsigned statusBodyTooLarge = 413;
 constexpr unsigned statusHeaderTooLarge = 431;
@@ -83,11 +92,14 @@
     static Asio::awaitable<void> run(std::unique_ptr<Connection> self)
     {
         bool continueServing = true;
-        while (continueServing && !self->m_state->closing) {
+        while (continueServing) {
             continueServing = co_await self->serveRequest();
         }
         boost::system::error_code ignored;
         self->m_stream.socket().shutdown(Asio::ip::tcp::socket::shutdown_send, ignored);
+        if (self->m_answeredEarly || self->m_stream.socket().available(ignored) > 0) {
+            co_await self->drain();
+        }
     }
 
     void closeIfIdle()
@@ -104,14 +116,34 @@
         if (m_buffer.size() > 0) {
             co_return true;
         }
-        m_idle = true;
-        m_stream.expires_after(m_state->limits.idleTimeout);
-        const auto [error, bytes] = co_await m_stream.async_read_some(m_buffer.prepare(readAheadBytes), awaitTuple);
-        m_idle = false;
-        m_buffer.commit(bytes);
+        boost::system::error_code error;
+        bool closing = false;
+        do {
+            closing = m_state->closing;
+            m_stream.expires_after(closing ? Duration(lateRequestTime) : m_state->limits.idleTimeout);
+            m_idle = true;
+            const auto [readError, bytes] = co_await m_stream.async_read_some(m_buffer.prepare(readAheadBytes), awaitTuple);
+            m_idle = false;
+            error = readError;
+            m_buffer.commit(bytes);
+        } while (error == Asio::error::operation_aborted && m_state->closing && !closing);
         co_return !error;
     }
 
+    // Reads what the caller still sends, for a limited time, so that it receives the answer.
+    Asio::awaitable<void> drain()
+    {
+        m_buffer.clear();
+        m_stream.expires_after(drainTime);
+        std::size_t drained = 0;
+        boost::system::error_code error;
+        while (!error && drained < maxDrainBytes) {
+            const auto [readError, bytes] = co_await m_stream.async_read_some(m_buffer.prepare(readAheadBytes), awaitTuple);
+            error = readError;
+            drained += bytes;
+        }
+    }
+
     // Reads and answers one request; false if the connection must be closed.
     Asio::awaitable<bool> serveRequest()
     {
@@ -121,6 +153,7 @@
         }
         const HttpServerLimits limits = m_state->limits;
         const TimePoint receivedAt = std::chrono::steady_clock::now();
+        m_buffer.max_size(std::max<std::size_t>(maxFramingBytes, limits.headerBytes + readAheadBytes));
         Parser parser;
         parser.header_limit(limits.headerBytes);
         parser.body_limit(limits.bodyBytes);
@@ -157,6 +190,7 @@
         }
         HttpExchange exchange(m_stream, parser.release(), std::chrono::steady_clock::now());
         exchange.disableKeepAlive();
+        m_answeredEarly = true;
         co_await m_handler.handleUnreadable(exchange, status);
     }
 
@@ -165,6 +199,7 @@
     HttpHandler &m_handler;
     std::shared_ptr<ListenerState> m_state;
     bool m_idle = false;
+    bool m_answeredEarly = false; ///< Whether an answer was written before its request was read completely.
 };
 
 }
@@ -205,6 +240,11 @@
     m_d->state->limits = limits;
 }
 
+std::size_t HttpListener::connectionCount() const
+{
+    return m_d->state->connections.size();
+}
+
 void HttpListener::close()
 {
     m_d->state->closing = true;
--- a/Source/Http/HttpListener.h
+++ b/Source/Http/HttpListener.h
@@ -32,9 +32,12 @@
     /// Sets limits for requests whose reading has not started.
     void setLimits(const HttpServerLimits &limits);
 
-    /// Stops accepting connections and closes idle ones; exchanges in progress are completed.
+    /// Stops accepting connections and closes idle ones; exchanges in progress are completed. Connections that wait to be accepted, and requests that arrive at
+    /// idle ones at this moment, are served first.
     void close();
 
+    std::size_t connectionCount() const;
+
 private:
     struct Private;
     std::unique_ptr<Private> m_d;
--- a/Source/Peer/TcpListener.cpp
+++ b/Source/Peer/TcpListener.cpp
@@ -43,6 +43,25 @@
         }
     }
 
+    void acceptWaiting()
+    {
+        boost::system::error_code error;
+        acceptor.non_blocking(true, error);
+        while (!error) {
+            Asio::ip::tcp::socket socket(context);
+            acceptor.accept(socket, error);
+            if (!error) {
+                accepted(std::move(socket));
+            }
+        }
+    }
+
+    void close()
+    {
+        boost::system::error_code ignored;
+        acceptor.close(ignored);
+    }
+
     static Asio::awaitable<void> acceptConnections(std::shared_ptr<Acceptor> self)
     {
         while (self->acceptor.is_open()) {
@@ -64,7 +83,7 @@
 
 TcpListener::~TcpListener()
 {
-    close();
+    m_acceptor->close();
 }
 
 std::error_code TcpListener::listen(const std::string &address, std::uint16_t port, bool sharePort)
@@ -89,6 +108,7 @@
         acceptor.listen(Asio::socket_base::max_listen_connections, error);
     }
     if (error) {
+        m_acceptor->close();
         return error;
     }
     Asio::co_spawn(m_acceptor->context, Acceptor::acceptConnections(m_acceptor), reportErrors);
@@ -103,8 +123,10 @@
 
 void TcpListener::close()
 {
-    boost::system::error_code ignored;
-    m_acceptor->acceptor.close(ignored);
+    if (m_acceptor->acceptor.is_open()) {
+        m_acceptor->acceptWaiting();
+    }
+    m_acceptor->close();
 }
 
 }
--- a/Source/Peer/TcpListener.h
+++ b/Source/Peer/TcpListener.h
@@ -25,12 +25,14 @@
     TcpListener(const TcpListener &) = delete;
     TcpListener &operator=(const TcpListener &) = delete;
 
-    /// Binds the port and starts to accept connections. \p sharePort lets several listeners, one per thread, share the port.
+    /// Binds the port and starts to accept connections. \p sharePort lets several listeners, one per thread, share the port. May be called again after a
+    /// failure.
     std::error_code listen(const std::string &address, std::uint16_t port, bool sharePort);
 
     /// The bound port; differs from the argument of listen() if that was 0.
     std::uint16_t port() const;
 
+    /// Passes the connections that wait to be accepted to the handler, because the system would reset them, and then stops listening.
     void close();
 
 private:
