--- a/Source/Forwarding/Forwarder.cpp
+++ b/Source/Forwarding/Forwarder.cpp
@@ -87,9 +87,10 @@
     return m_routes;
 }
 
-void Forwarder::startLeaving()
+void Forwarder::startLeaving(TimePoint end)
 {
     m_leaving = true;
+    m_context.hostEndsAt = end;
 }
 
 void Forwarder::refuseNewRequests()
@@ -106,6 +107,15 @@
     }
 }
 
+void Forwarder::endRequests()
+{
+    for (const std::weak_ptr<ForwardingSession> &weak : m_sessions) {
+        if (const auto session = weak.lock()) {
+            session->end();
+        }
+    }
+}
+
 std::size_t Forwarder::activeRequestCount() const
 {
     return m_activeRequestCount;
--- a/Source/Forwarding/Forwarder.h
+++ b/Source/Forwarding/Forwarder.h
@@ -29,8 +29,8 @@
     /// The configuration in force; null before the first one arrives.
     const std::shared_ptr<const RouteTable> &routes() const;
 
-    /// Closes each connection after its next answer, because the host is shutting down.
-    void startLeaving();
+    /// Closes each connection after its next answer, because the host is shutting down. Requests that would not be done by \p end are not sent any more.
+    void startLeaving(TimePoint end);
 
     /// Refuses requests that arrive from now on, because the process could exit before they are answered.
     void refuseNewRequests();
@@ -38,6 +38,9 @@
     /// Refuses requests that still wait for a grant, because they could not be answered before the process exits.
     void refuseWaiting();
 
+    /// Ends all requests with an answer that tells whether they may have run, because the process is about to exit.
+    void endRequests();
+
     /// Number of requests in progress.
     std::size_t activeRequestCount() const;
 
--- a/Source/Forwarding/ForwardingContext.h
+++ b/Source/Forwarding/ForwardingContext.h
@@ -1,7 +1,11 @@
 #pragma once
 
+#include "Base/Time.h"
+
 #include <boost/asio/io_context.hpp>
 
+#include <optional>
+
 namespace Mangofall {
 class EventLog;
 class ForwardingMetrics;
@@ -30,6 +34,7 @@
     AnswerMemory &answerMemory;
     EventLog &log;
     ForwardingMetrics &metrics;
+    std::optional<TimePoint> hostEndsAt{}; ///< When a host that is shutting down ends the requests that are still in progress.
 };
 
 }
--- a/Source/Forwarding/ForwardingSession.cpp
+++ b/Source/Forwarding/ForwardingSession.cpp
@@ -163,6 +163,18 @@
     m_finished = true;
 }
 
+void ForwardingSession::end()
+{
+    m_hostEnding = true;
+    refuseWaiting();
+    if (const auto reservations = m_reservations.lock()) {
+        reservations->release();
+    }
+    if (m_call != nullptr) {
+        m_call->cancel();
+    }
+}
+
 void ForwardingSession::abandon()
 {
     m_finished = true;
@@ -213,6 +225,11 @@
             co_await answerError(unlessMayHaveRun(ErrorKind::NoUpstream), errorAnswer(ErrorKind::NoUpstream).retryAfter);
             break;
         }
+        if (outlastsHost(assignment)) {
+            m_context.placement.ended(m_placementRequestId, GrantOutcome::Cancelled, std::nullopt);
+            co_await answerError(unlessMayHaveRun(ErrorKind::HostLeaving), errorAnswer(ErrorKind::HostLeaving).retryAfter);
+            break;
+        }
         AttemptResult attempt = co_await sendWithReservations(assignment);
         m_context.placement.ended(m_placementRequestId, m_callerDisconnected ? GrantOutcome::Cancelled : attempt.grantOutcome, attempt.faulty);
         if (m_callerDisconnected) {
@@ -229,7 +246,10 @@
         }
         NextStep step = m_policy.decide(attempt.outcome, m_deadline - Clock::now());
         if (step == NextStep::Retry) {
-            const bool willRetry = co_await retryAfter(attempt);
+            bool willRetry = false;
+            if (!m_hostEnding) {
+                willRetry = co_await retryAfter(attempt);
+            }
             if (willRetry) {
                 continue;
             }
@@ -326,6 +346,12 @@
     return std::nullopt;
 }
 
+bool ForwardingSession::outlastsHost(const Assignment &assignment) const
+{
+    const Duration expected = std::max(assignment.firstEventEstimate, m_route.target);
+    return m_context.hostEndsAt && Clock::now() + expected > *m_context.hostEndsAt;
+}
+
 std::vector<MemoryReservation> ForwardingSession::reservationsFor(const Assignment &assignment) const
 {
     std::vector<MemoryReservation> reservations;
@@ -372,6 +398,7 @@
     } else if (call.anyBytesSent()) {
         result = interruptedAttempt(error);
     } else {
+        result.grantOutcome = m_hostEnding ? GrantOutcome::Cancelled : result.grantOutcome;
         result.cause = error.message();
     }
     m_call = nullptr;
@@ -597,6 +624,9 @@
 
 AttemptResult ForwardingSession::interruptedAttempt(const boost::system::error_code &error) const
 {
+    if (m_hostEnding) {
+        return failedAttempt(AttemptOutcome::MayHaveRun, GrantOutcome::Cancelled, "host ends");
+    }
     if (m_answerShare && m_answerShare->isRevoked()) {
         return revokedAttempt();
     }
--- a/Source/Forwarding/ForwardingSession.h
+++ b/Source/Forwarding/ForwardingSession.h
@@ -48,6 +48,9 @@
     /// Serves the request; returns once its answer has ended or the caller has disconnected.
     boost::asio::awaitable<void> run();
 
+    /// Ends the request with an answer, because the host is about to exit.
+    void end();
+
     /// Gives back what the request holds after an exception has ended run().
     void abandon();
 
@@ -82,6 +85,8 @@
     std::optional<UpstreamId> unusableUpstream(const Assignment &assignment) const;
     /// Records what the upstream says about itself, here and at the owner.
     void recordNotice(const UpstreamId &upstream, const UpstreamAnswer &answer);
+    /// Whether the host shuts down before an answer from the assigned upstream can be expected.
+    bool outlastsHost(const Assignment &assignment) const;
     std::vector<MemoryReservation> reservationsFor(const Assignment &assignment) const;
     Placement::PlacementRequest makePlacementRequest();
     /// Result of an attempt whose answer had to be given up for the memory that all answers take.
@@ -129,6 +134,7 @@
     bool m_borrowsRetry = false; ///< Whether the next placement request asks the owner for a retry.
     bool m_retryCharged = false; ///< The retry budget was charged for the next retry when the upstream was found silent.
     bool m_callerDisconnected = false;
+    bool m_hostEnding = false; ///< The host is about to exit: the request ends now.
     bool m_hostStopping = false; ///< The host is shutting down: no further attempt is made.
     bool m_finished = false;
 };
--- a/Tests/Forwarding/ForwardingSessionTest.cpp
+++ b/Tests/Forwarding/ForwardingSessionTest.cpp
@@ -233,7 +233,7 @@
 {
     Host host;
     ScriptedUpstream &upstream = host.add(wholeAnswer(200, "Id: 7\r\nSigned: s\r\n", "hello"));
-    host.forwarder.startLeaving();
+    host.forwarder.startLeaving(std::chrono::steady_clock::now() + std::chrono::hours(1));
     host.forwarder.refuseNewRequests();
     const std::string answer = host.call("GET", "/safe/1");
     CHECK(contains(answer, "503"));
@@ -436,3 +436,36 @@
     host.io.restart();
     CHECK(contains(host.call("POST", "/order/1"), "hello"));
 }
+
+// Guards against an order that is sent to an upstream although its host exits before the answer can be expected.
+TEST(ForwardingSessionTest, ARequestThatWouldOutlastItsHostIsNotSent)
+{
+    Host host;
+    ScriptedUpstream &upstream = host.add(wholeAnswer(200, "Id: 7\r\nSigned: s\r\n", "hello"));
+    host.forwarder.startLeaving(std::chrono::steady_clock::now() + std::chrono::milliseconds(500));
+    const std::string answer = host.call("POST", "/order/1");
+    CHECK(answer.starts_with("HTTP/1.1 503"));
+    CHECK(contains(answer, "host_leaving"));
+    LONGS_EQUAL(0, upstream.requests().size());
+}
+
+// Guards against a request that is cut without an answer when its host exits, and against an upstream that is blamed for it.
+TEST(ForwardingSessionTest, ARequestInProgressIsAnsweredWhenItsHostEnds)
+{
+    for (const auto &[path, status] : {std::pair("/order/1", "HTTP/1.1 502"), std::pair("/safe/1", "HTTP/1.1 502"), std::pair("/once/1", "HTTP/1.1 200")}) {
+        Host host;
+        const bool isStream = std::string(path) == "/once/1";
+        ScriptedUpstream &upstream = host.add(isStream ? streamHead + chunk(event(1)) : "HTTP/1.1 200 OK\r\n");
+        upstream.pause = std::chrono::seconds(3);
+        upstream.rest = "late";
+        host.add(wholeAnswer(200, "Id: 7\r\nSigned: s\r\n", "hello"));
+        Asio::steady_timer timer(host.io, std::chrono::milliseconds(200));
+        timer.async_wait([&host](const boost::system::error_code &) {
+            host.forwarder.endRequests();
+        });
+        const std::string answer = host.call("POST", path);
+        CHECK_TEXT(answer.starts_with(status), path);
+        CHECK_FALSE_TEXT(contains(answer, "0\r\n\r\n"), path);
+        CHECK_TEXT(host.placement.outcomes == std::vector{GrantOutcome::Cancelled}, path);
+    }
+}
