Soak: never carry a connection on after bytes of it were discarded

Cause: FaultProxy discarded bytes of a short link fault and then went on with the same connection. TCP never delivers what comes after a gap; it sends the lost bytes again or nothing more. Change: a direction that has lost bytes stays silent until its connection ends. The check is unchanged.

--- a/Tests/Soak/FaultProxy.cpp
+++ b/Tests/Soak/FaultProxy.cpp
@@ -83,16 +83,19 @@
     co_await forward(client, server, LinkFault::DropToServer);
 }
 
-// Forwards bytes until one side closes its connection; `dropFault` is the fault that discards the bytes of this direction.
+// Forwards bytes until one side closes its connection; `dropFault` is the fault that discards the bytes of this direction. A direction that has lost bytes
+// carries nothing any more, because TCP never delivers what comes after a gap.
 Asio::awaitable<void> FaultProxy::forward(std::shared_ptr<Socket> from, std::shared_ptr<Socket> to, LinkFault dropFault)
 {
     std::array<char, bufferBytes> buffer{};
+    bool discarded = false;
     while (true) {
         const auto [readError, count] = co_await from->async_read_some(Asio::buffer(buffer), awaitTuple);
         if (readError) {
             break;
         }
-        if (m_fault == dropFault || m_fault == LinkFault::Silent) {
+        discarded = discarded || m_fault == dropFault || m_fault == LinkFault::Silent;
+        if (discarded) {
             continue;
         }
         if (m_fault == LinkFault::Delayed) {
