Keep the rate of cold upstreams over a change of owner and a late configuration

What callers would see: upstreams that crash because they get more requests than they tolerate while cold.

Cause: the record of the last second is in the owner's memory and ends with it; and the limit was taken from the configuration once, when the upstream was first listed.

Change: a new owner assumes for one second that the rates of cold upstreams are used up; warm ones are not concerned. Each configuration sets the limits of the upstreams that are known, and requests are counted before a limit is known as well.

--- a/Source/Forwarding/FleetPlacement.cpp
+++ b/Source/Forwarding/FleetPlacement.cpp
@@ -292,6 +292,7 @@
     if (known == m_lastPlacedAt.end() && m_hosts.size() > 1) {
         m_log.write("placing_for_service", {{"service", service.value()}});
         m_table.pauseGrantsUntil(service, now + takeoverDelay);
+        m_table.assumeColdRatesUsed(service, now);
     }
     if (known == m_lastPlacedAt.end()) {
         m_retryLender.forget(service);
--- a/Source/Placement/PlacementTable.cpp
+++ b/Source/Placement/PlacementTable.cpp
@@ -65,6 +65,9 @@
         }
     }
     m_services = std::move(next);
+    for (auto &[id, load] : m_upstreams) {
+        load.setColdRate(coldRateOf(load.entry().service));
+    }
     indexUpstreams();
 }
 
@@ -81,9 +84,7 @@
         if (known != m_upstreams.end()) {
             m_upstreams.erase(known);
         }
-        const auto service = m_services.find(entry.service);
-        const double coldRate = service == m_services.end() ? 0 : service->second.spec.coldRequestsPerSecond;
-        m_upstreams.emplace(entry.id, UpstreamLoad(entry, coldRate));
+        m_upstreams.emplace(entry.id, UpstreamLoad(entry, coldRateOf(entry.service)));
     }
     std::erase_if(m_upstreams, [&](const auto &known) {
         return !present.contains(known.first);
@@ -199,6 +200,21 @@
     }
 }
 
+double PlacementTable::coldRateOf(const ServiceId &service) const
+{
+    const auto known = m_services.find(service);
+    return known == m_services.end() ? 0 : known->second.spec.coldRequestsPerSecond;
+}
+
+void PlacementTable::assumeColdRatesUsed(const ServiceId &service, TimePoint now)
+{
+    for (auto &[id, load] : m_upstreams) {
+        if (load.entry().service == service) {
+            load.assumeColdRateUsed(now);
+        }
+    }
+}
+
 void PlacementTable::adopt(const ReportedGrant &grant, TimePoint now)
 {
     const PlacementRequestId &id = grant.placementRequest.id;
--- a/Source/Placement/PlacementTable.h
+++ b/Source/Placement/PlacementTable.h
@@ -67,6 +67,8 @@
     void noticeReceived(const HostId &host, const UpstreamId &upstream, std::uint64_t start, const UpstreamNotice &notice, TimePoint now);
     /// Grants nothing for \p service before \p time, so that entry hosts can report the grants of the previous owner first.
     void pauseGrantsUntil(const ServiceId &service, TimePoint time);
+    /// Assumes that the previous owner has used up the rates of the cold upstreams of \p service, because its record ended with it.
+    void assumeColdRatesUsed(const ServiceId &service, TimePoint now);
     /// Adds a grant in use that this table did not give or no longer has.
     void adopt(const ReportedGrant &grant, TimePoint now);
     /// Removes the waiting requests of a lost host and ends its grants soon unless the host reports them again.
@@ -123,6 +125,8 @@
     PlacementActions serveAfterRelease(TimePoint now);
     /// Grants or refuses the waiting requests that can be decided now.
     PlacementActions serveWaiting(TimePoint now);
+    /// The limit for cold upstreams of \p service; 0 if it has none or is not configured yet.
+    double coldRateOf(const ServiceId &service) const;
     void indexUpstreams();
     void endOverdueGrants(TimePoint now);
     void release(const PlacementRequestId &id);
--- a/Source/Placement/RateWindow.cpp
+++ b/Source/Placement/RateWindow.cpp
@@ -10,11 +10,18 @@
 {
 }
 
+void RateWindow::setRate(double perSecond)
+{
+    m_perSecond = perSecond;
+}
+
+void RateWindow::assumeFull(TimePoint now)
+{
+    m_fullUntil = now + m_length;
+}
+
 void RateWindow::add(TimePoint now)
 {
-    if (m_perSecond <= 0) {
-        return;
-    }
     while (!m_events.empty() && m_events.front() + m_length <= now) {
         m_events.pop_front();
     }
@@ -26,6 +33,9 @@
     if (m_perSecond <= 0) {
         return true;
     }
+    if (now < m_fullUntil) {
+        return false;
+    }
     const auto inWindow = std::count_if(m_events.begin(), m_events.end(), [&](TimePoint event) {
         return event + m_length > now;
     });
--- a/Source/Placement/RateWindow.h
+++ b/Source/Placement/RateWindow.h
@@ -16,13 +16,18 @@
     /// \p perSecond 0 means no limit.
     RateWindow(Duration length, double perSecond);
 
+    /// Changes the maximum rate; events before the change count as well.
+    void setRate(double perSecond);
     void add(TimePoint now);
+    /// Assumes that the maximum was reached just before \p now by events that were not counted here.
+    void assumeFull(TimePoint now);
     bool hasRoom(TimePoint now) const;
 
 private:
     Duration m_length;
     double m_perSecond;
     std::deque<TimePoint> m_events;
+    TimePoint m_fullUntil;
 };
 
 }
--- a/Source/Placement/UpstreamLoad.cpp
+++ b/Source/Placement/UpstreamLoad.cpp
@@ -113,6 +113,16 @@
     return m_totals.shortestPauseLimit;
 }
 
+void UpstreamLoad::setColdRate(double requestsPerSecond)
+{
+    m_coldWindow.setRate(requestsPerSecond);
+}
+
+void UpstreamLoad::assumeColdRateUsed(TimePoint now)
+{
+    m_coldWindow.assumeFull(now);
+}
+
 bool UpstreamLoad::keepsColdLimit(TimePoint now) const
 {
     return now >= m_entry.coldUntil || m_coldWindow.hasRoom(now);
--- a/Source/Placement/UpstreamLoad.h
+++ b/Source/Placement/UpstreamLoad.h
@@ -63,6 +63,10 @@
 
     /// Returns whether one more request would keep the rate limit of a cold upstream; always true once the upstream is warm.
     bool keepsColdLimit(TimePoint now) const;
+    /// Changes the rate limit that applies while the upstream is cold.
+    void setColdRate(double requestsPerSecond);
+    /// Assumes that another host has used up the rate limit until \p now.
+    void assumeColdRateUsed(TimePoint now);
 
     /// Records what the upstream says about itself in an answer to \p host.
     void recordNotice(const HostId &host, const UpstreamNotice &notice, TimePoint now);
--- a/Tests/Placement/PlacementTableTest.cpp
+++ b/Tests/Placement/PlacementTableTest.cpp
@@ -171,6 +171,39 @@
     LONGS_EQUAL(2, granted);
 }
 
+// Guards against a cold upstream without a limit, because it is listed before the configuration names its service.
+TEST(PlacementTableTest, AColdUpstreamListedBeforeItsServiceIsLimited)
+{
+    Table fixture;
+    UpstreamEntry cold = upstream("o1", orders, 100);
+    cold.coldUntil = fixture.now + milliseconds(5000);
+    fixture.table.setServices({});
+    fixture.table.setUpstreams({}, fixture.now);
+    fixture.table.setUpstreams({cold}, fixture.now);
+    fixture.table.setServices({{orders, 2, std::nullopt}});
+    int granted = 0;
+    for (std::uint64_t number = 1; number <= 10; ++number) {
+        granted += grantOf(fixture.table.submit(orderRequest(number, fixture.now), fixture.now), number) != nullptr ? 1 : 0;
+    }
+    LONGS_EQUAL(2, granted);
+}
+
+// Guards against an owner that grants a cold upstream its whole rate a second time, because the record of the previous owner ended with it.
+TEST(PlacementTableTest, ANewOwnerAssumesThatColdRatesAreUsed)
+{
+    Table fixture;
+    UpstreamEntry cold = upstream("o1", orders, 100);
+    cold.coldUntil = fixture.now + milliseconds(5000);
+    fixture.table.setUpstreams({}, fixture.now);
+    fixture.table.setUpstreams({cold}, fixture.now);
+    fixture.table.assumeColdRatesUsed(orders, fixture.now);
+    CHECK(grantOf(fixture.table.submit(orderRequest(1, fixture.now), fixture.now), 1) == nullptr);
+    fixture.now += milliseconds(999);
+    CHECK(grantOf(fixture.table.tick(fixture.now), 1) == nullptr);
+    fixture.now += milliseconds(1);
+    CHECK(grantOf(fixture.table.tick(fixture.now), 1) != nullptr);
+}
+
 // Guards against any order of arrivals, ends and waits in which a request gets no answer or two answers.
 TEST(PlacementTableTest, EveryRequestIsAnsweredOnceAndSlotsAreKept)
 {
