--- a/Source/Forwarding/ForwardingSession.cpp
+++ b/Source/Forwarding/ForwardingSession.cpp
@@ -323,7 +323,9 @@
     const auto reservationSet = std::make_shared<MemoryReservationSet>(m_context.io, m_context.engineMemory, std::move(reservations));
     m_reservations = reservationSet;
     const bool reserved = co_await reservationSet->acquire(m_deadline);
-    AttemptResult attempt = failedAttempt(AttemptOutcome::NotSent, GrantOutcome::Cancelled, "no memory on the helpers");
+    // With the outcome of a rejection the owner leaves the helper alone for a while.
+    const GrantOutcome refusal = reservationSet->silentUpstream() ? GrantOutcome::Rejected : GrantOutcome::Cancelled;
+    AttemptResult attempt = failedAttempt(AttemptOutcome::NotSent, refusal, "no memory on the helpers");
     attempt.faulty = reservationSet->silentUpstream();
     if (reserved && !m_callerDisconnected) {
         attempt = co_await sendToUpstream(assignment);
--- a/Tests/Forwarding/FakeEngineMemoryClient.h
+++ b/Tests/Forwarding/FakeEngineMemoryClient.h
@@ -7,6 +7,7 @@
 #include <boost/asio/this_coro.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
+#include <algorithm>
 #include <string>
 #include <vector>
 
@@ -22,6 +23,7 @@
     std::vector<std::string> sent;
     UpstreamId refuse;
     UpstreamId silent;
+    std::chrono::milliseconds longestSilence{60'000}; ///< After this time a call to the silent upstream ends before its deadline.
 
     boost::asio::awaitable<Forwarding::EngineMemoryAnswer>
     reserve(const Forwarding::MemoryReservation &reservation, std::chrono::milliseconds, TimePoint deadline) override
@@ -29,7 +31,7 @@
         sent.push_back("reserve " + reservation.upstream.value());
         if (reservation.upstream == silent) {
             boost::asio::steady_timer timer(co_await boost::asio::this_coro::executor);
-            timer.expires_at(deadline);
+            timer.expires_at(std::min(deadline, std::chrono::steady_clock::now() + longestSilence));
             co_await timer.async_wait(boost::asio::as_tuple(boost::asio::use_awaitable));
             co_return Forwarding::EngineMemoryAnswer::None;
         }
--- a/Tests/Forwarding/FakePlacement.h
+++ b/Tests/Forwarding/FakePlacement.h
@@ -20,6 +20,8 @@
     std::vector<Placement::GrantOutcome> outcomes;
     std::vector<Placement::UpstreamNotice> notices;
     std::vector<UpstreamId> helpersOfFirst; ///< Helpers of the first assignment.
+    std::vector<std::uint64_t> helperMemoryOfFirst; ///< Tokens to reserve at them.
+    std::vector<UpstreamId> faulty; ///< The helpers that were reported to be at fault.
     std::size_t submitted = 0;
     std::function<void()> onWaiting; ///< If set, placement requests get no answer, and this is called for each of them.
 
@@ -46,6 +48,7 @@
         if (submitted == 0) {
             assignment.helpers = helpersOfFirst;
             assignment.helperAddresses.resize(helpersOfFirst.size());
+            assignment.helperMemory = helperMemoryOfFirst;
         }
         ++submitted;
         handler(assignment);
@@ -60,9 +63,12 @@
         notices.push_back(notice);
     }
 
-    void ended(const Placement::PlacementRequestId &, Placement::GrantOutcome outcome, const std::optional<UpstreamId> &) override
+    void ended(const Placement::PlacementRequestId &, Placement::GrantOutcome outcome, const std::optional<UpstreamId> &faultyHelper) override
     {
         outcomes.push_back(outcome);
+        if (faultyHelper) {
+            faulty.push_back(*faultyHelper);
+        }
     }
 
 private:
--- a/Tests/Forwarding/ForwardingSessionTest.cpp
+++ b/Tests/Forwarding/ForwardingSessionTest.cpp
@@ -469,3 +469,18 @@
         CHECK_TEXT(host.placement.outcomes == std::vector{GrantOutcome::Cancelled}, path);
     }
 }
+
+// Guards against a long prompt that waits for the same silent helper again and again: the owner must learn of it.
+TEST(ForwardingSessionTest, ASilentHelperIsReportedToTheOwner)
+{
+    Host host;
+    host.add(wholeAnswer(200, "Id: 7\r\nSigned: s\r\n", "hello"));
+    host.add(wholeAnswer(200, "Id: 7\r\nSigned: s\r\n", "hello"));
+    host.placement.helpersOfFirst = {UpstreamId("helper")};
+    host.placement.helperMemoryOfFirst = {1000};
+    host.engineMemory.silent = UpstreamId("helper");
+    host.engineMemory.longestSilence = std::chrono::milliseconds(50);
+    CHECK(contains(host.call("GET", "/safe/1"), "hello"));
+    CHECK(host.placement.outcomes == (std::vector{GrantOutcome::Rejected, GrantOutcome::Completed}));
+    CHECK(host.placement.faulty == std::vector{UpstreamId("helper")});
+}
