--- a/Source/Forwarding/ForwardingSession.cpp
+++ b/Source/Forwarding/ForwardingSession.cpp
@@ -350,7 +350,8 @@
 
 bool ForwardingSession::outlastsHost(const Assignment &assignment) const
 {
-    const Duration expected = std::max(assignment.firstEventEstimate, m_route.target);
+    const bool estimated = assignment.firstEventEstimate > Duration::zero();
+    const Duration expected = estimated ? assignment.firstEventEstimate : m_route.target;
     return m_context.hostEndsAt && Clock::now() + expected > *m_context.hostEndsAt;
 }
 
--- a/Source/Store/HttpConnectionPool.cpp
+++ b/Source/Store/HttpConnectionPool.cpp
@@ -21,6 +21,8 @@
 
 // A value in the store has at most 1 MB. A complete configuration at the scale of the design is below 16 MB.
 constexpr std::uint64_t maxAnswerBytes = 16'000'000;
+// The largest chunk size line or trailer section of an answer.
+constexpr std::size_t maxFramingBytes = 64UL * 1024;
 constexpr std::size_t maxIdleConnections = 8;
 
 }
@@ -60,7 +62,7 @@
     boost::system::error_code error;
     stream->expires_at(limit.next());
     co_await http::async_write(*stream, request, asio::redirect_error(asio::use_awaitable, error));
-    beast::flat_buffer buffer;
+    beast::flat_buffer buffer(maxFramingBytes);
     http::response_parser<http::string_body> parser;
     parser.body_limit(maxAnswerBytes);
     while (!error && !parser.is_done()) {
