Do not hold back sound parts for connections that end at one moment

One host had seen three connections end within 34 ms; a test at 11 s brought no result, and the next one was due after 12 s.

Change: against a part, crashes that one host sees within 100 ms count as one; a whole request is counted as before. And the owner, to which crashes are reported, now counts the complete answers of all hosts as well: a host that does not know of a crash could not clear it.

The fixture of FleetPlacementTest lets 110 ms pass after each crash: its crashes are meant to be separate ones.

--- a/Source/Forwarding/CrashReplica.cpp
+++ b/Source/Forwarding/CrashReplica.cpp
@@ -43,11 +43,16 @@
 
 void CrashReplica::attemptEnded(const Attempt &attempt, GrantOutcome outcome, TimePoint now)
 {
-    const Placement::CrashRecord::Suspects suspects = suspectsOf(attempt.request);
+    const Placement::PlacementRequest &request = attempt.request;
+    const Placement::Assignment &assignment = attempt.assignment;
     if (outcome == GrantOutcome::Broken) {
-        m_record.recordCrash(suspects, attempt.assignment.upstream, attempt.assignment.upstreamStart, attempt.sentAt, now);
+        m_record.recordCrashOfParts(request.sharedParts, assignment.upstream, assignment.upstreamStart, attempt.sentAt, now);
+        if (request.fingerprint != 0) {
+            m_record.recordCrash({request.fingerprint}, assignment.upstream, assignment.upstreamStart, attempt.sentAt, now);
+        }
     } else if (outcome == GrantOutcome::Completed) {
-        m_record.recordSuccess(suspects, now);
+        m_record.recordSuccess(request.sharedParts, now);
+        m_record.recordRequestSuccess(request.fingerprint, now);
     }
 }
 
--- a/Source/Forwarding/FleetPlacement.cpp
+++ b/Source/Forwarding/FleetPlacement.cpp
@@ -466,6 +466,7 @@
     m_waitingPeerRequests.erase(id);
     const std::optional<UpstreamId> faulty = report.faulty.empty() ? std::nullopt : std::optional<UpstreamId>(UpstreamId(report.faulty));
     applyActions(m_table.ended(id, outcomeFromWire(report.outcome), faulty, Clock::now()));
+    publishCrashes();
 }
 
 void FleetPlacement::onUpstreamNotice(const HostId &from, const Wire::UpstreamNoticeT &notice)
--- a/Source/Placement/CrashRecord.cpp
+++ b/Source/Placement/CrashRecord.cpp
@@ -27,8 +27,10 @@
 // A test by a request that others explain takes about as long as its prefill.
 constexpr std::chrono::milliseconds exonerationPause{250};
 constexpr std::uint32_t maxExonerations = 5;
-// Upstreams that crash within this time of each other may have lost the same machine, rack or release.
-constexpr std::chrono::milliseconds crashMoment{500};
+// Connections that end within this time of each other have one cause, such as a machine, a rack or a link, that is not a prompt.
+constexpr std::chrono::milliseconds crashMoment{100};
+// The same for a suspect with which requests have ended well lately.
+constexpr std::chrono::milliseconds soundCrashMoment{500};
 
 Duration trialPause(std::uint32_t trials)
 {
@@ -53,29 +55,48 @@
 
 void CrashRecord::recordCrash(const Suspects &suspects, const UpstreamId &upstream, std::uint64_t start, TimePoint sentAt, TimePoint now)
 {
-    const std::optional<CrashId> crash = crashOf(upstream, start, sentAt);
-    if (!crash) {
-        return;
+    if (const std::optional<CrashId> crash = crashOf(upstream, start, sentAt)) {
+        countCrash(*crash, suspects, Duration::zero(), now);
+    }
+}
+
+void CrashRecord::recordCrashOfParts(const Suspects &parts, const UpstreamId &upstream, std::uint64_t start, TimePoint sentAt, TimePoint now)
+{
+    if (const std::optional<CrashId> crash = crashOf(upstream, start, sentAt)) {
+        countCrash(*crash, parts, crashMoment, now);
     }
-    m_crashes.try_emplace(*crash, now);
+}
+
+void CrashRecord::countCrash(CrashId crash, const Suspects &suspects, Duration moment, TimePoint now)
+{
+    m_crashes.try_emplace(crash, now);
     for (const SuspectId suspect : suspects) {
         Entry &entry = entryFor(suspect, now);
+        if (entry.lastCrash && now < *entry.lastCrash + moment) {
+            continue;
+        }
         const SuspectState before = entry.state;
-        entry.state.addCrash(*crash);
+        entry.state.addCrash(crash);
         if (entry.state != before) {
+            entry.lastCrash = now;
             changed(entry, true, now);
         }
     }
 }
 
-void CrashRecord::recordSuccess(const Suspects &suspects, TimePoint now)
+void CrashRecord::recordSuccess(const Suspects &parts, TimePoint now)
 {
-    for (const SuspectId suspect : suspects) {
-        m_sound.add(suspect, now);
-        const auto position = m_entries.find(suspect);
-        if (position != m_entries.end()) {
-            clear(position->second, now);
-        }
+    for (const SuspectId part : parts) {
+        m_sound.add(part, now);
+        recordRequestSuccess(part, now);
+    }
+}
+
+void CrashRecord::recordRequestSuccess(SuspectId fingerprint, TimePoint now)
+{
+    const auto position = m_entries.find(fingerprint);
+    if (position != m_entries.end()) {
+        clear(position->second, now);
     }
 }
 
@@ -249,7 +270,7 @@
     for (const TimePoint time : times) {
         if (count == 0 || time >= momentEnd) {
             ++count;
-            momentEnd = time + crashMoment;
+            momentEnd = time + soundCrashMoment;
         }
     }
     return count;
--- a/Source/Placement/CrashRecord.h
+++ b/Source/Placement/CrashRecord.h
@@ -32,8 +32,9 @@
  * \brief Counts the crashes of upstreams by suspect, and holds back requests with a suspect that appears to cause them.
  *
  * A crash breaks off all requests that run at the upstream, however far their answers are, so that it is counted against each of their suspects. A harmful
- * one may end the upstream at any moment of its answer; only an answer that is complete shows that its suspects are harmless, and clears them. Crashes at
- * one moment, for example of all upstreams in a rack, count as one against a suspect with which requests have ended well lately. A held suspect is tested with
+ * one may end the upstream at any moment of its answer; only an answer that is complete shows that its suspects are harmless, and clears them. Crashes that a
+ * host sees at one moment, for example because its connections are reset, count as one; so do, for longer, those of a suspect with which requests have ended
+ * well lately. A held suspect is tested with
  * pauses that grow, and sooner by a request that is not suspicious otherwise: one whose crashes are all explained by held suspects that it does not have.
  *
  * Hosts exchange the states of their records; the result does not depend on the order in which the states arrive, or on lost or repeated ones.
@@ -53,8 +54,12 @@
     /// Records that a process of \p upstream, which \p start tells from others of the same id, ended while a request with the suspects ran there. A request
     /// that was sent to an upstream that had just crashed says nothing about its suspects.
     void recordCrash(const Suspects &suspects, const UpstreamId &upstream, std::uint64_t start, TimePoint sentAt, TimePoint now);
-    /// Records that a request with the suspects ran without harm, which clears them.
-    void recordSuccess(const Suspects &suspects, TimePoint now);
+    /// The same for the parts of its prompt, which many other requests have: against each part, crashes at one moment count as one.
+    void recordCrashOfParts(const Suspects &parts, const UpstreamId &upstream, std::uint64_t start, TimePoint sentAt, TimePoint now);
+    /// Records that a request with these parts ran without harm, which clears them.
+    void recordSuccess(const Suspects &parts, TimePoint now);
+    /// The same for a request as a whole.
+    void recordRequestSuccess(SuspectId fingerprint, TimePoint now);
     /// Records that the answer to a request with the suspects has begun, which clears those whose crashes are explained by held suspects that it does not have.
     void recordBegin(const Suspects &suspects, TimePoint now);
 
@@ -77,6 +82,7 @@
     struct Entry {
         SuspectState state;
         TimePoint lastChange;
+        std::optional<TimePoint> lastCrash; ///< When this host last recorded a crash.
         TimePoint nextTrial; ///< Set while the suspect is held.
         TimePoint nextExoneration; ///< When a request whose crashes others explain may test the suspect again.
         std::uint32_t exonerations = 0; ///< Such tests since the last success.
@@ -87,6 +93,8 @@
         bool concernsAll = false;
     };
 
+    /// Counts a crash against the suspects but for those that had another one less than \p moment ago.
+    void countCrash(CrashId crash, const Suspects &suspects, Duration moment, TimePoint now);
     /// The crash that ended a request; empty if the upstream was known to be down when the request was sent.
     std::optional<CrashId> crashOf(const UpstreamId &upstream, std::uint64_t start, TimePoint sentAt) const;
     /// The held ones of the suspects.
@@ -107,7 +115,7 @@
 
     std::map<SuspectId, Entry> m_entries;
     std::set<SuspectId> m_held;
-    RecentSuspects m_sound; ///< Suspects with which requests have ended well lately.
+    RecentSuspects m_sound; ///< Parts with which requests have ended well lately.
     std::map<CrashId, TimePoint> m_crashes; ///< When this host first knew of each crash.
     TimePoint m_expiredAt;
     std::map<SuspectId, ChangeFlags> m_changes; ///< The suspects to return from takeChanges().
--- a/Source/Placement/PlacementTable.cpp
+++ b/Source/Placement/PlacementTable.cpp
@@ -156,6 +156,11 @@
             recordOutcome(*load, outcome, now);
         }
     }
+    // The entry host may not know of crashes that others have reported here.
+    if (outcome == GrantOutcome::Completed) {
+        m_crashes.recordSuccess(grant->second.sharedParts, now);
+        m_crashes.recordRequestSuccess(grant->second.fingerprint, now);
+    }
     release(id);
     return serveAfterRelease(now);
 }
@@ -222,7 +227,12 @@
         known->second.endsAt = grant.placementRequest.deadline + m_limits.grantSlack;
         return;
     }
-    m_grants[id] = GrantRecord{grant.upstream, grant.helpers, now, grant.placementRequest.deadline + m_limits.grantSlack};
+    m_grants[id] = GrantRecord{grant.upstream,
+                               grant.helpers,
+                               now,
+                               grant.placementRequest.deadline + m_limits.grantSlack,
+                               grant.placementRequest.sharedParts,
+                               grant.placementRequest.fingerprint};
     const auto service = m_services.find(grant.placementRequest.service);
     const auto parts = static_cast<std::uint32_t>(grant.helpers.size() + 1);
     const Duration prefill = service == m_services.end() ? Duration::zero() : service->second.selector->partPrefillTime(grant.placementRequest, parts);
@@ -346,7 +356,8 @@
         grant.assignment.helpers.push_back(helper->entry().id);
         grant.assignment.helperAddresses.push_back(helper->entry().address);
     }
-    m_grants[request.id] = GrantRecord{grant.assignment.upstream, grant.assignment.helpers, now, request.deadline + m_limits.grantSlack};
+    m_grants[request.id] = GrantRecord{
+        grant.assignment.upstream, grant.assignment.helpers, now, request.deadline + m_limits.grantSlack, request.sharedParts, request.fingerprint};
     return grant;
 }
 
--- a/Source/Placement/PlacementTable.h
+++ b/Source/Placement/PlacementTable.h
@@ -94,6 +94,8 @@
         std::vector<UpstreamId> helpers;
         TimePoint grantedAt;
         TimePoint endsAt; ///< When the grant ends if its end is not reported.
+        std::vector<SuspectId> sharedParts; ///< Of the request's prompt.
+        std::uint64_t fingerprint = 0;
     };
     struct Waiting {
         PlacementRequest request;
--- a/Tests/Forwarding/FleetPlacementTest.cpp
+++ b/Tests/Forwarding/FleetPlacementTest.cpp
@@ -145,8 +145,9 @@
                 restart(std::get<Assignment>(*answer).upstream);
                 ++crashes;
             }
+            // Crashes within 100 ms would count as one.
+            io.run_for(milliseconds(110));
         }
-        io.run_for(milliseconds(100));
         return crashes;
     }
 
@@ -168,7 +169,7 @@
         }
         hosts[host]->firstEventReceived(m_last);
         hosts[host]->ended(m_last, outcome, std::nullopt);
-        io.run_for(milliseconds(50));
+        io.run_for(milliseconds(outcome == Placement::GrantOutcome::Broken ? 110 : 50));
         return true;
     }
 
@@ -398,3 +399,19 @@
         CHECK(fleet.begins(host, fleet.requestWithParts({soundPart})));
     }
 }
+
+// Guards against a sound part that stays held because the hosts at which its requests end well do not know of its crashes: the owner counts both.
+TEST(FleetPlacementTest, ASuccessAtAnotherHostClearsAPart)
+{
+    Fleet fleet(3, 8);
+    std::vector<HostId> entries;
+    for (const HostId &host : fleet.hostIds()) {
+        if (!(host == fleet.owner())) {
+            entries.push_back(host);
+        }
+    }
+    for (int round = 0; round < 4; ++round) {
+        CHECK(fleet.begins(entries[0], fleet.requestWithParts({soundPart}), Placement::GrantOutcome::Broken));
+        CHECK(fleet.begins(entries[1], fleet.requestWithParts({soundPart})));
+    }
+}
--- a/Tests/Placement/CrashRecordTest.cpp
+++ b/Tests/Placement/CrashRecordTest.cpp
@@ -27,6 +27,12 @@
         record.recordCrash(suspects, UpstreamId("u"), ++start, now, now);
     }
 
+    void crashOfParts(const CrashRecord::Suspects &parts, milliseconds pause)
+    {
+        now += pause;
+        record.recordCrashOfParts(parts, UpstreamId("u"), ++start, now, now);
+    }
+
     bool admit(const CrashRecord::Suspects &suspects)
     {
         const CrashStanding standing = record.check(suspects, now).standing;
@@ -337,14 +343,27 @@
     CHECK(crashes.record.check({harmful}, crashes.now).standing == CrashStanding::Held);
 }
 
-// Guards against holding back the part that all prompts share because many upstreams ended at one moment.
-TEST(CrashRecordTest, CrashesAtOneMomentDoNotHoldAPartThatWasSound)
+// Guards against holding back the part that all prompts share because many upstreams ended, or many connections were reset, at one moment.
+TEST(CrashRecordTest, CrashesAtOneMomentCountAsOneAgainstAPart)
 {
     Crashes crashes;
-    crashes.record.recordSuccess({other}, crashes.now);
     for (int upstream = 0; upstream < 20; ++upstream) {
-        crashes.crash({other});
-        crashes.crash({harmful});
+        crashes.crashOfParts({other}, milliseconds(4));
+    }
+    CHECK(crashes.admit({other}));
+    crashes.crashOfParts({other}, milliseconds(100));
+    CHECK(crashes.admit({other}));
+    crashes.crashOfParts({other}, milliseconds(100));
+    CHECK_FALSE(crashes.admit({other}));
+}
+
+// Guards against holding back a part that was sound until now because upstreams ended within half a second.
+TEST(CrashRecordTest, CrashesWithinHalfASecondDoNotHoldAPartThatWasSound)
+{
+    Crashes crashes;
+    crashes.record.recordSuccess({other}, crashes.now);
+    for (int upstream = 0; upstream < 4; ++upstream) {
+        crashes.crashOfParts({other, harmful}, milliseconds(100));
     }
     CHECK(crashes.admit({other}));
     CHECK_FALSE(crashes.admit({harmful}));
