Do not take a slow caller for a silent upstream

Seen when reading the diff: the timer for silent upstreams ran on while events were written to a caller that did not read, so that the upstream could be given up for its caller's slowness. It is stopped for that time now and started again afterwards, by events only as before. ForwardingTest passes (99 tests); the case itself has no test.

--- a/Source/Forwarding/ForwardingSession.cpp
+++ b/Source/Forwarding/ForwardingSession.cpp
@@ -511,8 +511,7 @@
         if (events.empty()) {
             continue;
         }
-        // Bytes that complete no event are no sign that the upstream goes on.
-        startSilenceTimer(pauseTimeout(Clock::now()));
+        m_silenceTimer.cancel();
         if (first) {
             m_context.placement.firstEventReceived(m_placementRequestId);
             m_answerBegan = true;
@@ -523,6 +522,8 @@
             m_callerDisconnected = true;
             co_return failedAttempt(AttemptOutcome::MayHaveRun, GrantOutcome::Cancelled, "caller left");
         }
+        // Started by events only: bytes that complete none are no sign that the upstream goes on. A slow caller is not the upstream's silence.
+        startSilenceTimer(pauseTimeout(Clock::now()));
     }
     if (!splitter.pending().empty() || first) {
         co_return failedAttempt(AttemptOutcome::MayHaveRun, GrantOutcome::Broken, "stream ended inside an event or without one");
--- a/Source/Placement/CrashRecord.h
+++ b/Source/Placement/CrashRecord.h
@@ -33,9 +33,11 @@
  *
  * A crash breaks off all requests that run at the upstream, however far their answers are, so that it is counted against each of their suspects. A harmful
  * one may end the upstream at any moment of its answer; only an answer that is complete shows that its suspects are harmless, and clears them. Crashes that a
- * host sees at one moment, for example because its connections are reset, count as one; so do, for longer, those of a suspect with which requests have ended
- * well lately. A held suspect is tested with
- * pauses that grow, and sooner by a request that is not suspicious otherwise: one whose crashes are all explained by held suspects that it does not have.
+ * host sees at one moment, for example because its connections are reset, count as one against a part; so do, for longer, those of a part with which requests
+ * have ended well lately.
+ *
+ * A held suspect is tested with pauses that grow, and sooner by a request that is not suspicious otherwise: one whose crashes are all explained by held
+ * suspects that it does not have.
  *
  * Hosts exchange the states of their records; the result does not depend on the order in which the states arrive, or on lost or repeated ones.
  */
