--- a/Tests/Forwarding/EndlessAnswerTest.cpp
+++ b/Tests/Forwarding/EndlessAnswerTest.cpp
@@ -80,7 +80,7 @@
 {
     const std::vector<EndlessBytes> answers{
         {"body", signedHead + "\r\n", "x"},
-        {"chunks", chunkedHead, "4\r\nbody\r\n"},
+        {"chunks", chunkedHead, "100\r\n" + std::string(256, 'x') + "\r\n"},
         {"chunks with extensions", chunkedHead, "1;" + std::string(4000, 'x') + "\r\nb\r\n"},
     };
     for (const EndlessBytes &bytes : answers) {
