--- a/Source/Feed/SourceSelector.cpp
+++ b/Source/Feed/SourceSelector.cpp
@@ -33,6 +33,7 @@
     , m_limits(limits)
     , m_maxAge(maxAge)
     , m_random(random)
+    , m_further(random)
 {
 }
 
@@ -50,11 +51,23 @@
         m_role = reads ? FeedRole::Reader : FeedRole::Follower;
         m_peers = orderReaders(readers, m_self);
     }
+    std::vector<HostId> further;
+    for (const FeedHost &host : hosts) {
+        if (host.id != m_self && std::find(m_peers.begin(), m_peers.end(), host.id) == m_peers.end()) {
+            further.push_back(host.id);
+        }
+    }
+    m_further.setHosts(std::move(further));
     std::erase_if(m_health, [&](const auto &entry) {
         return !entry.first.isStore() && std::find(m_peers.begin(), m_peers.end(), entry.first.host) == m_peers.end();
     });
 }
 
+void SourceSelector::askFurtherHosts()
+{
+    m_asksFurther = true;
+}
+
 FeedRole SourceSelector::role() const
 {
     return m_role;
@@ -87,7 +100,7 @@
             earliest = {source, health->second.avoidUntil, false};
         }
     }
-    return earliest;
+    return furtherHost(now, earliest).value_or(earliest);
 }
 
 bool SourceSelector::answered(const SourceId &source, Duration age, TimePoint now)
@@ -96,12 +109,20 @@
         failed(source, now);
         return false;
     }
+    if (isFurther(source)) {
+        m_further.answered();
+        return true;
+    }
     m_health.erase(source);
     return true;
 }
 
 void SourceSelector::starting(const SourceId &source, TimePoint now)
 {
+    if (isFurther(source)) {
+        m_further.failed(now);
+        return;
+    }
     Health &health = m_health[source];
     health.startingSince = health.startingSince.value_or(now);
     if (now >= *health.startingSince + startingPatience) {
@@ -113,6 +134,10 @@
 
 void SourceSelector::failed(const SourceId &source, TimePoint now)
 {
+    if (isFurther(source)) {
+        m_further.failed(now);
+        return;
+    }
     Health &health = m_health[source];
     health.avoidUntil = now + backoff(source, health.failures);
     ++health.failures;
@@ -140,6 +165,26 @@
     return earliest;
 }
 
+std::optional<SourceChoice> SourceSelector::furtherHost(TimePoint now, const SourceChoice &other) const
+{
+    const std::vector<SourceId> sources = preferences();
+    const bool allFailed = std::all_of(sources.begin(), sources.end(), [this](const SourceId &source) {
+        const auto health = m_health.find(source);
+        return health != m_health.end() && health->second.failures > 0;
+    });
+    const std::optional<FurtherHosts::Choice> further = m_further.next();
+    if (!m_asksFurther || !allFailed || !further) {
+        return std::nullopt;
+    }
+    const TimePoint at = std::max(now, further->at);
+    return at < other.at ? std::optional<SourceChoice>({SourceId{further->host}, at, false}) : std::nullopt;
+}
+
+bool SourceSelector::isFurther(const SourceId &source) const
+{
+    return !source.isStore() && m_further.contains(source.host);
+}
+
 Duration SourceSelector::backoff(const SourceId &source, unsigned failures)
 {
     const unsigned factor = 1U << std::min(failures, maxDoublings);
--- a/Source/Feed/SourceSelector.h
+++ b/Source/Feed/SourceSelector.h
@@ -3,6 +3,7 @@
 #include "Base/RandomEngine.h"
 #include "Base/Time.h"
 #include "Feed/FeedHost.h"
+#include "Feed/FurtherHosts.h"
 #include "Feed/ReaderSelector.h"
 
 #include <chrono>
@@ -48,7 +49,7 @@
  *
  * A reader prefers the store and turns to other readers while the store does not answer it. A follower prefers the readers and turns to the store while none
  * of them has a recent view. A source that failed is avoided for a time that doubles with each further failure and is spread at random, so that the hosts
- * that depended on one reader do not all act at the same moment.
+ * that depended on one reader do not all act at the same moment. While all of them fail, further hosts of the data centre are asked if that is enabled.
  */
 class SourceSelector
 {
@@ -58,6 +59,8 @@
 
     /// \p hosts are the live hosts of the own data centre that answer feed calls.
     void setHosts(const std::vector<FeedHost> &hosts);
+    /// Enables asking further hosts of the data centre while the store and all peers fail.
+    void askFurtherHosts();
     FeedRole role() const;
     /// The number of other hosts that this host may read from.
     std::size_t peerCount() const;
@@ -79,6 +82,9 @@
     std::vector<SourceId> preferences() const;
     /// The reader that will have read all keys soon; empty if there is none.
     std::optional<SourceChoice> startingPeer(TimePoint now) const;
+    /// The further host to ask before \p other is due; empty unless the store and all peers have failed.
+    std::optional<SourceChoice> furtherHost(TimePoint now, const SourceChoice &other) const;
+    bool isFurther(const SourceId &source) const;
     Duration backoff(const SourceId &source, unsigned failures);
 
     HostId m_self;
@@ -88,6 +94,8 @@
     FeedRole m_role = FeedRole::Independent;
     std::vector<HostId> m_peers; ///< The hosts to read from, the preferred one first.
     std::map<SourceId, Health> m_health;
+    FurtherHosts m_further; ///< The hosts of the data centre that are neither this host nor peers.
+    bool m_asksFurther = false;
 };
 
 }
--- a/Source/Feed/StoreFeed.cpp
+++ b/Source/Feed/StoreFeed.cpp
@@ -39,6 +39,9 @@
     , m_mirror(io, {adapter.store, m_client, adapter.lister}, m_state, log)
     , m_server(io, m_state, log, byteCounter)
 {
+    if (settings.asksFurtherHosts) {
+        m_selector.askFurtherHosts();
+    }
 }
 
 std::error_code StoreFeed::listen(const NetworkAddress &address)
--- a/Source/Feed/StoreFeed.h
+++ b/Source/Feed/StoreFeed.h
@@ -23,6 +23,7 @@
     ReaderLimits readers;
     Duration maxAge{0}; ///< A host whose view is older is not followed.
     WatchWaits waits;
+    bool asksFurtherHosts = false; ///< Whether further hosts of the data centre are asked while the store and the readers fail.
 };
 
 /// The settings under which each change of the store reaches every host within \p changeLimit, although any one host fails or is cut off.
--- a/Source/Forwarding/FleetPlacement.cpp
+++ b/Source/Forwarding/FleetPlacement.cpp
@@ -2,7 +2,6 @@
 
 #include "Base/ErrorAnswer.h"
 #include "Base/ScopeGuard.h"
-#include "Forwarding/RelayTargets.h"
 #include "Forwarding/WirePlacement.h"
 #include "Peer/PeerConnection.h"
 #include "Peer/PeerLink.h"
@@ -19,10 +18,6 @@
 // A round trip between data centres takes a few milliseconds; the rest is for a host that has used up its processor quota.
 constexpr std::chrono::milliseconds answerTimeout{150};
 constexpr std::chrono::milliseconds resendInterval{400};
-// Entry hosts report their grants to a new owner as soon as they know it. This leaves time to connect and for a host that has used up its processor quota.
-constexpr std::chrono::milliseconds takeoverDelay{80};
-// If another host owns a service and this host has handled no placement request for it for this long, this host counts as a new owner the next time.
-constexpr std::chrono::milliseconds ownershipRetention{1000};
 constexpr std::chrono::milliseconds tickInterval{20};
 // The bits above these are random for each start of a host, so that numbers of two starts do not collide at an owner.
 constexpr int counterBits = 32;
@@ -35,15 +30,21 @@
 
 }
 
-FleetPlacement::FleetPlacement(boost::asio::io_context &io, HostId self, DataCentreId dataCentre, EventLog &log)
+FleetPlacement::FleetPlacement(boost::asio::io_context &io, HostId self, DataCentreId dataCentre, EventLog &log, const MembershipOptions &options)
     : m_self(self)
     , m_dataCentre(std::move(dataCentre))
     , m_log(log)
-    , m_owners(std::move(self))
     , m_crashes(log)
     , m_table(Placement::PlacementLimits(), m_crashes.record())
-    , m_retryLender(std::random_device{}())
+    , m_owned(m_table, log, options)
     , m_connections(io, m_self, m_dataCentre, *this)
+    , m_peers(std::move(self),
+              options.keepUnlisted,
+              m_connections,
+              log,
+              [this]() {
+                  return m_crashes.snapshot(Clock::now());
+              })
     , m_nextNumber(firstNumber())
     , m_timer(io)
 {
@@ -59,28 +60,30 @@
 void FleetPlacement::setHosts(const std::vector<FleetHost> &hosts)
 {
     const TimePoint now = Clock::now();
-    std::map<HostId, FleetHost> next;
-    for (const FleetHost &host : hosts) {
-        next[host.id] = host;
-    }
-    for (const auto &[id, known] : m_hosts) {
-        const auto position = next.find(id);
-        if (position == next.end() || !(position->second == known)) {
-            m_table.hostLost(id, now);
-            if (const std::shared_ptr<PeerLink> removedLink = m_connections.removeLink(id)) {
-                removedLink->close();
-            }
-        }
-    }
-    m_hosts = std::move(next);
-    m_owners.setHosts(hosts);
+    hostsLost(m_peers.setListed(hosts, now), now);
     expireOwnerships(now);
     checkOwners(now);
 }
 
+void FleetPlacement::hostsLost(const std::vector<HostId> &hosts, TimePoint now)
+{
+    for (const HostId &host : hosts) {
+        m_table.hostLost(host, now);
+        m_owned.hostLost(host);
+        forgetOwner(host);
+    }
+}
+
+void FleetPlacement::startLeaving()
+{
+    m_owned.startLeaving();
+    passOverSelf(Clock::now());
+}
+
 void FleetPlacement::setServices(const std::vector<Placement::ServiceSpec> &services)
 {
     m_table.setServices(services);
+    m_owned.setServices(services);
 }
 
 void FleetPlacement::setUpstreams(const std::vector<Placement::UpstreamEntry> &upstreams)
@@ -92,7 +95,7 @@
 
 void FleetPlacement::setLentRetryShare(const RetryShare &share)
 {
-    m_retryLender.setShare(share);
+    m_owned.setLentRetryShare(share);
 }
 
 void FleetPlacement::closePeerLinks()
@@ -117,9 +120,9 @@
     return m_crashes.record().heldCount();
 }
 
-std::size_t FleetPlacement::hosts() const
+const FleetPeers &FleetPlacement::peers() const
 {
-    return m_owners.hostCount();
+    return m_peers;
 }
 
 std::size_t FleetPlacement::waiting() const
@@ -159,9 +162,7 @@
         m_table.firstEventReceived(id);
         return;
     }
-    Wire::PlacementReportT report;
-    report.number = id.number;
-    sendReport(placement->second.owner, report);
+    m_peers.sendToMember(placement->second.owner, toPeerMessage(beginReport(id)));
 }
 
 void FleetPlacement::noticeReceived(const Placement::PlacementRequestId &id, const Placement::UpstreamNotice &notice)
@@ -174,8 +175,8 @@
     const HostId &owner = placement->second.owner;
     if (owner == m_self) {
         m_table.noticeReceived(m_self, assignment.upstream, assignment.upstreamStart, notice, Clock::now());
-    } else if (m_hosts.contains(owner)) {
-        link(owner).send(toPeerMessage(toWire(assignment, notice)));
+    } else {
+        m_peers.sendToMember(owner, toPeerMessage(toWire(assignment, notice)));
     }
 }
 
@@ -192,18 +193,14 @@
         m_crashes.attemptEnded({local.placementRequest, *local.assignment, local.assignedAt}, outcome, now);
     }
     m_localPlacements.erase(placement);
+    m_owned.withdrawn(id);
     // The owner must know of a crash before it decides about the next attempt.
     publishCrashes();
     if (owner == m_self) {
         applyActions(m_table.ended(id, outcome, faulty, now));
         return;
     }
-    Wire::PlacementReportT report;
-    report.number = id.number;
-    report.ended = true;
-    report.outcome = static_cast<std::uint8_t>(outcome);
-    report.faulty = faulty ? faulty->value() : std::string();
-    sendReport(owner, report);
+    m_peers.sendToMember(owner, toPeerMessage(endReport(id, outcome, faulty)));
 }
 
 void FleetPlacement::handleMessage(const std::shared_ptr<PeerConnection> &connection, Wire::PeerMessageT &&message)
@@ -248,7 +245,7 @@
     if (const Wire::PlacementAnswerT *answer = message.body.AsPlacementAnswer()) {
         onAnswer(from, *answer);
     } else if (message.body.AsMembershipProbeAnswer() != nullptr) {
-        m_owners.probeAnswered(from, Clock::now());
+        m_peers.probeAnswered(from, Clock::now());
     }
 }
 
@@ -258,6 +255,7 @@
     if (const std::optional<HostId> from = m_connections.removeAccepted(connection)) {
         if (!from->empty()) {
             m_table.hostLost(*from, now);
+            m_owned.hostLost(*from);
             std::erase_if(m_waitingPeerRequests, [&](const Placement::PlacementRequestId &id) {
                 return id.host == *from;
             });
@@ -265,7 +263,7 @@
         return;
     }
     const HostId lost = m_connections.linkedHost(connection);
-    if (m_owners.isSkipped(lost)) {
+    if (m_peers.owners().isSkipped(lost)) {
         m_connections.removeLink(lost);
     } else if (!lost.empty()) {
         onOwnerSilent(lost, now);
@@ -274,48 +272,78 @@
 
 void FleetPlacement::requestAssignment(LocalPlacement &placement, TimePoint now)
 {
-    placement.owner = m_owners.owner(placement.placementRequest.service);
+    const ServiceId &service = placement.placementRequest.service;
+    placement.owner = m_peers.owners().owner(service);
     placement.answerDeadline = now + answerTimeout;
     placement.resendAt = now + resendInterval;
-    if (placement.owner == m_self) {
-        placement.queued = true;
-        recordOwnership(placement.placementRequest.service, now);
-        applyActions(place(placement.placementRequest, now));
+    const bool isOwner = placement.owner == m_self;
+    const OwnershipDecision decision = isOwner ? m_owned.decide(placement.placementRequest, std::nullopt, now) : OwnershipDecision::Place;
+    if (decision == OwnershipDecision::Decline) {
+        passOverSelf(now);
+        placement.owner = m_peers.owners().owner(service);
+    }
+    if (placement.owner != m_self) {
+        Wire::PlacementCallT call = toWire(placement.placementRequest, now);
+        m_owned.describeView(call);
+        m_peers.link(placement.owner).send(toPeerMessage(std::move(call)));
         return;
     }
-    link(placement.owner).send(toPeerMessage(toWire(placement.placementRequest, now)));
+    placement.queued = true;
+    // A host that declines places its own requests if there is no other owner.
+    if (decision != OwnershipDecision::Defer) {
+        place(placement.placementRequest, now);
+    }
+}
+
+void FleetPlacement::passOverSelf(TimePoint now)
+{
+    if (const Duration time = m_owned.declineTime(); time > Duration::zero()) {
+        m_peers.declined(m_self, now + time, "ownership_declined");
+    }
 }
 
-void FleetPlacement::recordOwnership(const ServiceId &service, TimePoint now)
+void FleetPlacement::serveDeferred(TimePoint now)
 {
-    const auto known = m_lastPlacedAt.find(service);
-    if (known == m_lastPlacedAt.end() && m_hosts.size() > 1) {
-        m_log.write("placing_for_service", {{"service", service.value()}});
-        m_table.pauseGrantsUntil(service, now + takeoverDelay);
-        m_table.assumeColdRatesUsed(service, now);
+    for (const auto &[request, decision] : m_owned.takeDecided(now)) {
+        if (decision == OwnershipDecision::Place) {
+            place(request, now);
+        } else if (request.id.host == m_self) {
+            if (const auto placement = m_localPlacements.find(request.id.number); placement != m_localPlacements.end()) {
+                placement->second.owner = HostId();
+            }
+        } else if (const std::shared_ptr<PeerConnection> connection = m_connections.answerConnection(request.id.host)) {
+            decline(*connection, request.id, now);
+        }
     }
-    if (known == m_lastPlacedAt.end()) {
-        m_retryLender.forget(service);
+}
+
+void FleetPlacement::decline(PeerConnection &connection, const Placement::PlacementRequestId &id, TimePoint now)
+{
+    passOverSelf(now);
+    connection.send(toPeerMessage(declinedAnswer(id, m_owned.declineTime())));
+    if (m_waitingPeerRequests.erase(id) > 0) {
+        applyActions(m_table.ended(id, Placement::GrantOutcome::Cancelled, std::nullopt, now));
     }
-    m_lastPlacedAt[service] = now;
+}
+
+void FleetPlacement::onDeclined(const HostId &from, Duration time, TimePoint now)
+{
+    m_peers.declined(from, now + time, "owner_declined");
+    forgetOwner(from);
+    checkOwners(now);
 }
 
 void FleetPlacement::expireOwnerships(TimePoint now)
 {
-    std::erase_if(m_lastPlacedAt, [&](const auto &placed) {
-        return now >= placed.second + ownershipRetention && m_owners.owner(placed.first) != m_self;
+    m_owned.expire(now, [this](const ServiceId &service) {
+        return m_peers.owners().owner(service) == m_self;
     });
 }
 
-Placement::PlacementActions FleetPlacement::place(const Placement::PlacementRequest &request, TimePoint now)
+void FleetPlacement::place(const Placement::PlacementRequest &request, TimePoint now)
 {
-    if (request.firstAttempt) {
-        m_retryLender.countRequest(request.service);
-    }
-    if (request.borrowsRetry && !m_retryLender.lend(request.service)) {
-        return {Placement::Refusal{request.id, ErrorKind::NoUpstream, errorAnswer(ErrorKind::UpstreamRefused).retryAfter}};
-    }
-    return m_table.submit(request, now);
+    m_owned.record(request.service, m_peers.alone(), now);
+    applyActions(m_owned.place(request, now));
 }
 
 void FleetPlacement::applyActions(const Placement::PlacementActions &actions)
@@ -375,8 +403,8 @@
     Handler handler = std::move(placement->second.handler);
     const HostId owner = placement->second.owner;
     m_log.write("crash_record_missing_at_owner", {{"peer", owner.value()}, {"demand", std::to_string(number)}});
-    if (const std::optional<Wire::CrashUpdateT> snapshot = m_crashes.snapshot(Clock::now()); snapshot && owner != m_self && m_hosts.contains(owner)) {
-        link(owner).send(toPeerMessage(*snapshot));
+    if (const std::optional<Wire::CrashUpdateT> snapshot = m_crashes.snapshot(Clock::now()); snapshot && owner != m_self) {
+        m_peers.sendToMember(owner, toPeerMessage(*snapshot));
     }
     ended(refusal.id, Placement::GrantOutcome::Cancelled, std::nullopt);
     handler(refusal);
@@ -389,25 +417,11 @@
         m_connections.sendToLinked(toPeerMessage(*update.forOwners));
     }
     if (update.forAll) {
-        connectRelayTargets();
+        m_peers.connectRelays();
         m_connections.sendToAll(toPeerMessage(*update.forAll));
     }
 }
 
-void FleetPlacement::connectRelayTargets()
-{
-    std::vector<HostId> hosts;
-    hosts.reserve(m_hosts.size());
-    for (const auto &[id, host] : m_hosts) {
-        hosts.push_back(id);
-    }
-    for (const HostId &target : relayTargets(hosts, m_self)) {
-        if (!m_owners.isSkipped(target) && !m_connections.answerConnection(target)) {
-            link(target);
-        }
-    }
-}
-
 void FleetPlacement::onCrashUpdate(const std::shared_ptr<PeerConnection> &connection, const Wire::CrashUpdateT &update)
 {
     if (std::optional<Wire::CrashUpdateT> reply = m_crashes.apply(update, Clock::now())) {
@@ -420,9 +434,17 @@
 {
     const TimePoint now = Clock::now();
     const Placement::PlacementRequest placementRequest = fromWire(call, from, now);
-    recordOwnership(placementRequest.service, now);
-    if (m_waitingPeerRequests.insert(placementRequest.id).second) {
-        applyActions(place(placementRequest, now));
+    const std::optional<StoreViewStatus> callerView = viewFromWire(call);
+    const OwnershipDecision decision = callerView ? m_owned.decide(placementRequest, callerView, now) : OwnershipDecision::Place;
+    if (decision == OwnershipDecision::Decline) {
+        decline(*connection, placementRequest.id, now);
+        return;
+    }
+    const bool isNew = m_waitingPeerRequests.insert(placementRequest.id).second;
+    if (isNew && decision == OwnershipDecision::Place) {
+        place(placementRequest, now);
+    } else if (decision == OwnershipDecision::Place) {
+        m_owned.record(placementRequest.service, m_peers.alone(), now);
     }
     if (m_waitingPeerRequests.contains(placementRequest.id)) {
         m_log.write("placement_queued", {{"entry", from.value()}, {"demand", std::to_string(call.number)}, {"waiting", std::to_string(m_table.waiting())}});
@@ -433,15 +455,15 @@
 
 void FleetPlacement::onAnswer(const HostId &from, const Wire::PlacementAnswerT &answer)
 {
-    m_owners.markResponsive(from);
+    m_peers.answered(from);
+    if (answer.result == Wire::PlacementResult::Declined) {
+        onDeclined(from, std::chrono::milliseconds(answer.retry_after_ms), Clock::now());
+        return;
+    }
     const auto placement = m_localPlacements.find(answer.number);
     if (placement == m_localPlacements.end() || placement->second.owner != from || placement->second.assignment) {
         if (answer.result == Wire::PlacementResult::Granted) {
-            Wire::PlacementReportT report;
-            report.number = answer.number;
-            report.ended = true;
-            report.outcome = static_cast<std::uint8_t>(Placement::GrantOutcome::Cancelled);
-            sendReport(from, report);
+            m_peers.sendToMember(from, toPeerMessage(endReport({m_self, answer.number}, Placement::GrantOutcome::Cancelled, std::nullopt)));
         }
         return;
     }
@@ -464,6 +486,7 @@
         return;
     }
     m_waitingPeerRequests.erase(id);
+    m_owned.withdrawn(id);
     const std::optional<UpstreamId> faulty = report.faulty.empty() ? std::nullopt : std::optional<UpstreamId>(UpstreamId(report.faulty));
     applyActions(m_table.ended(id, outcomeFromWire(report.outcome), faulty, Clock::now()));
     publishCrashes();
@@ -480,29 +503,24 @@
     m_table.adopt(fromWire(adoption, from, now), now);
 }
 
-void FleetPlacement::sendReport(const HostId &owner, const Wire::PlacementReportT &report)
-{
-    if (m_hosts.contains(owner)) {
-        link(owner).send(toPeerMessage(report));
-    }
-}
-
 void FleetPlacement::scheduleTick()
 {
-    const bool idle = m_localPlacements.empty() && m_table.waiting() == 0 && m_table.granted() == 0 && !m_owners.skipsAny();
+    const bool tableIdle = m_table.waiting() == 0 && m_table.granted() == 0;
+    const bool idle = m_localPlacements.empty() && tableIdle && !m_peers.owners().skipsAny() && !m_owned.defersAny();
     if (m_tickScheduled || idle) {
         return;
     }
     m_tickScheduled = true;
     m_timer.expires_after(tickInterval);
     m_timer.async_wait([this](const boost::system::error_code &error) {
-        m_tickScheduled = false;
-        if (!error) {
-            const ScopeGuard scheduled([this]() {
-                scheduleTick();
-            });
-            tick();
+        if (error) {
+            return; // This object is gone.
         }
+        m_tickScheduled = false;
+        const ScopeGuard scheduled([this]() {
+            scheduleTick();
+        });
+        tick();
     });
 }
 
@@ -510,9 +528,11 @@
 {
     const TimePoint now = Clock::now();
     applyActions(m_table.tick(now));
+    hostsLost(m_peers.expire(now), now);
+    serveDeferred(now);
     expireOwnerships(now);
     checkOwners(now);
-    sendProbes(now);
+    m_peers.sendProbes(now);
 }
 
 // Sends placement requests without an answer to the next owner, and reports grants whose use has not ended to owners that do not know them.
@@ -537,7 +557,7 @@
             continue;
         }
         LocalPlacement &placement = position->second;
-        const HostId owner = m_owners.owner(placement.placementRequest.service);
+        const HostId owner = m_peers.owners().owner(placement.placementRequest.service);
         const bool ownerOutdated = placement.owner.empty() || (placement.owner != owner && placement.owner != m_self);
         const bool resendDue = placement.owner != m_self && placement.queued && now >= placement.resendAt;
         if (!placement.assignment && (ownerOutdated || resendDue)) {
@@ -550,31 +570,20 @@
             if (owner == m_self) {
                 m_table.adopt(grant, now);
             } else {
-                link(owner).send(toPeerMessage(toWire(grant, now)));
+                m_peers.link(owner).send(toPeerMessage(toWire(grant, now)));
             }
         }
     }
 }
 
-PeerLink &FleetPlacement::link(const HostId &host)
+void FleetPlacement::onOwnerSilent(const HostId &host, TimePoint now)
 {
-    const bool isNew = !m_connections.hasLink(host);
-    PeerLink &link = m_connections.link(host, m_hosts.at(host).address);
-    if (isNew) {
-        if (std::optional<Wire::CrashUpdateT> snapshot = m_crashes.snapshot(Clock::now())) {
-            link.send(toPeerMessage(std::move(*snapshot)));
-        }
-    }
-    return link;
+    forgetOwner(host);
+    hostsLost(m_peers.silent(host, now), now);
 }
 
-void FleetPlacement::onOwnerSilent(const HostId &host, TimePoint now)
+void FleetPlacement::forgetOwner(const HostId &host)
 {
-    m_log.write("owner_silent", {{"peer", host.value()}});
-    m_owners.markUnresponsive(host, now);
-    if (const std::shared_ptr<PeerLink> removedLink = m_connections.removeLink(host)) {
-        removedLink->closeSilently();
-    }
     for (auto &[number, placement] : m_localPlacements) {
         if (placement.owner == host) {
             placement.owner = HostId();
@@ -582,13 +591,4 @@
     }
 }
 
-void FleetPlacement::sendProbes(TimePoint now)
-{
-    for (const HostId &host : m_owners.takeDueProbes(now)) {
-        if (m_hosts.contains(host)) {
-            link(host).send(toPeerMessage(Wire::MembershipProbeT()));
-        }
-    }
-}
-
 }
--- a/Source/Forwarding/FleetPlacement.h
+++ b/Source/Forwarding/FleetPlacement.h
@@ -2,10 +2,10 @@
 
 #include "Forwarding/CrashReplica.h"
 #include "Forwarding/FleetHost.h"
-#include "Forwarding/OwnerSelector.h"
+#include "Forwarding/FleetPeers.h"
+#include "Forwarding/OwnedServices.h"
 #include "Forwarding/PeerConnections.h"
 #include "Forwarding/PlacementGateway.h"
-#include "Forwarding/RetryLender.h"
 #include "Peer/PeerMessageHandler.h"
 #include "Placement/PlacementTable.h"
 
@@ -14,6 +14,7 @@
 
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <vector>
 
@@ -42,12 +43,15 @@
 class FleetPlacement final : public PlacementGateway, public PeerMessageHandler
 {
 public:
-    FleetPlacement(boost::asio::io_context &io, HostId self, DataCentreId dataCentre, EventLog &log);
+    FleetPlacement(boost::asio::io_context &io, HostId self, DataCentreId dataCentre, EventLog &log, const MembershipOptions &options = {});
     ~FleetPlacement() override;
 
     std::error_code listen(const NetworkAddress &address);
 
+    /// Sets the hosts that have an entry in the store.
     void setHosts(const std::vector<FleetHost> &hosts);
+    /// Places no further requests as owner, because this host has announced that it leaves.
+    void startLeaving();
     void setServices(const std::vector<Placement::ServiceSpec> &services);
     void setUpstreams(const std::vector<Placement::UpstreamEntry> &upstreams);
     /// Sets the share of the retry budget that this host lends as owner.
@@ -62,8 +66,8 @@
     /// The number of suspects whose requests are held back.
     std::size_t heldSuspects() const;
 
-    /// The number of live hosts, this one included.
-    std::size_t hosts() const;
+    /// The members of the fleet.
+    const FleetPeers &peers() const;
     /// The number of placement requests that wait at this host as owner.
     std::size_t waiting() const;
 
@@ -91,13 +95,20 @@
     };
 
     void requestAssignment(LocalPlacement &placement, TimePoint now);
-    /// Records that this host places the requests of \p service. A new owner grants nothing for a short time, so that it first learns of the grants
-    /// whose use has not ended.
-    void recordOwnership(const ServiceId &service, TimePoint now);
-    /// Removes the services that another host has owned for some time.
+    /// Passes over this host as owner for a while.
+    void passOverSelf(TimePoint now);
+    /// Places or declines the requests that waited until this host knew enough.
+    void serveDeferred(TimePoint now);
+    /// Declines the request of the host that opened the connection, and withdraws it if it waits here.
+    void decline(PeerConnection &connection, const Placement::PlacementRequestId &id, TimePoint now);
+    void onDeclined(const HostId &from, Duration time, TimePoint now);
+    /// Ends what depended on the processes of these hosts.
+    void hostsLost(const std::vector<HostId> &hosts, TimePoint now);
     void expireOwnerships(TimePoint now);
+    /// Lets the requests of this host that were sent to \p host be sent to the present owner.
+    void forgetOwner(const HostId &host);
     /// Places a request of any host as the owner of its service.
-    Placement::PlacementActions place(const Placement::PlacementRequest &request, TimePoint now);
+    void place(const Placement::PlacementRequest &request, TimePoint now);
     void applyActions(const Placement::PlacementActions &actions);
     /// Delivers the answer to the handler of the placement request with this number.
     void deliver(std::uint64_t number, Answer answer);
@@ -110,33 +121,24 @@
     void refuseAssignment(std::uint64_t number, const Placement::Refusal &refusal);
     /// Sends what has changed in the crash record to the hosts that need it.
     void publishCrashes();
-    /// Makes links to the hosts that pass on what all hosts must learn.
-    void connectRelayTargets();
     void onCrashUpdate(const std::shared_ptr<PeerConnection> &connection, const Wire::CrashUpdateT &update);
-    void sendReport(const HostId &owner, const Wire::PlacementReportT &report);
     void scheduleTick();
     void tick();
     void checkOwners(TimePoint now);
-    /// The link to a listed host. A new link begins with what this host knows of crashes.
-    PeerLink &link(const HostId &host);
     void onOwnerSilent(const HostId &host, TimePoint now);
-    /// Probes the hosts that are skipped because they did not answer.
-    void sendProbes(TimePoint now);
     /// Handles a message that arrived on the link to \p from.
     void onLinkMessage(const HostId &from, const Wire::PeerMessageT &message);
 
     HostId m_self;
     DataCentreId m_dataCentre;
     EventLog &m_log;
-    OwnerSelector m_owners;
     CrashReplica m_crashes;
     Placement::PlacementTable m_table;
-    RetryLender m_retryLender;
+    OwnedServices m_owned;
     std::map<std::uint64_t, LocalPlacement> m_localPlacements;
-    std::map<ServiceId, TimePoint> m_lastPlacedAt; ///< When this host last handled a placement request of each service as its owner.
     std::set<Placement::PlacementRequestId> m_waitingPeerRequests; ///< Placement requests of other hosts that wait in the table.
-    std::map<HostId, FleetHost> m_hosts;
     PeerConnections m_connections;
+    FleetPeers m_peers;
     std::uint64_t m_nextNumber;
     boost::asio::steady_timer m_timer;
     bool m_tickScheduled = false;
--- a/Source/Forwarding/OwnerSelector.cpp
+++ b/Source/Forwarding/OwnerSelector.cpp
@@ -29,7 +29,9 @@
     m_hosts.clear();
     bool selfListed = false;
     for (const FleetHost &host : hosts) {
-        m_hosts.push_back({host.id, capacityClass(host.capacity), host.start});
+        if (!host.leaving) {
+            m_hosts.push_back({host.id, capacityClass(host.capacity), host.start});
+        }
         selfListed = selfListed || host.id == m_self;
         const auto former = formerStarts.find(host.id);
         if (former == formerStarts.end() || former->second != host.start) {
@@ -54,13 +56,28 @@
 void OwnerSelector::markUnresponsive(const HostId &host, TimePoint now)
 {
     if (host != m_self) {
-        m_skipped.try_emplace(host, Skipped{now + probeInterval, now});
+        m_skipped.try_emplace(host, Skipped{now + probeInterval, now, std::nullopt});
     }
 }
 
 void OwnerSelector::markResponsive(const HostId &host)
 {
-    m_skipped.erase(host);
+    const auto skipped = m_skipped.find(host);
+    if (skipped != m_skipped.end() && !skipped->second.declinedUntil) {
+        m_skipped.erase(skipped);
+    }
+}
+
+void OwnerSelector::markDeclined(const HostId &host, TimePoint until)
+{
+    m_skipped[host].declinedUntil = until;
+}
+
+void OwnerSelector::expireDeclines(TimePoint now)
+{
+    std::erase_if(m_skipped, [now](const auto &entry) {
+        return entry.second.declinedUntil && now >= *entry.second.declinedUntil;
+    });
 }
 
 bool OwnerSelector::isSkipped(const HostId &host) const
@@ -77,7 +94,7 @@
 {
     std::vector<HostId> due;
     for (auto &[host, skipped] : m_skipped) {
-        if (now >= skipped.nextProbe) {
+        if (!skipped.declinedUntil && now >= skipped.nextProbe) {
             skipped.probedAt = now;
             skipped.nextProbe = now + probeInterval;
             due.push_back(host);
@@ -89,7 +106,7 @@
 void OwnerSelector::probeAnswered(const HostId &host, TimePoint now)
 {
     const auto skipped = m_skipped.find(host);
-    if (skipped != m_skipped.end() && now <= skipped->second.probedAt + maxProbeTime) {
+    if (skipped != m_skipped.end() && !skipped->second.declinedUntil && now <= skipped->second.probedAt + maxProbeTime) {
         m_skipped.erase(skipped);
     }
 }
--- a/Source/Forwarding/OwnerSelector.h
+++ b/Source/Forwarding/OwnerSelector.h
@@ -5,6 +5,7 @@
 #include "Forwarding/FleetHost.h"
 
 #include <map>
+#include <optional>
 #include <vector>
 
 namespace Mangofall::Forwarding {
@@ -13,23 +14,28 @@
  * \class OwnerSelector
  * \brief Selects the owner of a service: of the live hosts with the largest capacity, the one with the highest rendezvous score.
  *
- * A host that does not answer is skipped until it answers a probe in time, so that no further request waits for it. Each entry host that gets no answer from
- * it then selects the same next host.
+ * A host that has declined is skipped for the time that it said. A host that does not answer is skipped until it answers a probe in time, so that no further
+ * request waits for it. Each entry host that gets no answer from it then selects the same next host.
  */
 class OwnerSelector
 {
 public:
     explicit OwnerSelector(HostId self);
 
-    /// Sets the live hosts; this host counts as live even if it is not among them. A host that has restarted is no longer skipped.
+    /// Sets the live hosts; this host counts as live even if it is not among them. Those that leave are no candidates. A host that has restarted is no longer
+    /// skipped.
     void setHosts(const std::vector<FleetHost> &hosts);
-    /// The number of live hosts, this one included.
+    /// The number of candidates.
     std::size_t hostCount() const;
 
     /// Skips a host, because it did not answer.
     void markUnresponsive(const HostId &host, TimePoint now);
-    /// Stops skipping a host, because it has answered in time.
+    /// Stops skipping a host that did not answer, because it has answered in time.
     void markResponsive(const HostId &host);
+    /// Skips a host until \p until, because it has declined to place requests. This host may be named as well.
+    void markDeclined(const HostId &host, TimePoint until);
+    /// Stops skipping the hosts whose time after a decline has passed.
+    void expireDeclines(TimePoint now);
     bool isSkipped(const HostId &host) const;
     bool skipsAny() const;
 
@@ -49,6 +55,7 @@
     struct Skipped {
         TimePoint nextProbe;
         TimePoint probedAt;
+        std::optional<TimePoint> declinedUntil; ///< Set after a decline; such a host answers and needs no probe.
     };
 
     HostId m_self;
--- a/Source/Forwarding/WirePlacement.cpp
+++ b/Source/Forwarding/WirePlacement.cpp
@@ -68,6 +68,19 @@
     return placementRequest;
 }
 
+void setView(Wire::PlacementCallT &call, const StoreViewStatus &view)
+{
+    call.view_era = view.era;
+    call.view_revision = view.revision;
+    call.view_age_ms = toMilliseconds(view.age);
+}
+
+std::optional<StoreViewStatus> viewFromWire(const Wire::PlacementCallT &call)
+{
+    const StoreViewStatus view{call.view_era, call.view_revision, milliseconds(call.view_age_ms)};
+    return view.known() ? std::optional<StoreViewStatus>(view) : std::nullopt;
+}
+
 Wire::PlacementAnswerT toWire(const Placement::Grant &grant)
 {
     Wire::PlacementAnswerT answer;
@@ -106,6 +119,32 @@
     return answer;
 }
 
+Wire::PlacementAnswerT declinedAnswer(const Placement::PlacementRequestId &id, Duration time)
+{
+    Wire::PlacementAnswerT answer;
+    answer.number = id.number;
+    answer.result = Wire::PlacementResult::Declined;
+    answer.retry_after_ms = toMilliseconds(time);
+    return answer;
+}
+
+Wire::PlacementReportT beginReport(const Placement::PlacementRequestId &id)
+{
+    Wire::PlacementReportT report;
+    report.number = id.number;
+    return report;
+}
+
+Wire::PlacementReportT endReport(const Placement::PlacementRequestId &id, Placement::GrantOutcome outcome, const std::optional<UpstreamId> &faulty)
+{
+    Wire::PlacementReportT report;
+    report.number = id.number;
+    report.ended = true;
+    report.outcome = static_cast<std::uint8_t>(outcome);
+    report.faulty = faulty ? faulty->value() : std::string();
+    return report;
+}
+
 Placement::Assignment assignmentFromWire(const Wire::PlacementAnswerT &answer)
 {
     Placement::Assignment assignment;
--- a/Source/Peer/PeerMessages_generated.h
+++ b/Source/Peer/PeerMessages_generated.h
@@ -292,35 +292,39 @@
   return EnumNamesReservationOperation()[index];
 }
 
+/// Declined: this host is not to be asked as owner for retry_after_ms; the request goes to the next owner.
 enum class PlacementResult : int8_t {
   Queued = 0,
   Granted = 1,
   Refused = 2,
+  Declined = 3,
   MIN = Queued,
-  MAX = Refused
+  MAX = Declined
 };
 
-inline const PlacementResult (&EnumValuesPlacementResult())[3] {
+inline const PlacementResult (&EnumValuesPlacementResult())[4] {
   static const PlacementResult values[] = {
     PlacementResult::Queued,
     PlacementResult::Granted,
-    PlacementResult::Refused
+    PlacementResult::Refused,
+    PlacementResult::Declined
   };
   return values;
 }
 
 inline const char * const *EnumNamesPlacementResult() {
-  static const char * const names[4] = {
+  static const char * const names[5] = {
     "Queued",
     "Granted",
     "Refused",
+    "Declined",
     nullptr
   };
   return names;
 }
 
 inline const char *EnumNamePlacementResult(PlacementResult e) {
-  if (flatbuffers::IsOutRange(e, PlacementResult::Queued, PlacementResult::Refused)) return "";
+  if (flatbuffers::IsOutRange(e, PlacementResult::Queued, PlacementResult::Declined)) return "";
   const size_t index = static_cast<size_t>(e);
   return EnumNamesPlacementResult()[index];
 }
@@ -4834,6 +4838,9 @@
   bool first_attempt = false;
   bool borrows_retry = false;
   std::vector<uint64_t> shared_parts{};
+  uint64_t view_era = 0;
+  uint64_t view_revision = 0;
+  uint32_t view_age_ms = 0;
 };
 
 /// A placement request, from the entry host of a caller's request to the owner of its service.
@@ -4855,7 +4862,10 @@
     VT_EXCLUDED = 26,
     VT_FIRST_ATTEMPT = 28,
     VT_BORROWS_RETRY = 30,
-    VT_SHARED_PARTS = 32
+    VT_SHARED_PARTS = 32,
+    VT_VIEW_ERA = 34,
+    VT_VIEW_REVISION = 36,
+    VT_VIEW_AGE_MS = 38
   };
   uint64_t number() const {
     return GetField<uint64_t>(VT_NUMBER, 0);
@@ -4906,6 +4916,16 @@
   const flatbuffers::Vector<uint64_t> *shared_parts() const {
     return GetPointer<const flatbuffers::Vector<uint64_t> *>(VT_SHARED_PARTS);
   }
+  /// What the entry host knows of the store: its era, the revision up to which it knows all changes, and the age of that view. Revision 0 if it does not say.
+  uint64_t view_era() const {
+    return GetField<uint64_t>(VT_VIEW_ERA, 0);
+  }
+  uint64_t view_revision() const {
+    return GetField<uint64_t>(VT_VIEW_REVISION, 0);
+  }
+  uint32_t view_age_ms() const {
+    return GetField<uint32_t>(VT_VIEW_AGE_MS, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_NUMBER, 8) &&
@@ -4928,6 +4948,9 @@
            VerifyField<uint8_t>(verifier, VT_BORROWS_RETRY, 1) &&
            VerifyOffset(verifier, VT_SHARED_PARTS) &&
            verifier.VerifyVector(shared_parts()) &&
+           VerifyField<uint64_t>(verifier, VT_VIEW_ERA, 8) &&
+           VerifyField<uint64_t>(verifier, VT_VIEW_REVISION, 8) &&
+           VerifyField<uint32_t>(verifier, VT_VIEW_AGE_MS, 4) &&
            verifier.EndTable();
   }
   PlacementCallT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -4984,6 +5007,15 @@
   void add_shared_parts(flatbuffers::Offset<flatbuffers::Vector<uint64_t>> shared_parts) {
     fbb_.AddOffset(PlacementCall::VT_SHARED_PARTS, shared_parts);
   }
+  void add_view_era(uint64_t view_era) {
+    fbb_.AddElement<uint64_t>(PlacementCall::VT_VIEW_ERA, view_era, 0);
+  }
+  void add_view_revision(uint64_t view_revision) {
+    fbb_.AddElement<uint64_t>(PlacementCall::VT_VIEW_REVISION, view_revision, 0);
+  }
+  void add_view_age_ms(uint32_t view_age_ms) {
+    fbb_.AddElement<uint32_t>(PlacementCall::VT_VIEW_AGE_MS, view_age_ms, 0);
+  }
   explicit PlacementCallBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -5011,12 +5043,18 @@
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> excluded = 0,
     bool first_attempt = false,
     bool borrows_retry = false,
-    flatbuffers::Offset<flatbuffers::Vector<uint64_t>> shared_parts = 0) {
+    flatbuffers::Offset<flatbuffers::Vector<uint64_t>> shared_parts = 0,
+    uint64_t view_era = 0,
+    uint64_t view_revision = 0,
+    uint32_t view_age_ms = 0) {
   PlacementCallBuilder builder_(_fbb);
+  builder_.add_view_revision(view_revision);
+  builder_.add_view_era(view_era);
   builder_.add_fingerprint(fingerprint);
   builder_.add_output_tokens(output_tokens);
   builder_.add_prompt_tokens(prompt_tokens);
   builder_.add_number(number);
+  builder_.add_view_age_ms(view_age_ms);
   builder_.add_shared_parts(shared_parts);
   builder_.add_excluded(excluded);
   builder_.add_priority(priority);
@@ -5047,7 +5085,10 @@
     const std::vector<flatbuffers::Offset<flatbuffers::String>> *excluded = nullptr,
     bool first_attempt = false,
     bool borrows_retry = false,
-    const std::vector<uint64_t> *shared_parts = nullptr) {
+    const std::vector<uint64_t> *shared_parts = nullptr,
+    uint64_t view_era = 0,
+    uint64_t view_revision = 0,
+    uint32_t view_age_ms = 0) {
   auto service__ = service ? _fbb.CreateString(service) : 0;
   auto data_centre__ = data_centre ? _fbb.CreateString(data_centre) : 0;
   auto excluded__ = excluded ? _fbb.CreateVector<flatbuffers::Offset<flatbuffers::String>>(*excluded) : 0;
@@ -5068,7 +5109,10 @@
       excluded__,
       first_attempt,
       borrows_retry,
-      shared_parts__);
+      shared_parts__,
+      view_era,
+      view_revision,
+      view_age_ms);
 }
 
 flatbuffers::Offset<PlacementCall> CreatePlacementCall(flatbuffers::FlatBufferBuilder &_fbb, const PlacementCallT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -8071,6 +8115,9 @@
   { auto _e = first_attempt(); _o->first_attempt = _e; }
   { auto _e = borrows_retry(); _o->borrows_retry = _e; }
   { auto _e = shared_parts(); if (_e) { _o->shared_parts.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->shared_parts[_i] = _e->Get(_i); } } }
+  { auto _e = view_era(); _o->view_era = _e; }
+  { auto _e = view_revision(); _o->view_revision = _e; }
+  { auto _e = view_age_ms(); _o->view_age_ms = _e; }
 }
 
 inline flatbuffers::Offset<PlacementCall> PlacementCall::Pack(flatbuffers::FlatBufferBuilder &_fbb, const PlacementCallT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -8096,6 +8143,9 @@
   auto _first_attempt = _o->first_attempt;
   auto _borrows_retry = _o->borrows_retry;
   auto _shared_parts = _o->shared_parts.size() ? _fbb.CreateVector(_o->shared_parts) : 0;
+  auto _view_era = _o->view_era;
+  auto _view_revision = _o->view_revision;
+  auto _view_age_ms = _o->view_age_ms;
   return Mangofall::Wire::CreatePlacementCall(
       _fbb,
       _number,
@@ -8112,7 +8162,10 @@
       _excluded,
       _first_attempt,
       _borrows_retry,
-      _shared_parts);
+      _shared_parts,
+      _view_era,
+      _view_revision,
+      _view_age_ms);
 }
 
 inline PlacementAnswerT *PlacementAnswer::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
--- a/Source/Telemetry/ForwardingMetrics.cpp
+++ b/Source/Telemetry/ForwardingMetrics.cpp
@@ -31,6 +31,8 @@
     , m_feedConnections(registerGauge(*m_registry, "mangofall_feed_connections", "Hosts that are connected to read the changes of the store here."))
     , m_configurationVersion(registerGauge(*m_registry, "mangofall_configuration_version", "Version of the configuration in force on this host."))
     , m_liveHosts(registerGauge(*m_registry, "mangofall_live_hosts", "Hosts that this host considers alive."))
+    , m_unlistedHosts(registerGauge(*m_registry, "mangofall_unlisted_hosts", "Hosts without an entry in the store that still answer their peers."))
+    , m_ownershipDeclined(registerGauge(*m_registry, "mangofall_ownership_declined", "1 if this host declines to place requests as owner."))
     , m_upstreams(registerGauge(*m_registry, "mangofall_upstreams", "Upstreams that this host knows of."))
     , m_activeRequests(registerGauge(*m_registry, "mangofall_active_requests", "Requests of callers in progress on this host."))
     , m_waitingPlacementRequests(
@@ -109,6 +111,16 @@
     return m_liveHosts;
 }
 
+prometheus::Gauge &ForwardingMetrics::unlistedHosts()
+{
+    return m_unlistedHosts;
+}
+
+prometheus::Gauge &ForwardingMetrics::ownershipDeclined()
+{
+    return m_ownershipDeclined;
+}
+
 prometheus::Gauge &ForwardingMetrics::upstreams()
 {
     return m_upstreams;
--- a/Source/Telemetry/ForwardingMetrics.h
+++ b/Source/Telemetry/ForwardingMetrics.h
@@ -47,6 +47,10 @@
     prometheus::Gauge &feedConnections();
     prometheus::Gauge &configurationVersion();
     prometheus::Gauge &liveHosts();
+    /// Hosts without an entry in the store that are kept because they answer their peers.
+    prometheus::Gauge &unlistedHosts();
+    /// Whether this host declines to place requests as owner.
+    prometheus::Gauge &ownershipDeclined();
     prometheus::Gauge &upstreams();
     prometheus::Gauge &activeRequests();
     /// Placement requests that wait at this host, the owner of their services.
@@ -68,6 +72,8 @@
     prometheus::Gauge &m_feedConnections;
     prometheus::Gauge &m_configurationVersion;
     prometheus::Gauge &m_liveHosts;
+    prometheus::Gauge &m_unlistedHosts;
+    prometheus::Gauge &m_ownershipDeclined;
     prometheus::Gauge &m_upstreams;
     prometheus::Gauge &m_activeRequests;
     prometheus::Gauge &m_waitingPlacementRequests;
--- a/Tests/Edge/EdgeProcess.cpp
+++ b/Tests/Edge/EdgeProcess.cpp
@@ -166,6 +166,7 @@
     settings["stopSeconds"] = stopTime.count();
     settings["silenceLimitMs"] = 3000;
     settings["logLinesPerSecond"] = 1000;
+    settings["membership"] = {{"keepUnlistedSeconds", 60}, {"rejoinAtOnce", true}};
     settings["machine"] = {{"linkMbps", 100}, {"processorShare", 1.0}, {"cores", 1}, {"memoryMb", 260}};
     settings["feed"] = {{"port", feedPort}, {"configurationLimitMs", 2000}, {"drainLimitMs", 2000}, {"outOfServiceLimitMs", 5000}};
     std::ofstream(m_folder + "/settings.json") << settings.dump(2);
--- a/Tests/Edge/EdgeProcessTest.cpp
+++ b/Tests/Edge/EdgeProcessTest.cpp
@@ -48,6 +48,20 @@
     CHECK(answer->starts_with("HTTP/1.1 200"));
 }
 
+// Guards against a host that stops without an announcement, so that the others keep it as one that only lost the store.
+TEST(EdgeProcessTest, AHostThatStopsAnnouncesItInItsEntry)
+{
+    EdgeProcess edge(stopTime);
+    edge.start();
+    CHECK(edge.runUntil([&]() {
+        return edge.hasLogged("peer_joined");
+    }));
+    edge.signal(SIGTERM);
+    CHECK(edge.runUntil([&]() {
+        return edge.hasLogged("peer_leaving");
+    }));
+}
+
 // Guards against a host that ends again and again while its predecessor is still shutting down.
 TEST(EdgeProcessTest, AHostWaitsForThePortsOfItsPredecessor)
 {
--- a/Tests/Feed/FeedSimulationTest.cpp
+++ b/Tests/Feed/FeedSimulationTest.cpp
@@ -133,3 +133,22 @@
     simulation.runUntil(simulation.now() + seconds(20));
     CHECK(simulation.converged());
 }
+
+// Guards against the incident in which the readers of a data centre and some of their followers lost the store together: they asked only each other, and
+// their views stayed as old as the loss was long, although the other hosts had current views.
+TEST(FeedSimulationTest, HostsWithoutTheStoreLearnFromFurtherHosts)
+{
+    constexpr std::size_t hosts = 30;
+    FeedSimulation simulation(hosts, 5);
+    simulation.change("a", false);
+    simulation.runUntil(simulation.now() + warmUp);
+    for (std::size_t host = 0; host < hosts; ++host) {
+        if (simulation.role(host) == FeedRole::Reader || host % 3 == 0) {
+            simulation.cutFromStore(host, seconds(20));
+        }
+    }
+    simulation.runUntil(simulation.now() + seconds(5));
+    simulation.change("b", false);
+    simulation.runUntil(simulation.now() + seconds(3));
+    CHECK(simulation.converged());
+}
--- a/Tests/Feed/SourceSelectorTest.cpp
+++ b/Tests/Feed/SourceSelectorTest.cpp
@@ -126,6 +126,52 @@
     CHECK(askedStore);
 }
 
+// Guards against hosts whose views stay old because their readers have lost the store with them, although other hosts of the data centre have recent views.
+TEST(SourceSelectorTest, AHostWhosePreferredSourcesFailAsksFurtherHosts)
+{
+    const std::vector<FeedHost> hosts = feedHosts(20);
+    std::set<HostId> firstAsked;
+    for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+        SourceSelector follower = selector(hostWithRole(FeedRole::Follower, hosts), hosts, seed);
+        follower.askFurtherHosts();
+        TimePoint now = start;
+        std::set<HostId> asked;
+        while (now < start + milliseconds(6000) && asked.size() < 6) {
+            const SourceChoice choice = follower.next(now);
+            const bool isFurther = !choice.source.isStore() && selector(choice.source.host.value(), hosts).role() == FeedRole::Follower;
+            if (isFurther && asked.insert(choice.source.host).second && asked.size() == 1) {
+                firstAsked.insert(choice.source.host);
+            }
+            now = std::max(now, choice.at) + milliseconds(5);
+            follower.failed(choice.source, now);
+        }
+        LONGS_EQUAL(6, asked.size());
+        // A host with a recent view is kept, and the preferred sources are still tried.
+        SourceChoice choice = follower.next(now);
+        while (!asked.contains(choice.source.host) && choice.source.isStore()) {
+            now = std::max(now, choice.at);
+            follower.failed(choice.source, now);
+            choice = follower.next(now);
+        }
+        CHECK_FALSE(choice.preferred);
+    }
+    CHECK(firstAsked.size() > 5U);
+}
+
+// Guards against further hosts that are asked where the settings do not enable it.
+TEST(SourceSelectorTest, FurtherHostsAreAskedOnlyIfEnabled)
+{
+    const std::vector<FeedHost> hosts = feedHosts(20);
+    SourceSelector follower = selector(hostWithRole(FeedRole::Follower, hosts), hosts);
+    TimePoint now = start;
+    for (int round = 0; round < 50; ++round) {
+        const SourceChoice choice = follower.next(now);
+        CHECK(choice.source.isStore() || selector(choice.source.host.value(), hosts).role() == FeedRole::Reader);
+        now = std::max(now, choice.at);
+        follower.failed(choice.source, now);
+    }
+}
+
 // Guards against followers that all call the store at the same moment after an outage.
 TEST(SourceSelectorTest, RetriesOfDifferentHostsAreSpread)
 {
--- a/Tests/Forwarding/FleetPlacementTest.cpp
+++ b/Tests/Forwarding/FleetPlacementTest.cpp
@@ -65,11 +65,20 @@
     std::map<HostId, std::unique_ptr<FleetPlacement>> hosts;
     std::vector<Placement::UpstreamEntry> upstreamEntries;
 
-    explicit Fleet(int size, int upstreamCount = 1)
+    std::map<HostId, StoreViewStatus> views; ///< What the hosts know of the store, if they keep hosts without an entry.
+
+    explicit Fleet(int size, int upstreamCount = 1, std::chrono::seconds keepUnlisted = std::chrono::seconds(0))
         : upstreamEntries(upstreams(upstreamCount))
     {
         for (const FleetHost &host : fleet(size)) {
-            auto placement = std::make_unique<FleetPlacement>(io, host.id, DataCentreId("dc"), log);
+            MembershipOptions options;
+            if (keepUnlisted > std::chrono::seconds(0)) {
+                views[host.id].revision = 10;
+                options = {keepUnlisted, std::chrono::seconds(3), [this, id = host.id]() {
+                               return views[id];
+                           }};
+            }
+            auto placement = std::make_unique<FleetPlacement>(io, host.id, DataCentreId("dc"), log, options);
             CHECK_FALSE(placement->listen(host.address));
             placement->setServices({{service, 0, std::nullopt}});
             placement->setUpstreams(upstreamEntries);
@@ -193,6 +202,11 @@
         }
     }
 
+    std::uint64_t lastNumber() const
+    {
+        return m_last.number;
+    }
+
     void runUntil(const std::function<bool()> &done)
     {
         for (int round = 0; round < 400 && !done(); ++round) {
@@ -280,6 +294,83 @@
     CHECK(secondGranted);
 }
 
+// Guards against two owners: hosts that no longer list the owner, because it lost the store, must not grant the slot that it has granted to itself.
+TEST(FleetPlacementTest, AnOwnerWithoutAnEntryStaysTheOwnerWhileItAnswers)
+{
+    Fleet fleet(3, 1, std::chrono::seconds(60));
+    const HostId owner = fleet.owner();
+    std::vector<FleetHost> listed = ::fleet(3);
+    std::erase_if(listed, [&](const FleetHost &host) {
+        return host.id == owner;
+    });
+    for (const auto &[id, placement] : fleet.hosts) {
+        if (id != owner) {
+            placement->setHosts(listed);
+            LONGS_EQUAL(2, placement->peers().listedCount());
+            LONGS_EQUAL(1, placement->peers().unlistedCount());
+        }
+    }
+    CHECK(fleet.answerTo(owner, Placement::PlacementRequest()).has_value());
+    bool grantedTwice = false;
+    fleet.submit(fleet.nonOwner(), [&](const PlacementGateway::Answer &) {
+        grantedTwice = true;
+    });
+    fleet.io.run_for(milliseconds(400));
+    CHECK_FALSE(grantedTwice);
+    // Once the owner does not answer any more, the others go on without it.
+    fleet.hosts.erase(owner);
+    fleet.runUntil([&]() {
+        return fleet.hosts[fleet.nonOwner()]->peers().unlistedCount() == 0;
+    });
+    LONGS_EQUAL(0, fleet.hosts[fleet.nonOwner()]->peers().unlistedCount());
+}
+
+// Guards against an owner that has lost the store and places requests although others know more, and against grants that the next owner does not learn of.
+TEST(FleetPlacementTest, AStaleOwnerHandsOverToOneNextOwner)
+{
+    Fleet fleet(3, 1, std::chrono::seconds(60));
+    const HostId owner = fleet.owner();
+    CHECK(fleet.answerTo(owner, Placement::PlacementRequest()).has_value());
+    fleet.views[owner].age = std::chrono::seconds(10);
+    int granted = 0;
+    for (const HostId &host : fleet.hostIds()) {
+        if (host != owner) {
+            fleet.views[host].revision = 20;
+            fleet.submit(host, [&](const PlacementGateway::Answer &answer) {
+                granted += std::holds_alternative<Assignment>(answer) ? 1 : 0;
+            });
+        }
+    }
+    fleet.io.run_for(milliseconds(500));
+    CHECK(fleet.hosts[owner]->peers().declining());
+    LONGS_EQUAL(0, granted);
+    fleet.hosts[owner]->ended({owner, fleet.lastNumber()}, Placement::GrantOutcome::Completed, std::nullopt);
+    fleet.runUntil([&]() {
+        return granted > 0;
+    });
+    LONGS_EQUAL(1, granted);
+}
+
+// Guards against requests that an owner refuses as unservable because it has just started and knows neither services nor upstreams.
+TEST(FleetPlacementTest, AnOwnerWithoutAViewLetsRequestsWait)
+{
+    Fleet fleet(3, 1, std::chrono::seconds(60));
+    const HostId owner = fleet.owner();
+    fleet.views[owner].revision = 0;
+    fleet.hosts[owner]->setServices({});
+    std::optional<PlacementGateway::Answer> answer;
+    fleet.submit(fleet.nonOwner(), [&](PlacementGateway::Answer received) {
+        answer = std::move(received);
+    });
+    fleet.io.run_for(milliseconds(200));
+    CHECK_FALSE(answer.has_value());
+    fleet.hosts[owner]->setServices({{service, 0, std::nullopt}});
+    fleet.views[owner].revision = 10;
+    // Less than the time after which the request would be sent again.
+    fleet.io.run_for(milliseconds(180));
+    CHECK(answer && std::holds_alternative<Assignment>(*answer));
+}
+
 // Guards against a request that crashes upstreams and is sent again because the owner that counted its breaks has ended.
 TEST(FleetPlacementTest, ACrashingRequestStaysHeldBackWhenTheOwnerEnds)
 {
--- a/Tests/Forwarding/OwnerSelectorTest.cpp
+++ b/Tests/Forwarding/OwnerSelectorTest.cpp
@@ -117,6 +117,27 @@
     CHECK_FALSE(selector.owner(service).value().starts_with("large"));
 }
 
+// Guards against callers that return to an owner that has declined while it answers, or never, and against a host that places for itself while it declines.
+TEST(OwnerSelectorTest, AnOwnerThatDeclinedIsSkippedForTheTimeThatItSaid)
+{
+    HostId owner;
+    OwnerSelector selector = selectorOfAnother(owner);
+    const TimePoint now;
+    selector.markDeclined(owner, now + milliseconds(2000));
+    const HostId next = selector.owner(service);
+    CHECK(next != owner);
+    selector.markResponsive(owner);
+    CHECK(selector.takeDueProbes(now + milliseconds(1000)).empty());
+    selector.expireDeclines(now + milliseconds(1999));
+    CHECK(selector.owner(service) == next);
+    OwnerSelector self{owner};
+    self.setHosts(hosts());
+    self.markDeclined(owner, now + milliseconds(2000));
+    CHECK(self.owner(service) == next);
+    selector.expireDeclines(now + milliseconds(2000));
+    CHECK(selector.owner(service) == owner);
+}
+
 // Guards against a host that knows no peers and therefore places no requests.
 TEST(OwnerSelectorTest, AHostWithoutPeersOwnsEveryService)
 {
--- a/Tests/PlatformAdapter/DecodersTest.cpp
+++ b/Tests/PlatformAdapter/DecodersTest.cpp
@@ -148,6 +148,18 @@
     CHECK_FALSE(decodeUpstream("", validEntry().dump(), TimePoint()).has_value());
 }
 
+// Guards against hosts that stop on purpose and are taken for hosts that lost the store, and the reverse.
+TEST(DecodersTest, AnEntryTellsWhetherItsHostLeaves)
+{
+    HostEntry entry;
+    entry.address = {"127.0.0.1", 7340};
+    entry.start = 5;
+    CHECK_FALSE(decodeHostEntry(encodeHostEntry(entry))->leaving);
+    entry.leaving = true;
+    CHECK(decodeHostEntry(encodeHostEntry(entry))->leaving);
+    LONGS_EQUAL(5, decodeHostEntry(encodeHostEntry(entry))->start);
+}
+
 // Guards against a value, nested as deeply as the store allows, that takes the memory or the stack of each host that reads it.
 TEST(DecodersTest, DeeplyNestedValuesAreRefused)
 {
--- a/Tests/PlatformAdapter/PlatformSettingsTest.cpp
+++ b/Tests/PlatformAdapter/PlatformSettingsTest.cpp
@@ -40,6 +40,18 @@
     LONGS_EQUAL(7, settings->feed.readers.minHosts);
 }
 
+// Guards against deployments that do not ask for it and whose hosts keep others without an entry.
+TEST(PlatformSettingsTest, MembershipIsOptional)
+{
+    std::string problem;
+    CHECK(parseSettings(valid, problem)->membership.keepUnlisted == std::chrono::seconds(0));
+    CHECK_FALSE(parseSettings(valid, problem)->membership.rejoinAtOnce);
+    std::string text = valid;
+    text.replace(text.find("\"logLines"), 0, R"("membership": { "keepUnlistedSeconds": 60, "rejoinAtOnce": true }, )");
+    CHECK(parseSettings(text, problem)->membership.keepUnlisted == std::chrono::seconds(60));
+    CHECK(parseSettings(text, problem)->membership.rejoinAtOnce);
+}
+
 // Guards against a host whose feed and placement calls share a port, and against limits that no feed can keep.
 TEST(PlatformSettingsTest, InvalidFeedSettingsAreReported)
 {
