--- a/Tests/Forwarding/AnswerMemoryTest.cpp
+++ b/Tests/Forwarding/AnswerMemoryTest.cpp
@@ -67,7 +67,8 @@
                 answer = bytes == 0 ? nullptr : std::make_unique<Answer>(memory);
             }
             if (answer) {
-                RC_ASSERT(answer->share.resize(bytes) == !answer->revoked);
+                const bool granted = answer->share.resize(bytes);
+                RC_ASSERT(granted == !answer->revoked);
             }
             RC_ASSERT(memory.usedBytes() <= limit);
         }
