Let an owner catch up before it declines, and end grants at former owners

Cause: after an outage of the store for all hosts, the first host that reached it again made the owner decline, a few tens of milliseconds before the owner's own view was current. Change: an owner that is behind declines only after 1,500 ms. An entry host that reports a grant to a new owner reports its end to the former one.

--- a/Source/Forwarding/FleetPlacement.cpp
+++ b/Source/Forwarding/FleetPlacement.cpp
@@ -8,6 +8,7 @@
 #include "Telemetry/EventLog.h"
 
 #include <random>
+#include <utility>
 
 namespace Mangofall::Forwarding {
 
@@ -564,18 +565,29 @@
             placement.queued = false;
             requestAssignment(placement, now);
         } else if (placement.assignment && placement.owner != owner) {
-            const Placement::ReportedGrant grant{
-                placement.placementRequest, placement.assignment->upstream, placement.assignment->helpers, placement.prefilling};
-            placement.owner = owner;
-            if (owner == m_self) {
-                m_table.adopt(grant, now);
-            } else {
-                m_peers.link(owner).send(toPeerMessage(toWire(grant, now)));
-            }
+            reportGrant(placement, owner, now);
         }
     }
 }
 
+// The former owner may get the service back before the grant ends, and would then count it although it never learns of its end.
+void FleetPlacement::reportGrant(LocalPlacement &placement, const HostId &owner, TimePoint now)
+{
+    const Placement::PlacementRequestId id = placement.placementRequest.id;
+    const Placement::ReportedGrant grant{placement.placementRequest, placement.assignment->upstream, placement.assignment->helpers, placement.prefilling};
+    const HostId former = std::exchange(placement.owner, owner);
+    if (owner == m_self) {
+        m_table.adopt(grant, now);
+    } else {
+        m_peers.link(owner).send(toPeerMessage(toWire(grant, now)));
+    }
+    if (former == m_self) {
+        applyActions(m_table.ended(id, Placement::GrantOutcome::Cancelled, std::nullopt, now));
+    } else if (!former.empty()) {
+        m_peers.sendToMember(former, toPeerMessage(endReport(id, Placement::GrantOutcome::Cancelled, std::nullopt)));
+    }
+}
+
 void FleetPlacement::onOwnerSilent(const HostId &host, TimePoint now)
 {
     forgetOwner(host);
--- a/Source/Forwarding/FleetPlacement.h
+++ b/Source/Forwarding/FleetPlacement.h
@@ -125,6 +125,8 @@
     void scheduleTick();
     void tick();
     void checkOwners(TimePoint now);
+    /// Reports a grant in use to the present owner of its service, and its end to the former one.
+    void reportGrant(LocalPlacement &placement, const HostId &owner, TimePoint now);
     void onOwnerSilent(const HostId &host, TimePoint now);
     /// Handles a message that arrived on the link to \p from.
     void onLinkMessage(const HostId &from, const Wire::PeerMessageT &message);
--- a/Source/Forwarding/OwnershipGate.cpp
+++ b/Source/Forwarding/OwnershipGate.cpp
@@ -102,7 +102,17 @@
     }
 }
 
-bool OwnershipGate::isStale(const StoreViewStatus &own, TimePoint now) const
+bool OwnershipGate::isStale(const StoreViewStatus &own, TimePoint now)
+{
+    if (!isBehind(own, now)) {
+        m_behindSince.reset();
+        return false;
+    }
+    m_behindSince = m_behindSince.value_or(now);
+    return now >= *m_behindSince + m_limits.catchUpTime;
+}
+
+bool OwnershipGate::isBehind(const StoreViewStatus &own, TimePoint now) const
 {
     if (!m_newest || !own.known() || now >= m_newest->seenAt + m_limits.newerViewMemory || !isNewer(m_newest->status, own)) {
         return false;
--- a/Source/Forwarding/OwnershipGate.h
+++ b/Source/Forwarding/OwnershipGate.h
@@ -21,6 +21,9 @@
 struct OwnershipLimits {
     /// A view that is this much older than that of another host is stale. Has to be above the difference that hosts in touch with the store may have.
     Duration staleAfter = std::chrono::seconds(3);
+    /// How long a host may take to catch up before it declines. After an outage of the store all hosts catch up within this time, one after the other, and a
+    /// change of owner in between would cost more than it gains.
+    Duration catchUpTime = std::chrono::milliseconds(1500);
     /// For how long from the first request on requests wait for the first complete read, which takes a fraction of it; callers allow seconds for an answer.
     Duration firstReadWait = std::chrono::seconds(1);
     /// For how long after their arrival requests of a service wait that callers know of from a newer configuration.
@@ -76,13 +79,16 @@
     OwnershipDecision judge(const Placement::PlacementRequest &request, const StoreViewStatus &own, TimePoint now);
     void keep(const Placement::PlacementRequest &request);
     void noteCaller(const StoreViewStatus &caller, const StoreViewStatus &own, TimePoint now);
+    /// Whether a caller has shown a newer view that this host should know by now, and this host had the time to catch up.
+    bool isStale(const StoreViewStatus &own, TimePoint now);
     /// Whether a caller has shown a newer view that this host should know by now.
-    bool isStale(const StoreViewStatus &own, TimePoint now) const;
+    bool isBehind(const StoreViewStatus &own, TimePoint now) const;
 
     OwnershipLimits m_limits;
     std::set<ServiceId> m_services;
     std::vector<Placement::PlacementRequest> m_kept; ///< The deferred requests.
     std::optional<NewerView> m_newest; ///< The newest view that a caller had.
+    std::optional<TimePoint> m_behindSince; ///< Since when isBehind() holds.
     std::optional<TimePoint> m_askedUnreadAt; ///< When the first request came before the first complete read.
     bool m_leaving = false;
 };
--- a/Tests/Forwarding/FleetPlacementTest.cpp
+++ b/Tests/Forwarding/FleetPlacementTest.cpp
@@ -341,7 +341,8 @@
             });
         }
     }
-    fleet.io.run_for(milliseconds(500));
+    // The owner has 1,500 ms to catch up, and the requests that wait there are sent again every 400 ms.
+    fleet.io.run_for(milliseconds(2400));
     CHECK(fleet.hosts[owner]->peers().declining());
     LONGS_EQUAL(0, granted);
     fleet.hosts[owner]->ended({owner, fleet.lastNumber()}, Placement::GrantOutcome::Completed, std::nullopt);
