--- a/Source/Feed/FeedClient.cpp
+++ b/Source/Feed/FeedClient.cpp
@@ -9,6 +9,8 @@
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
+#include <algorithm>
+
 namespace Mangofall::Feed {
 
 namespace {
@@ -49,6 +51,11 @@
     }
 }
 
+void FeedClient::setConnectLimit(Duration limit)
+{
+    m_connectLimit = limit;
+}
+
 void FeedClient::closeLink()
 {
     if (m_link) {
@@ -133,12 +140,17 @@
     call.call = ++m_callNumber;
     m_callEnded = false;
     m_answer.reset();
-    m_timer.expires_after(timeout);
+    const Duration connectTime = call.kind == Wire::FeedCallKind::Page ? std::min(m_connectLimit, timeout) : Duration::zero();
     Wire::PeerMessageT message;
     message.body.Set(std::move(call));
     m_link->send(std::move(message));
-    if (!m_callEnded) {
-        co_await m_timer.async_wait(Asio::as_tuple(Asio::use_awaitable));
+    if (connectTime > Duration::zero()) {
+        co_await waitForAnswer(connectTime);
+    }
+    if (connectTime == Duration::zero() || isConnected()) {
+        co_await waitForAnswer(timeout - connectTime);
+    } else if (!m_callEnded) {
+        m_log.write("feed_peer_not_connected", {{"peer", m_host.value()}});
     }
     m_callEnded = true;
     if (!m_answer) {
@@ -148,6 +160,19 @@
     co_return std::move(*m_answer);
 }
 
+Asio::awaitable<void> FeedClient::waitForAnswer(Duration time)
+{
+    if (!m_callEnded) {
+        m_timer.expires_after(time);
+        co_await m_timer.async_wait(Asio::as_tuple(Asio::use_awaitable));
+    }
+}
+
+bool FeedClient::isConnected() const
+{
+    return m_link && m_link->connection() && m_link->connection()->isOpen();
+}
+
 void FeedClient::refuseAnswer(const std::string &problem)
 {
     m_log.write("feed_message_invalid", {{"peer", m_host.value()}, {"problem", problem}});
--- a/Source/Feed/FeedClient.h
+++ b/Source/Feed/FeedClient.h
@@ -39,6 +39,8 @@
     ~FeedClient() override;
 
     void setHosts(const std::vector<FeedHost> &hosts);
+    /// Fails a call that reads a page if the host has not accepted the connection within \p limit. Zero, the default, sets no such limit.
+    void setConnectLimit(Duration limit);
     /// Closes the connection. For use after a pause of the process, because the peer has gone on without it.
     void closeLink();
 
@@ -52,6 +54,9 @@
 
 private:
     boost::asio::awaitable<ItemPage> call(Wire::FeedCallT call, Duration timeout);
+    /// Waits until the call has ended, or \p time has passed.
+    boost::asio::awaitable<void> waitForAnswer(Duration time);
+    bool isConnected() const;
     void refuseAnswer(const std::string &problem);
     /// Ends the wait of the current call.
     void endCall();
@@ -67,6 +72,7 @@
     bool m_callEnded = true;
     std::optional<ItemPage> m_answer; ///< The answer to the current call.
     boost::asio::steady_timer m_timer;
+    Duration m_connectLimit{0};
 };
 
 }
--- a/Source/Feed/SourceSelector.cpp
+++ b/Source/Feed/SourceSelector.cpp
@@ -17,6 +17,10 @@
 constexpr std::chrono::milliseconds maxFollowerStoreBackoff{2400};
 constexpr std::chrono::milliseconds basePeerBackoff{400};
 constexpr std::chrono::milliseconds maxPeerBackoff{1600};
+// While a fleet starts, hosts appear within about a quarter of a second of each other.
+constexpr std::chrono::milliseconds basePeerBackoffAtStart{120};
+// The readers have started after this time if they start at all, and most followers read from them.
+constexpr std::chrono::milliseconds storeReadSpread{400};
 constexpr unsigned maxDoublings = 4;
 // Backoff times are spread from this fraction of their length to their full length.
 constexpr double minSpread = 0.6;
@@ -63,6 +67,11 @@
     });
 }
 
+void SourceSelector::spreadFirstReads()
+{
+    m_spreadsFirstReads = true;
+}
+
 void SourceSelector::askFurtherHosts()
 {
     m_asksFurther = true;
@@ -109,6 +118,7 @@
         failed(source, now);
         return false;
     }
+    m_spreadsFirstReads = false;
     if (isFurther(source)) {
         m_further.answered();
         return true;
@@ -141,6 +151,20 @@
     Health &health = m_health[source];
     health.avoidUntil = now + backoff(source, health.failures);
     ++health.failures;
+    spreadStoreRead(now);
+}
+
+void SourceSelector::spreadStoreRead(TimePoint now)
+{
+    const bool readersFailed = std::all_of(m_peers.begin(), m_peers.end(), [this](const HostId &peer) {
+        const auto health = m_health.find(SourceId{peer});
+        return health != m_health.end() && health->second.failures > 0;
+    });
+    if (!m_spreadsFirstReads || m_role != FeedRole::Follower || !readersFailed || m_health.contains(SourceId())) {
+        return;
+    }
+    const std::int64_t longest = Duration(storeReadSpread).count();
+    m_health[SourceId()].avoidUntil = now + Duration(std::uniform_int_distribution<std::int64_t>(0, longest)(m_random));
 }
 
 std::vector<SourceId> SourceSelector::preferences() const
@@ -188,7 +212,8 @@
 Duration SourceSelector::backoff(const SourceId &source, unsigned failures)
 {
     const unsigned factor = 1U << std::min(failures, maxDoublings);
-    Duration longest = std::min<Duration>(maxPeerBackoff, basePeerBackoff * factor);
+    const std::chrono::milliseconds basePeer = m_spreadsFirstReads ? basePeerBackoffAtStart : basePeerBackoff;
+    Duration longest = std::min<Duration>(maxPeerBackoff, basePeer * factor);
     if (source.isStore() && m_peers.empty()) {
         longest = std::min<Duration>(maxStoreBackoff, baseStoreBackoff * factor);
     } else if (source.isStore()) {
--- a/Source/Feed/SourceSelector.h
+++ b/Source/Feed/SourceSelector.h
@@ -59,6 +59,9 @@
 
     /// \p hosts are the live hosts of the own data centre that answer feed calls.
     void setHosts(const std::vector<FeedHost> &hosts);
+    /// Until a source has answered for the first time, makes a follower whose readers all fail read the store only after a random pause, and try failed peers
+    /// again sooner. After a loss of all hosts the readers may start a little later than their followers, which must not all read the store instead.
+    void spreadFirstReads();
     /// Enables asking further hosts of the data centre while the store and all peers fail.
     void askFurtherHosts();
     FeedRole role() const;
@@ -85,6 +88,8 @@
     /// The further host to ask before \p other is due; empty unless the store and all peers have failed.
     std::optional<SourceChoice> furtherHost(TimePoint now, const SourceChoice &other) const;
     bool isFurther(const SourceId &source) const;
+    /// Sets the time from which the store may be read if this is a follower all of whose readers have failed during its start.
+    void spreadStoreRead(TimePoint now);
     Duration backoff(const SourceId &source, unsigned failures);
 
     HostId m_self;
@@ -96,6 +101,7 @@
     std::map<SourceId, Health> m_health;
     FurtherHosts m_further; ///< The hosts of the data centre that are neither this host nor peers.
     bool m_asksFurther = false;
+    bool m_spreadsFirstReads = false; ///< Whether no source has answered yet and the first reads are spread.
 };
 
 }
--- a/Source/Feed/StoreFeed.cpp
+++ b/Source/Feed/StoreFeed.cpp
@@ -39,6 +39,10 @@
     , m_mirror(io, {adapter.store, m_client, adapter.lister}, m_state, log)
     , m_server(io, m_state, log, byteCounter)
 {
+    m_client.setConnectLimit(settings.startConnectLimit);
+    if (settings.startConnectLimit > Duration::zero()) {
+        m_selector.spreadFirstReads();
+    }
     if (settings.asksFurtherHosts) {
         m_selector.askFurtherHosts();
     }
--- a/Source/Feed/StoreFeed.h
+++ b/Source/Feed/StoreFeed.h
@@ -23,6 +23,8 @@
     ReaderLimits readers;
     Duration maxAge{0}; ///< A host whose view is older is not followed.
     WatchWaits waits;
+    /// A host that starts gives up a peer that has not accepted its connection for this long, and reads the store only after a random pause; 0 for neither.
+    Duration startConnectLimit{0};
     bool asksFurtherHosts = false; ///< Whether further hosts of the data centre are asked while the store and the readers fail.
 };
 
--- a/Tests/Edge/EdgeProcess.cpp
+++ b/Tests/Edge/EdgeProcess.cpp
@@ -86,6 +86,17 @@
     return *m_upstream;
 }
 
+void EdgeProcess::listFormerHosts()
+{
+    for (const char *host : {"h", "x", "y"}) {
+        nlohmann::json entry = nlohmann::json::object();
+        entry["address"] = m_address + ":1";
+        entry["dataCentre"] = "dc";
+        entry["start"] = "1";
+        m_store.put(std::string("mangofall/hosts/") + host, entry.dump());
+    }
+}
+
 void EdgeProcess::start()
 {
     m_process.start();
--- a/Tests/Edge/EdgeProcess.h
+++ b/Tests/Edge/EdgeProcess.h
@@ -40,6 +40,9 @@
     /// Lists an upstream that answers as \p answer says.
     ScriptedUpstream &addUpstream(const std::string &answer);
 
+    /// Lists the host and two others as they were before all of them lost power. The others do not return.
+    void listFormerHosts();
+
     void start();
     void signal(int number);
     bool running() const;
--- a/Tests/Edge/EdgeProcessTest.cpp
+++ b/Tests/Edge/EdgeProcessTest.cpp
@@ -62,6 +62,26 @@
     }));
 }
 
+// Guards against a fleet that waits for its members to register again after a loss of all hosts, and against one that waits for those that do not return.
+TEST(EdgeProcessTest, AHostThatFindsItsFormerFleetServesAtOnce)
+{
+    EdgeProcess edge(stopTime);
+    edge.addUpstream(completeAnswer);
+    edge.listFormerHosts();
+    edge.start();
+    CHECK(edge.becomesReady());
+    CHECK(edge.runUntil([&]() {
+        return edge.hasLogged("requests_admitted");
+    }));
+    CHECK(edge.hasLogged("\"former_fleet\":\"true\""));
+    std::optional<std::string> answer;
+    edge.call(orderRequest("a", "Connection: close\r\n"), answer);
+    CHECK(edge.runUntil([&]() {
+        return answer.has_value();
+    }));
+    CHECK(answer->starts_with("HTTP/1.1 200"));
+}
+
 // Guards against a host that ends again and again while its predecessor is still shutting down.
 TEST(EdgeProcessTest, AHostWaitsForThePortsOfItsPredecessor)
 {
--- a/Tests/Feed/FeedServerTest.cpp
+++ b/Tests/Feed/FeedServerTest.cpp
@@ -12,6 +12,8 @@
 #include <boost/asio/read.hpp>
 #include <boost/asio/write.hpp>
 
+#include <memory>
+
 #include "Property.h"
 
 using namespace Mangofall;
@@ -181,6 +183,46 @@
     CHECK(fixture.result->status == SourceStatus::Failed);
 }
 
+// Guards against a host that starts and waits two seconds for a reader whose machine has not started yet.
+TEST(FeedServerTest, APageCallToAMachineThatDoesNotAnswerFailsSoonAtTheStart)
+{
+    Fixture fixture;
+    // Once the queue of the listener is full, it answers no further attempt to connect.
+    Asio::ip::tcp::acceptor full(fixture.io);
+    full.open(Asio::ip::tcp::v4());
+    full.bind({Asio::ip::make_address("127.0.0.1"), 0});
+    full.listen(0);
+    std::vector<std::unique_ptr<Asio::ip::tcp::socket>> queued;
+    for (int count = 0; count < 4; ++count) {
+        queued.push_back(std::make_unique<Asio::ip::tcp::socket>(fixture.io));
+        queued.back()->async_connect(full.local_endpoint(), [](const boost::system::error_code &) {});
+    }
+    fixture.io.run_for(milliseconds(50));
+    fixture.client.setHosts({{HostId("server"), {"127.0.0.1", full.local_endpoint().port()}, {}}});
+    fixture.client.setConnectLimit(milliseconds(150));
+    const TimePoint start = Clock::now();
+    fixture.readPage();
+    fixture.runUntil([&]() {
+        return fixture.answered();
+    });
+    CHECK(fixture.result->status == SourceStatus::Failed);
+    const Duration elapsed = Clock::now() - start;
+    CHECK(elapsed >= milliseconds(140));
+    CHECK(elapsed < milliseconds(800));
+}
+
+// Guards against a host that gives up a peer which has accepted its connection and is still reading all keys itself.
+TEST(FeedServerTest, AConnectedPeerKeepsTheTimeForAPage)
+{
+    Fixture fixture;
+    fixture.client.setConnectLimit(milliseconds(50));
+    fixture.readPage();
+    fixture.runUntil([&]() {
+        return fixture.answered();
+    });
+    CHECK(fixture.result->status == SourceStatus::Starting);
+}
+
 // Guards against one malformed or hostile message that takes a host down or stops it from serving others.
 TEST(FeedServerTest, AMalformedMessageClosesItsConnectionOnly)
 {
--- a/Tests/Feed/SourceSelectorTest.cpp
+++ b/Tests/Feed/SourceSelectorTest.cpp
@@ -158,6 +158,31 @@
     CHECK(firstAsked.size() > 5U);
 }
 
+// Guards against a fleet that returns after the loss of all hosts, whose followers all read the store at once because their readers start a little later.
+TEST(SourceSelectorTest, FollowersWhoseReadersHaveNotStartedDoNotAllReadTheStoreAtOnce)
+{
+    const std::vector<FeedHost> hosts = feedHosts(20);
+    constexpr milliseconds readersStart{300};
+    constexpr int followers = 40;
+    int storeReads = 0;
+    TimePoint latest = start;
+    for (std::uint64_t seed = 1; seed <= followers; ++seed) {
+        SourceSelector follower = selector(hostWithRole(FeedRole::Follower, hosts), hosts, seed);
+        follower.spreadFirstReads();
+        TimePoint now = start;
+        SourceChoice choice = follower.next(now);
+        while (!choice.source.isStore() && choice.at < start + readersStart) {
+            now = std::max(now, choice.at) + milliseconds(150);
+            follower.failed(choice.source, now);
+            choice = follower.next(now);
+        }
+        storeReads += choice.source.isStore() ? 1 : 0;
+        latest = std::max(latest, choice.at);
+    }
+    CHECK(storeReads < followers * 3 / 4);
+    CHECK(latest <= start + milliseconds(1000));
+}
+
 // Guards against further hosts that are asked where the settings do not enable it.
 TEST(SourceSelectorTest, FurtherHostsAreAskedOnlyIfEnabled)
 {
--- a/Tests/Forwarding/FleetMembershipTest.cpp
+++ b/Tests/Forwarding/FleetMembershipTest.cpp
@@ -106,6 +106,7 @@
 Observer observe(const std::map<HostId, std::vector<Life>> &hosts, std::mt19937 &random)
 {
     std::vector<std::pair<std::vector<Event>, std::size_t>> pending;
+    pending.reserve(hosts.size());
     for (const auto &[id, lives] : hosts) {
         pending.emplace_back(eventsOf(id, lives, random), 0);
     }
