Count load of upstreams that the owner has not granted

Cause: with two owners for 5 s, 15 or 16 requests ran on engines with 12 slots, because each owner knew only its own grants. An upstream that answered ten times later than estimated got as many requests as the others.

Change: the entry host passes the load that an upstream reports in Instance-Load to the owner, with the report of the first event or of the end (new fields at the end of PlacementReport). UnknownLoad derives the requests beyond the grants from it; they occupy slots and make iterations longer for up to 3 s. Lateness derives a factor on the estimates from the times of first events, compared with the other upstreams of the service. Setting placement.reportedLoad (absent: false); log lines unknown_load_found and unknown_load_gone; two gauges. The code of the peer messages is generated by Utilities/generate-peer-messages.

PlacementTest and PlatformAdapterTest pass.

--- a/Source/Forwarding/FleetPlacement.cpp
+++ b/Source/Forwarding/FleetPlacement.cpp
@@ -78,6 +78,11 @@
     checkOwners(now);
 }
 
+void FleetPlacement::setOptions(const Placement::PlacementOptions &options)
+{
+    m_table.setOptions(options);
+}
+
 void FleetPlacement::setServices(const std::vector<Placement::ServiceSpec> &services)
 {
     m_table.setServices(services);
@@ -127,6 +132,11 @@
     return m_table.waiting();
 }
 
+Placement::LoadFindings FleetPlacement::loadFindings() const
+{
+    return m_table.findings(Clock::now());
+}
+
 Placement::PlacementRequestId FleetPlacement::nextId()
 {
     return {m_self, ++m_nextNumber};
@@ -152,15 +162,18 @@
     if (placement == m_localPlacements.end()) {
         return;
     }
+    const TimePoint now = Clock::now();
     placement->second.prefilling = false;
-    m_crashes.answerBegan(placement->second.placementRequest, Clock::now());
+    m_crashes.answerBegan(placement->second.placementRequest, now);
     publishCrashes();
     if (placement->second.owner == m_self) {
-        m_table.firstEventReceived(id);
+        placement->second.load.passTo(m_table, id, now);
+        m_table.firstEventReceived(id, now);
         return;
     }
     Wire::PlacementReportT report;
     report.number = id.number;
+    placement->second.load.addTo(report, now);
     sendReport(placement->second.owner, report);
 }
 
@@ -179,6 +192,14 @@
     }
 }
 
+void FleetPlacement::loadReported(const Placement::PlacementRequestId &id, const Placement::ReportedLoad &load)
+{
+    const auto placement = m_localPlacements.find(id.number);
+    if (placement != m_localPlacements.end()) {
+        placement->second.load.received(load, Clock::now());
+    }
+}
+
 void FleetPlacement::ended(const Placement::PlacementRequestId &id, Placement::GrantOutcome outcome, const std::optional<UpstreamId> &faulty)
 {
     const auto placement = m_localPlacements.find(id.number);
@@ -191,15 +212,18 @@
         const LocalPlacement &local = placement->second;
         m_crashes.attemptEnded({local.placementRequest, *local.assignment, local.assignedAt}, outcome, now);
     }
+    PendingLoad load = placement->second.load;
     m_localPlacements.erase(placement);
     // The owner must know of a crash before it decides about the next attempt.
     publishCrashes();
     if (owner == m_self) {
+        load.passTo(m_table, id, now);
         applyActions(m_table.ended(id, outcome, faulty, now));
         return;
     }
     Wire::PlacementReportT report;
     report.number = id.number;
+    load.addTo(report, now);
     report.ended = true;
     report.outcome = static_cast<std::uint8_t>(outcome);
     report.faulty = faulty ? faulty->value() : std::string();
@@ -458,14 +482,16 @@
 
 void FleetPlacement::onReport(const HostId &from, const Wire::PlacementReportT &report)
 {
+    const TimePoint now = Clock::now();
     const Placement::PlacementRequestId id{from, report.number};
+    passLoad(report, m_table, id, now);
     if (!report.ended) {
-        m_table.firstEventReceived(id);
+        m_table.firstEventReceived(id, now);
         return;
     }
     m_waitingPeerRequests.erase(id);
     const std::optional<UpstreamId> faulty = report.faulty.empty() ? std::nullopt : std::optional<UpstreamId>(UpstreamId(report.faulty));
-    applyActions(m_table.ended(id, outcomeFromWire(report.outcome), faulty, Clock::now()));
+    applyActions(m_table.ended(id, outcomeFromWire(report.outcome), faulty, now));
     publishCrashes();
 }
 
@@ -510,6 +536,7 @@
 {
     const TimePoint now = Clock::now();
     applyActions(m_table.tick(now));
+    m_loadFindingsLog.update(m_table.findings(now), m_log);
     expireOwnerships(now);
     checkOwners(now);
     sendProbes(now);
--- a/Source/Forwarding/FleetPlacement.h
+++ b/Source/Forwarding/FleetPlacement.h
@@ -2,8 +2,10 @@
 
 #include "Forwarding/CrashReplica.h"
 #include "Forwarding/FleetHost.h"
+#include "Forwarding/LoadFindingsLog.h"
 #include "Forwarding/OwnerSelector.h"
 #include "Forwarding/PeerConnections.h"
+#include "Forwarding/PendingLoad.h"
 #include "Forwarding/PlacementGateway.h"
 #include "Forwarding/RetryLender.h"
 #include "Peer/PeerMessageHandler.h"
@@ -48,6 +50,7 @@
     std::error_code listen(const NetworkAddress &address);
 
     void setHosts(const std::vector<FleetHost> &hosts);
+    void setOptions(const Placement::PlacementOptions &options);
     void setServices(const std::vector<Placement::ServiceSpec> &services);
     void setUpstreams(const std::vector<Placement::UpstreamEntry> &upstreams);
     /// Sets the share of the retry budget that this host lends as owner.
@@ -66,11 +69,14 @@
     std::size_t hosts() const;
     /// The number of placement requests that wait at this host as owner.
     std::size_t waiting() const;
+    /// Load of the upstreams that this host has not granted as owner.
+    Placement::LoadFindings loadFindings() const;
 
     Placement::PlacementRequestId nextId() override;
     void submit(const Placement::PlacementRequest &placementRequest, Handler handler) override;
     void firstEventReceived(const Placement::PlacementRequestId &id) override;
     void noticeReceived(const Placement::PlacementRequestId &id, const Placement::UpstreamNotice &notice) override;
+    void loadReported(const Placement::PlacementRequestId &id, const Placement::ReportedLoad &load) override;
     void ended(const Placement::PlacementRequestId &id, Placement::GrantOutcome outcome, const std::optional<UpstreamId> &faulty) override;
 
     void handleMessage(const std::shared_ptr<PeerConnection> &connection, Wire::PeerMessageT &&message) override;
@@ -88,6 +94,7 @@
         std::optional<Placement::Assignment> assignment;
         TimePoint assignedAt;
         bool prefilling = true;
+        PendingLoad load;
     };
 
     void requestAssignment(LocalPlacement &placement, TimePoint now);
@@ -140,6 +147,7 @@
     std::uint64_t m_nextNumber;
     boost::asio::steady_timer m_timer;
     bool m_tickScheduled = false;
+    LoadFindingsLog m_loadFindingsLog;
 };
 
 }
--- a/Source/Forwarding/ForwardingSession.cpp
+++ b/Source/Forwarding/ForwardingSession.cpp
@@ -442,6 +442,9 @@
 // At an address that another upstream has taken over, the notice is not the assigned upstream's.
 void ForwardingSession::recordNotice(const UpstreamId &upstream, const UpstreamAnswer &answer)
 {
+    if (answer.load && !answer.wrongUpstream) {
+        m_context.placement.loadReported(m_placementRequestId, *answer.load);
+    }
     if (answer.notice.empty() || answer.wrongUpstream) {
         return;
     }
--- a/Source/Forwarding/PlacementGateway.h
+++ b/Source/Forwarding/PlacementGateway.h
@@ -3,6 +3,7 @@
 #include "Placement/GrantOutcome.h"
 #include "Placement/PlacementActions.h"
 #include "Placement/PlacementRequest.h"
+#include "Placement/ReportedLoad.h"
 #include "Placement/UpstreamNotice.h"
 
 #include <functional>
@@ -38,6 +39,9 @@
     /// Reports what the assigned upstream says about itself in its answer.
     virtual void noticeReceived(const Placement::PlacementRequestId &id, const Placement::UpstreamNotice &notice) = 0;
 
+    /// Keeps the load that the assigned upstream reports in its answer for the next report to the owner: that of the first event or of the end.
+    virtual void loadReported(const Placement::PlacementRequestId &id, const Placement::ReportedLoad &load) = 0;
+
     /// Releases the assignment, or withdraws the placement request if there is no assignment yet.
     virtual void ended(const Placement::PlacementRequestId &id, Placement::GrantOutcome outcome, const std::optional<UpstreamId> &faulty) = 0;
 };
--- a/Source/Forwarding/UpstreamAnswer.h
+++ b/Source/Forwarding/UpstreamAnswer.h
@@ -3,6 +3,7 @@
 #include "Base/Ids.h"
 #include "Config/NetworkAddress.h"
 #include "Http/HttpExchange.h"
+#include "Placement/ReportedLoad.h"
 #include "Placement/UpstreamNotice.h"
 
 #include <optional>
@@ -21,6 +22,7 @@
     bool wrongUpstream = false; ///< An upstream other than the assigned one answered at the address.
     bool encoded = false; ///< The body has a content encoding although none was requested.
     Placement::UpstreamNotice notice; ///< What the upstream says about itself.
+    std::optional<Placement::ReportedLoad> load; ///< The load that the upstream reports; empty if it reports none.
     std::optional<NetworkAddress> faultyHelper; ///< Address of the helper engine that caused a refusal.
     HeaderFields fields; ///< Header fields to pass on to the caller.
 };
--- a/Source/Peer/PeerMessages_generated.h
+++ b/Source/Peer/PeerMessages_generated.h
@@ -5327,6 +5327,10 @@
   bool ended = false;
   uint8_t outcome = 0;
   std::string faulty{};
+  uint32_t running = 0;
+  uint32_t waiting = 0;
+  uint32_t slots = 0;
+  uint32_t load_age_ms = 0;
 };
 
 /// Reports that the first event of an answer arrived or, if \c ended is set, that the use of a grant ended or its placement request was withdrawn.
@@ -5337,7 +5341,11 @@
     VT_NUMBER = 4,
     VT_ENDED = 6,
     VT_OUTCOME = 8,
-    VT_FAULTY = 10
+    VT_FAULTY = 10,
+    VT_RUNNING = 12,
+    VT_WAITING = 14,
+    VT_SLOTS = 16,
+    VT_LOAD_AGE_MS = 18
   };
   uint64_t number() const {
     return GetField<uint64_t>(VT_NUMBER, 0);
@@ -5353,6 +5361,20 @@
   const flatbuffers::String *faulty() const {
     return GetPointer<const flatbuffers::String *>(VT_FAULTY);
   }
+  /// The load that the upstream reported in the header of its answer; 0 slots if it reported none.
+  uint32_t running() const {
+    return GetField<uint32_t>(VT_RUNNING, 0);
+  }
+  uint32_t waiting() const {
+    return GetField<uint32_t>(VT_WAITING, 0);
+  }
+  uint32_t slots() const {
+    return GetField<uint32_t>(VT_SLOTS, 0);
+  }
+  /// Time since the header arrived.
+  uint32_t load_age_ms() const {
+    return GetField<uint32_t>(VT_LOAD_AGE_MS, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_NUMBER, 8) &&
@@ -5360,6 +5382,10 @@
            VerifyField<uint8_t>(verifier, VT_OUTCOME, 1) &&
            VerifyOffset(verifier, VT_FAULTY) &&
            verifier.VerifyString(faulty()) &&
+           VerifyField<uint32_t>(verifier, VT_RUNNING, 4) &&
+           VerifyField<uint32_t>(verifier, VT_WAITING, 4) &&
+           VerifyField<uint32_t>(verifier, VT_SLOTS, 4) &&
+           VerifyField<uint32_t>(verifier, VT_LOAD_AGE_MS, 4) &&
            verifier.EndTable();
   }
   PlacementReportT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -5383,6 +5409,18 @@
   void add_faulty(flatbuffers::Offset<flatbuffers::String> faulty) {
     fbb_.AddOffset(PlacementReport::VT_FAULTY, faulty);
   }
+  void add_running(uint32_t running) {
+    fbb_.AddElement<uint32_t>(PlacementReport::VT_RUNNING, running, 0);
+  }
+  void add_waiting(uint32_t waiting) {
+    fbb_.AddElement<uint32_t>(PlacementReport::VT_WAITING, waiting, 0);
+  }
+  void add_slots(uint32_t slots) {
+    fbb_.AddElement<uint32_t>(PlacementReport::VT_SLOTS, slots, 0);
+  }
+  void add_load_age_ms(uint32_t load_age_ms) {
+    fbb_.AddElement<uint32_t>(PlacementReport::VT_LOAD_AGE_MS, load_age_ms, 0);
+  }
   explicit PlacementReportBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -5399,9 +5437,17 @@
     uint64_t number = 0,
     bool ended = false,
     uint8_t outcome = 0,
-    flatbuffers::Offset<flatbuffers::String> faulty = 0) {
+    flatbuffers::Offset<flatbuffers::String> faulty = 0,
+    uint32_t running = 0,
+    uint32_t waiting = 0,
+    uint32_t slots = 0,
+    uint32_t load_age_ms = 0) {
   PlacementReportBuilder builder_(_fbb);
   builder_.add_number(number);
+  builder_.add_load_age_ms(load_age_ms);
+  builder_.add_slots(slots);
+  builder_.add_waiting(waiting);
+  builder_.add_running(running);
   builder_.add_faulty(faulty);
   builder_.add_outcome(outcome);
   builder_.add_ended(ended);
@@ -5413,14 +5459,22 @@
     uint64_t number = 0,
     bool ended = false,
     uint8_t outcome = 0,
-    const char *faulty = nullptr) {
+    const char *faulty = nullptr,
+    uint32_t running = 0,
+    uint32_t waiting = 0,
+    uint32_t slots = 0,
+    uint32_t load_age_ms = 0) {
   auto faulty__ = faulty ? _fbb.CreateString(faulty) : 0;
   return Mangofall::Wire::CreatePlacementReport(
       _fbb,
       number,
       ended,
       outcome,
-      faulty__);
+      faulty__,
+      running,
+      waiting,
+      slots,
+      load_age_ms);
 }
 
 flatbuffers::Offset<PlacementReport> CreatePlacementReport(flatbuffers::FlatBufferBuilder &_fbb, const PlacementReportT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -8193,6 +8247,10 @@
   { auto _e = ended(); _o->ended = _e; }
   { auto _e = outcome(); _o->outcome = _e; }
   { auto _e = faulty(); if (_e) _o->faulty = _e->str(); }
+  { auto _e = running(); _o->running = _e; }
+  { auto _e = waiting(); _o->waiting = _e; }
+  { auto _e = slots(); _o->slots = _e; }
+  { auto _e = load_age_ms(); _o->load_age_ms = _e; }
 }
 
 inline flatbuffers::Offset<PlacementReport> PlacementReport::Pack(flatbuffers::FlatBufferBuilder &_fbb, const PlacementReportT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -8207,12 +8265,20 @@
   auto _ended = _o->ended;
   auto _outcome = _o->outcome;
   auto _faulty = _o->faulty.empty() ? 0 : _fbb.CreateString(_o->faulty);
+  auto _running = _o->running;
+  auto _waiting = _o->waiting;
+  auto _slots = _o->slots;
+  auto _load_age_ms = _o->load_age_ms;
   return Mangofall::Wire::CreatePlacementReport(
       _fbb,
       _number,
       _ended,
       _outcome,
-      _faulty);
+      _faulty,
+      _running,
+      _waiting,
+      _slots,
+      _load_age_ms);
 }
 
 inline UpstreamNoticeT *UpstreamNotice::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
--- a/Source/Placement/EngineSelector.cpp
+++ b/Source/Placement/EngineSelector.cpp
@@ -137,12 +137,14 @@
 {
     Engine engine;
     engine.load = &load;
-    engine.backlog = load.prefillBacklog(now, iterationTime(m_spec, load.decodingRequests(), load.contextTokens()));
-    engine.iteration = iterationTime(m_spec, load.requests() + 1, load.contextTokens());
+    const std::uint32_t unknown = load.unknownLoad().requests(now);
+    engine.decoding = load.decodingRequests() + unknown;
+    engine.backlog = load.prefillBacklog(now, iterationTime(m_spec, engine.decoding, load.contextTokens()));
+    engine.iteration = iterationTime(m_spec, load.requests() + unknown + 1, load.contextTokens());
     engine.shortestPauseLimit = load.shortestPauseLimit();
     const auto usable = static_cast<std::uint64_t>(usableMemory * static_cast<double>(m_spec.memoryTokens));
     engine.freeMemory = usable - std::min(usable, load.memoryTokens());
-    engine.hasSlot = load.requests() < std::min(m_spec.slots, load.entry().slots);
+    engine.hasSlot = load.requests() + unknown < std::min(m_spec.slots, load.entry().slots);
     engine.canHelp = load.helperPrefills() == 0 && !load.failures().avoided(now) && load.longestOwnPrefill() <= maxDelayedPrefill;
     engine.cost = baseCost(request, load, now);
     return engine;
@@ -251,8 +253,9 @@
 // If the engine has requests in decode, the prompt is prefilled inside their iterations, and the first event follows at the end of an iteration.
 Duration EngineSelector::timeToFirstEvent(const Engine &engine, Duration prefill) const
 {
-    const Duration waitForIteration = engine.load->decodingRequests() > 0 ? engine.iteration / 2 : Duration::zero();
-    return engine.backlog + prefill + engine.iteration + waitForIteration + networkTime;
+    const Duration waitForIteration = engine.decoding > 0 ? engine.iteration / 2 : Duration::zero();
+    const Duration atEngine = engine.backlog + prefill + engine.iteration + waitForIteration;
+    return (engine.load->slowness() > 1 ? toDuration(Seconds(atEngine) * engine.load->slowness()) : atEngine) + networkTime;
 }
 
 double EngineSelector::baseCost(const PlacementRequest &request, const UpstreamLoad &load, TimePoint now) const
--- a/Source/Placement/EngineSelector.h
+++ b/Source/Placement/EngineSelector.h
@@ -33,6 +33,7 @@
     struct Engine {
         UpstreamLoad *load = nullptr;
         Duration backlog{}; ///< Time to finish the prefill work that it has.
+        std::uint32_t decoding = 0; ///< Requests in decode, with those that this owner has not granted.
         Duration iteration{}; ///< Time of an iteration with one more request in decode and without prefill.
         Duration shortestPauseLimit{}; ///< Of the requests on the engine.
         std::uint64_t freeMemory = 0; ///< Tokens.
--- a/Source/Placement/PlacementTable.cpp
+++ b/Source/Placement/PlacementTable.cpp
@@ -1,11 +1,13 @@
 #include "Placement/PlacementTable.h"
 
 #include "Placement/EngineSelector.h"
+#include "Placement/ServiceLateness.h"
 #include "Placement/SlotSelector.h"
 
 #include <algorithm>
 #include <numeric>
 #include <set>
+#include <utility>
 
 namespace Mangofall::Placement {
 
@@ -53,6 +55,11 @@
 
 PlacementTable::~PlacementTable() = default;
 
+void PlacementTable::setOptions(const PlacementOptions &options)
+{
+    m_options = options;
+}
+
 void PlacementTable::setServices(const std::vector<ServiceSpec> &services)
 {
     std::map<ServiceId, Service> next;
@@ -120,7 +127,7 @@
     return {};
 }
 
-void PlacementTable::firstEventReceived(const PlacementRequestId &id)
+void PlacementTable::firstEventReceived(const PlacementRequestId &id, TimePoint now)
 {
     const auto grant = m_grants.find(id);
     if (grant == m_grants.end()) {
@@ -129,6 +136,9 @@
     if (UpstreamLoad *load = find(grant->second.upstream)) {
         load->prefillDone(id);
         load->failures().responded();
+        if (m_options.reportedLoad) {
+            load->lateness().record(std::exchange(grant->second.estimate, Duration::zero()), now - grant->second.grantedAt, now);
+        }
         m_outages.recordAnswer(load->entry().dataCentre);
     }
     for (const UpstreamId &helper : grant->second.helpers) {
@@ -139,6 +149,17 @@
     }
 }
 
+void PlacementTable::loadReported(const PlacementRequestId &id, const ReportedLoad &report, TimePoint takenAt, TimePoint now)
+{
+    const auto grant = m_grants.find(id);
+    if (grant == m_grants.end() || !m_options.reportedLoad) {
+        return;
+    }
+    if (UpstreamLoad *load = find(grant->second.upstream)) {
+        load->unknownLoad().reported(report, takenAt, now);
+    }
+}
+
 PlacementActions PlacementTable::ended(const PlacementRequestId &id, GrantOutcome outcome, const std::optional<UpstreamId> &faulty, TimePoint now)
 {
     std::erase_if(m_waiting, [&](const Waiting &waiting) {
@@ -161,7 +182,7 @@
         m_crashes.recordSuccess(grant->second.sharedParts, now);
         m_crashes.recordRequestSuccess(grant->second.fingerprint, now);
     }
-    release(id);
+    release(id, now);
     return serveAfterRelease(now);
 }
 
@@ -232,7 +253,8 @@
                                now,
                                grant.placementRequest.deadline + m_limits.grantSlack,
                                grant.placementRequest.sharedParts,
-                               grant.placementRequest.fingerprint};
+                               grant.placementRequest.fingerprint,
+                               Duration::zero()};
     const auto service = m_services.find(grant.placementRequest.service);
     const auto parts = static_cast<std::uint32_t>(grant.helpers.size() + 1);
     const Duration prefill = service == m_services.end() ? Duration::zero() : service->second.selector->partPrefillTime(grant.placementRequest, parts);
@@ -240,6 +262,7 @@
     GrantLoad grantLoad{false, grant.reading, grant.placementRequest.promptTokens, tokens, grant.placementRequest.pauseLimit, prefill, {}};
     if (UpstreamLoad *load = find(grant.upstream)) {
         load->add(id, grantLoad, now);
+        load->unknownLoad().adopted(id);
     }
     grantLoad.helper = true;
     grantLoad.memoryTokens = 0;
@@ -247,6 +270,7 @@
         UpstreamLoad *load = find(helper);
         if (load != nullptr && grant.reading) {
             load->add(id, grantLoad, now);
+            load->unknownLoad().adopted(id);
         }
     }
 }
@@ -267,6 +291,7 @@
 {
     if (now >= m_overdueCheckedAt + m_limits.overdueInterval) {
         endOverdueGrants(now);
+        updateFindings(now);
         m_overdueCheckedAt = now;
     }
     return serveWaiting(now);
@@ -288,6 +313,16 @@
     return position == m_upstreams.end() ? nullptr : &position->second;
 }
 
+LoadFindings PlacementTable::findings(TimePoint now) const
+{
+    LoadFindings findings;
+    for (const auto &[id, load] : m_upstreams) {
+        findings.unknownRequests += load.unknownLoad().requests(now);
+        findings.slowUpstreams += load.slowness() > 1 ? 1 : 0;
+    }
+    return findings;
+}
+
 UpstreamLoad *PlacementTable::find(const UpstreamId &id)
 {
     const auto position = m_upstreams.find(id);
@@ -348,16 +383,21 @@
         false, true, request.promptTokens, request.promptTokens + request.outputTokens - elsewhere, request.pauseLimit, selection->partPrefillTime, {}};
     selection->primary->add(request.id, grantLoad, now);
     selection->primary->failures().granted(now);
+    selection->primary->unknownLoad().granted(request.id, now);
     grantLoad.helper = true;
     for (std::size_t index = 0; index < selection->helpers.size(); ++index) {
         UpstreamLoad *helper = selection->helpers[index];
         grantLoad.memoryTokens = selection->helperMemory.empty() ? 0 : selection->helperMemory[index];
         helper->add(request.id, grantLoad, now);
+        helper->unknownLoad().granted(request.id, now);
         grant.assignment.helpers.push_back(helper->entry().id);
         grant.assignment.helperAddresses.push_back(helper->entry().address);
     }
+    // With helpers it is not known which of the upstreams a late answer is due to.
+    const Duration estimate
+        = selection->helpers.empty() ? toDuration(Seconds(selection->firstEventEstimate) / selection->primary->slowness()) : Duration::zero();
     m_grants[request.id] = GrantRecord{
-        grant.assignment.upstream, grant.assignment.helpers, now, request.deadline + m_limits.grantSlack, request.sharedParts, request.fingerprint};
+        grant.assignment.upstream, grant.assignment.helpers, now, request.deadline + m_limits.grantSlack, request.sharedParts, request.fingerprint, estimate};
     return grant;
 }
 
@@ -455,7 +495,7 @@
     return actions;
 }
 
-void PlacementTable::release(const PlacementRequestId &id)
+void PlacementTable::release(const PlacementRequestId &id, TimePoint now)
 {
     const auto grant = m_grants.find(id);
     if (grant == m_grants.end()) {
@@ -463,15 +503,26 @@
     }
     if (UpstreamLoad *load = find(grant->second.upstream)) {
         load->remove(id);
+        load->unknownLoad().ended(id, now);
     }
     for (const UpstreamId &helper : grant->second.helpers) {
         if (UpstreamLoad *load = find(helper)) {
             load->remove(id);
+            load->unknownLoad().ended(id, now);
         }
     }
     m_grants.erase(grant);
 }
 
+void PlacementTable::updateFindings(TimePoint now)
+{
+    for (auto &[id, service] : m_services) {
+        if (m_options.reportedLoad) {
+            updateSlowness(service.upstreams, now);
+        }
+    }
+}
+
 void PlacementTable::indexUpstreams()
 {
     for (auto &[id, service] : m_services) {
@@ -494,7 +545,7 @@
         }
     }
     for (const PlacementRequestId &id : overdue) {
-        release(id);
+        release(id, now);
     }
 }
 
--- a/Source/Placement/PlacementTable.h
+++ b/Source/Placement/PlacementTable.h
@@ -3,7 +3,9 @@
 #include "Placement/CrashRecord.h"
 #include "Placement/DataCentreOutages.h"
 #include "Placement/GrantOutcome.h"
+#include "Placement/LoadFindings.h"
 #include "Placement/PlacementActions.h"
+#include "Placement/PlacementOptions.h"
 #include "Placement/ServiceSpec.h"
 #include "Placement/UpstreamLoad.h"
 #include "Placement/UpstreamSelector.h"
@@ -53,13 +55,17 @@
     PlacementTable(const PlacementLimits &limits, CrashRecord &crashes);
     ~PlacementTable();
 
+    /// Enables and disables parts; all of them are disabled at first.
+    void setOptions(const PlacementOptions &options);
     void setServices(const std::vector<ServiceSpec> &services);
     PlacementActions setUpstreams(const std::vector<UpstreamEntry> &upstreams, TimePoint now);
 
     /// Grants or refuses the placement request at once, or lets it wait.
     PlacementActions submit(const PlacementRequest &request, TimePoint now);
     /// The entry host got the first event of the answer, so the prefill is complete.
-    void firstEventReceived(const PlacementRequestId &id);
+    void firstEventReceived(const PlacementRequestId &id, TimePoint now);
+    /// The assigned upstream has reported its load, at \p takenAt, in its answer. Without effect unless the option is set.
+    void loadReported(const PlacementRequestId &id, const ReportedLoad &report, TimePoint takenAt, TimePoint now);
     /// The use of the grant ended, or the placement request was withdrawn while it waited. \p faulty is the helper that caused the failure; unset if it
     /// was the upstream itself.
     PlacementActions ended(const PlacementRequestId &id, GrantOutcome outcome, const std::optional<UpstreamId> &faulty, TimePoint now);
@@ -79,6 +85,7 @@
     std::size_t granted() const;
     /// The load of one upstream; null if the upstream is not known.
     const UpstreamLoad *load(const UpstreamId &id) const;
+    LoadFindings findings(TimePoint now) const;
 
 private:
     struct Service {
@@ -96,6 +103,7 @@
         TimePoint endsAt; ///< When the grant ends if its end is not reported.
         std::vector<SuspectId> sharedParts; ///< Of the request's prompt.
         std::uint64_t fingerprint = 0;
+        Duration estimate{}; ///< Time to the first event that was expected, without the factor of a slow upstream; zero if it tells nothing.
     };
     struct Waiting {
         PlacementRequest request;
@@ -129,11 +137,14 @@
     PlacementActions serveWaiting(TimePoint now);
     /// The limit for cold upstreams of \p service; 0 if it has none or is not configured yet.
     double coldRateOf(const ServiceId &service) const;
+    /// Updates what the requests of the last time show about the upstreams of each service.
+    void updateFindings(TimePoint now);
     void indexUpstreams();
     void endOverdueGrants(TimePoint now);
-    void release(const PlacementRequestId &id);
+    void release(const PlacementRequestId &id, TimePoint now);
 
     PlacementLimits m_limits;
+    PlacementOptions m_options;
     std::map<ServiceId, Service> m_services;
     std::map<UpstreamId, UpstreamLoad> m_upstreams;
     std::map<PlacementRequestId, GrantRecord> m_grants;
--- a/Source/Placement/SlotSelector.cpp
+++ b/Source/Placement/SlotSelector.cpp
@@ -14,9 +14,9 @@
 constexpr double otherDataCentreCost = 0.1;
 constexpr std::chrono::milliseconds leastTime{5};
 
-double cost(const PlacementRequest &request, const UpstreamLoad &load, TimePoint now)
+double cost(const PlacementRequest &request, const UpstreamLoad &load, std::uint32_t requests, TimePoint now)
 {
-    double total = static_cast<double>(load.requests()) / std::max(load.entry().slots, 1U);
+    double total = static_cast<double>(requests) / std::max(load.entry().slots, 1U);
     total += load.failures().cost(now);
     total += load.entry().dataCentre == request.dataCentre ? 0 : otherDataCentreCost;
     return total;
@@ -29,10 +29,11 @@
     UpstreamLoad *best = nullptr;
     double lowest = std::numeric_limits<double>::infinity();
     for (UpstreamLoad *load : candidates) {
-        if (load->requests() >= load->entry().slots) {
+        const std::uint32_t requests = load->requests() + load->unknownLoad().requests(now);
+        if (requests >= load->entry().slots) {
             continue;
         }
-        const double candidateCost = cost(request, *load, now);
+        const double candidateCost = cost(request, *load, requests, now);
         if (candidateCost < lowest) {
             lowest = candidateCost;
             best = load;
--- a/Source/Placement/UpstreamLoad.cpp
+++ b/Source/Placement/UpstreamLoad.cpp
@@ -161,6 +161,36 @@
     return m_failures;
 }
 
+UnknownLoad &UpstreamLoad::unknownLoad()
+{
+    return m_unknownLoad;
+}
+
+const UnknownLoad &UpstreamLoad::unknownLoad() const
+{
+    return m_unknownLoad;
+}
+
+Lateness &UpstreamLoad::lateness()
+{
+    return m_lateness;
+}
+
+const Lateness &UpstreamLoad::lateness() const
+{
+    return m_lateness;
+}
+
+double UpstreamLoad::slowness() const
+{
+    return m_slowness;
+}
+
+void UpstreamLoad::setSlowness(double factor)
+{
+    m_slowness = factor;
+}
+
 void UpstreamLoad::updateTotals()
 {
     m_totals = Totals();
--- a/Source/Placement/UpstreamLoad.h
+++ b/Source/Placement/UpstreamLoad.h
@@ -2,8 +2,10 @@
 
 #include "Placement/EngineSpec.h"
 #include "Placement/FailureRecord.h"
+#include "Placement/Lateness.h"
 #include "Placement/PlacementRequest.h"
 #include "Placement/RateWindow.h"
+#include "Placement/UnknownLoad.h"
 #include "Placement/UpstreamEntry.h"
 #include "Placement/UpstreamNotice.h"
 
@@ -78,6 +80,16 @@
     FailureRecord &failures();
     const FailureRecord &failures() const;
 
+    /// Load of the upstream that no grant here explains.
+    UnknownLoad &unknownLoad();
+    const UnknownLoad &unknownLoad() const;
+
+    Lateness &lateness();
+    const Lateness &lateness() const;
+    /// The factor on the estimates of first events here.
+    double slowness() const;
+    void setSlowness(double factor);
+
 private:
     /// Totals over the grants here. They are recomputed on each change, because choices read them far more often than grants change.
     struct Totals {
@@ -99,6 +111,9 @@
     Totals m_totals;
     RateWindow m_coldWindow;
     FailureRecord m_failures;
+    UnknownLoad m_unknownLoad;
+    Lateness m_lateness;
+    double m_slowness = 1;
     bool m_saysLeaving = false;
     std::map<HostId, TimePoint> m_pauses; ///< Until when the upstream wants no request of each host.
 };
--- a/Source/Telemetry/ForwardingMetrics.cpp
+++ b/Source/Telemetry/ForwardingMetrics.cpp
@@ -35,6 +35,9 @@
     , m_activeRequests(registerGauge(*m_registry, "mangofall_active_requests", "Requests of callers in progress on this host."))
     , m_waitingPlacementRequests(
           registerGauge(*m_registry, "mangofall_waiting_demands", "Placement requests from all hosts that wait at this host for an upstream."))
+    , m_unknownRequests(
+          registerGauge(*m_registry, "mangofall_unknown_upstream_requests", "Requests that upstreams run beyond the grants of this host as owner."))
+    , m_slowUpstreams(registerGauge(*m_registry, "mangofall_slow_upstreams", "Upstreams that this host, as owner, takes to be slower than estimated."))
 {
 }
 
@@ -124,4 +127,14 @@
     return m_waitingPlacementRequests;
 }
 
+prometheus::Gauge &ForwardingMetrics::unknownRequests()
+{
+    return m_unknownRequests;
+}
+
+prometheus::Gauge &ForwardingMetrics::slowUpstreams()
+{
+    return m_slowUpstreams;
+}
+
 }
--- a/Source/Telemetry/ForwardingMetrics.h
+++ b/Source/Telemetry/ForwardingMetrics.h
@@ -51,6 +51,10 @@
     prometheus::Gauge &activeRequests();
     /// Placement requests that wait at this host, the owner of their services.
     prometheus::Gauge &waitingPlacementRequests();
+    /// Requests that upstreams run beyond the grants of this host as owner.
+    prometheus::Gauge &unknownRequests();
+    /// Upstreams that this host, as owner, takes to be slower than the others of their service.
+    prometheus::Gauge &slowUpstreams();
 
 private:
     std::shared_ptr<prometheus::Registry> m_registry;
@@ -71,6 +75,8 @@
     prometheus::Gauge &m_upstreams;
     prometheus::Gauge &m_activeRequests;
     prometheus::Gauge &m_waitingPlacementRequests;
+    prometheus::Gauge &m_unknownRequests;
+    prometheus::Gauge &m_slowUpstreams;
 };
 
 }
--- a/Tests/Forwarding/FakePlacement.h
+++ b/Tests/Forwarding/FakePlacement.h
@@ -19,6 +19,7 @@
     std::vector<std::uint16_t> ports;
     std::vector<Placement::GrantOutcome> outcomes;
     std::vector<Placement::UpstreamNotice> notices;
+    std::vector<Placement::ReportedLoad> loads;
     std::vector<UpstreamId> helpersOfFirst; ///< Helpers of the first assignment.
     std::vector<std::uint64_t> helperMemoryOfFirst; ///< Tokens to reserve at them.
     std::vector<UpstreamId> faulty; ///< The helpers that were reported to be at fault.
@@ -63,6 +64,11 @@
         notices.push_back(notice);
     }
 
+    void loadReported(const Placement::PlacementRequestId &, const Placement::ReportedLoad &load) override
+    {
+        loads.push_back(load);
+    }
+
     void ended(const Placement::PlacementRequestId &, Placement::GrantOutcome outcome, const std::optional<UpstreamId> &faultyHelper) override
     {
         outcomes.push_back(outcome);
--- a/Tests/Forwarding/FakeTranslator.h
+++ b/Tests/Forwarding/FakeTranslator.h
@@ -9,7 +9,8 @@
 
 /**
  * \class FakeTranslator
- * \brief A translator for tests that uses the header fields Id, Key, Timeout-Ms, Fail (throws), Signed, Not-Run, Leaving, Pause (seconds), After and Target.
+ * \brief A translator for tests that uses the header fields Id, Key, Timeout-Ms, Fail (throws), Signed, Not-Run, Leaving, Pause (seconds),
+ * Running (of one slot), After and Target.
  */
 class FakeTranslator final : public Forwarding::MessageTranslator
 {
@@ -51,6 +52,9 @@
         answer.provenNotExecuted = !call.header("Not-Run").empty();
         answer.notice.leaving = !call.header("Leaving").empty();
         answer.notice.pause = std::chrono::seconds(call.header("Pause").empty() ? 0 : std::stoi(call.header("Pause")));
+        if (!call.header("Running").empty()) {
+            answer.load = Placement::ReportedLoad{static_cast<std::uint32_t>(std::stoi(call.header("Running"))), 0, 1};
+        }
         answer.fields.emplace_back("Signed", call.header("Signed"));
         return answer;
     }
--- a/Tests/Forwarding/FleetPlacementTest.cpp
+++ b/Tests/Forwarding/FleetPlacementTest.cpp
@@ -173,6 +173,11 @@
         return true;
     }
 
+    const Placement::PlacementRequestId &lastId() const
+    {
+        return m_last;
+    }
+
     std::vector<HostId> hostIds() const
     {
         std::vector<HostId> ids;
@@ -253,6 +258,24 @@
     LONGS_EQUAL(2, granted);
 }
 
+// Guards against a load that is lost on the way from the entry host to the owner.
+TEST(FleetPlacementTest, TheOwnerLearnsTheLoadThatAnUpstreamReportsToAnotherHost)
+{
+    Fleet fleet(3);
+    for (const auto &[id, placement] : fleet.hosts) {
+        placement->setOptions({.reportedLoad = true});
+    }
+    const HostId entryHost = fleet.nonOwner();
+    CHECK(fleet.answerTo(entryHost, {}).has_value());
+    fleet.hosts[entryHost]->loadReported(fleet.lastId(), {3, 0, 1});
+    fleet.hosts[entryHost]->firstEventReceived(fleet.lastId());
+    FleetPlacement &owner = *fleet.hosts[fleet.owner()];
+    fleet.runUntil([&]() {
+        return owner.loadFindings().unknownRequests > 0;
+    });
+    LONGS_EQUAL(2, owner.loadFindings().unknownRequests);
+}
+
 // Guards against requests that wait for an owner that has died, and against a new owner that grants a slot that is in use.
 TEST(FleetPlacementTest, ANewOwnerKnowsTheGrantsInUse)
 {
--- a/Tests/Forwarding/ForwardingSessionTest.cpp
+++ b/Tests/Forwarding/ForwardingSessionTest.cpp
@@ -399,6 +399,16 @@
     }
 }
 
+// Guards against a load that is not passed on, or passed on as that of another upstream.
+TEST(ForwardingSessionTest, TheLoadOfTheAssignedUpstreamIsReported)
+{
+    Host host;
+    host.add(wholeAnswer(200, "Id: 7\r\nSigned: s\r\nRunning: 5\r\n", "hello"));
+    CHECK(contains(host.call("POST", "/order/1"), "hello"));
+    LONGS_EQUAL(1, host.placement.loads.size());
+    LONGS_EQUAL(5, host.placement.loads.front().running);
+}
+
 // Guards against requests within the time for which an upstream that turned one away wants none.
 TEST(ForwardingSessionTest, AnUpstreamThatWantsAPauseIsLeftAlone)
 {
--- a/Tests/PlatformAdapter/PlatformSettingsTest.cpp
+++ b/Tests/PlatformAdapter/PlatformSettingsTest.cpp
@@ -38,6 +38,10 @@
     CHECK(settings->feed.changeLimit == std::chrono::milliseconds(3000));
     LONGS_EQUAL(8, settings->feed.readers.hostsPerReader);
     LONGS_EQUAL(7, settings->feed.readers.minHosts);
+    CHECK_FALSE(settings->placement.reportedLoad);
+    std::string enabled = valid;
+    enabled.replace(enabled.find("\"logLines"), 0, R"("placement": { "reportedLoad": true }, )");
+    CHECK(parseSettings(enabled, problem)->placement.reportedLoad);
 }
 
 // Guards against a host whose feed and placement calls share a port, and against limits that no feed can keep.
--- a/Tests/PlatformAdapter/PlatformTranslatorTest.cpp
+++ b/Tests/PlatformAdapter/PlatformTranslatorTest.cpp
@@ -140,6 +140,18 @@
     STRCMP_EQUAL("10.0.0.2:80/t81,10.0.0.3:81", value(sent, "Helpers").c_str());
 }
 
+// Guards against a load that is read from a header in another form, with its numbers exchanged.
+TEST(PlatformTranslatorTest, AnUpstreamsLoadIsDecoded)
+{
+    const Placement::ReportedLoad load{3, 1, 12};
+    for (const char *text : {"3,1,12", "3 1 12", "running=3, waiting=1, slots=12", "slots=12;running=3;waiting=1", R"({"running":3,"waiting":1,"slots":12})"}) {
+        CHECK_TEXT(decodeLoad(text) == load, text);
+    }
+    for (const char *text : {"", "3,1", "3,1,12,4", "-3,1,12", "3,1,0", "0.3,1,12", "running=3,waiting=1", "3,1,99999999999999999999"}) {
+        CHECK_FALSE_TEXT(decodeLoad(text).has_value(), text);
+    }
+}
+
 // Guards against a notice that is missed, and against a Retry-After that cannot be read, or that belongs to another status, taking an upstream out of use.
 TEST(PlatformTranslatorTest, AnUpstreamsNoticesAreDecoded)
 {
--- a/Utilities/Experiment/PlacementModel.cpp
+++ b/Utilities/Experiment/PlacementModel.cpp
@@ -57,9 +57,9 @@
 
 void PlacementModel::recordFirstEvent(const Placement::PlacementRequestId &id, std::size_t host)
 {
-    m_tables[tableIndex(host)].firstEventReceived(id);
-    runOnOtherTables(host, [id](Placement::PlacementTable &table) {
-        table.firstEventReceived(id);
+    m_tables[tableIndex(host)].firstEventReceived(id, m_events.now());
+    runOnOtherTables(host, [this, id](Placement::PlacementTable &table) {
+        table.firstEventReceived(id, m_events.now());
     });
 }
 
