Merge the load that upstreams report

Cause: an owner knows only its own grants, and an upstream that is overfull or slow gets as many requests as the others.

--- a/Source/Forwarding/FleetPlacement.cpp
+++ b/Source/Forwarding/FleetPlacement.cpp
@@ -81,6 +81,11 @@
     passOverSelf(Clock::now());
 }
 
+void FleetPlacement::setOptions(const Placement::PlacementOptions &options)
+{
+    m_table.setOptions(options);
+}
+
 void FleetPlacement::setServices(const std::vector<Placement::ServiceSpec> &services)
 {
     m_table.setServices(services);
@@ -131,6 +136,11 @@
     return m_table.waiting();
 }
 
+Placement::LoadFindings FleetPlacement::loadFindings() const
+{
+    return m_table.findings(Clock::now());
+}
+
 Placement::PlacementRequestId FleetPlacement::nextId()
 {
     return {m_self, ++m_nextNumber};
@@ -156,14 +166,18 @@
     if (placement == m_localPlacements.end()) {
         return;
     }
+    const TimePoint now = Clock::now();
     placement->second.prefilling = false;
-    m_crashes.answerBegan(placement->second.placementRequest, Clock::now());
+    m_crashes.answerBegan(placement->second.placementRequest, now);
     publishCrashes();
     if (placement->second.owner == m_self) {
-        m_table.firstEventReceived(id);
+        placement->second.load.passTo(m_table, id, now);
+        m_table.firstEventReceived(id, now);
         return;
     }
-    m_peers.sendToMember(placement->second.owner, toPeerMessage(beginReport(id)));
+    Wire::PlacementReportT report = beginReport(id);
+    placement->second.load.addTo(report, now);
+    m_peers.sendToMember(placement->second.owner, toPeerMessage(std::move(report)));
 }
 
 void FleetPlacement::noticeReceived(const Placement::PlacementRequestId &id, const Placement::UpstreamNotice &notice)
@@ -181,6 +195,14 @@
     }
 }
 
+void FleetPlacement::loadReported(const Placement::PlacementRequestId &id, const Placement::ReportedLoad &load)
+{
+    const auto placement = m_localPlacements.find(id.number);
+    if (placement != m_localPlacements.end()) {
+        placement->second.load.received(load, Clock::now());
+    }
+}
+
 void FleetPlacement::ended(const Placement::PlacementRequestId &id, Placement::GrantOutcome outcome, const std::optional<UpstreamId> &faulty)
 {
     const auto placement = m_localPlacements.find(id.number);
@@ -193,15 +215,19 @@
         const LocalPlacement &local = placement->second;
         m_crashes.attemptEnded({local.placementRequest, *local.assignment, local.assignedAt}, outcome, now);
     }
+    PendingLoad load = placement->second.load;
     m_localPlacements.erase(placement);
     m_owned.withdrawn(id);
     // The owner must know of a crash before it decides about the next attempt.
     publishCrashes();
     if (owner == m_self) {
+        load.passTo(m_table, id, now);
         applyActions(m_table.ended(id, outcome, faulty, now));
         return;
     }
-    m_peers.sendToMember(owner, toPeerMessage(endReport(id, outcome, faulty)));
+    Wire::PlacementReportT report = endReport(id, outcome, faulty);
+    load.addTo(report, now);
+    m_peers.sendToMember(owner, toPeerMessage(std::move(report)));
 }
 
 void FleetPlacement::handleMessage(const std::shared_ptr<PeerConnection> &connection, Wire::PeerMessageT &&message)
@@ -481,15 +507,17 @@
 
 void FleetPlacement::onReport(const HostId &from, const Wire::PlacementReportT &report)
 {
+    const TimePoint now = Clock::now();
     const Placement::PlacementRequestId id{from, report.number};
+    passLoad(report, m_table, id, now);
     if (!report.ended) {
-        m_table.firstEventReceived(id);
+        m_table.firstEventReceived(id, now);
         return;
     }
     m_waitingPeerRequests.erase(id);
     m_owned.withdrawn(id);
     const std::optional<UpstreamId> faulty = report.faulty.empty() ? std::nullopt : std::optional<UpstreamId>(UpstreamId(report.faulty));
-    applyActions(m_table.ended(id, outcomeFromWire(report.outcome), faulty, Clock::now()));
+    applyActions(m_table.ended(id, outcomeFromWire(report.outcome), faulty, now));
     publishCrashes();
 }
 
@@ -531,6 +559,7 @@
     applyActions(m_table.tick(now));
     hostsLost(m_peers.expire(now), now);
     serveDeferred(now);
+    m_loadFindingsLog.update(m_table.findings(now), m_log);
     expireOwnerships(now);
     checkOwners(now);
     m_peers.sendProbes(now);
