Accept only complete responses with a final status

Cause: UpstreamCall replaced the error of a failed write by the result of reading the header. The write consumes the error of the socket, so that reading ends as on an orderly close, and a body without a length looked complete. Beast accepts any three digits as a status and takes a 1xx response for the last one.

After a failed write only a response with its own framing is complete. A status outside of 100 to 599 and 101 are malformed; the response after other informational ones is awaited. Connections with bytes behind a response, or behind a response delimited by the end of the connection, are not used again.

--- a/Source/Forwarding/ForwardingSession.cpp
+++ b/Source/Forwarding/ForwardingSession.cpp
@@ -76,14 +76,6 @@
     return attempt;
 }
 
-// Whether the bytes that arrived are no HTTP message, rather than a part of one.
-bool isParseError(const boost::system::error_code &error)
-{
-    namespace BeastHttp = boost::beast::http;
-    const bool ended = error == BeastHttp::error::end_of_stream || error == BeastHttp::error::partial_message;
-    return !ended && error.category() == make_error_code(BeastHttp::error::end_of_stream).category();
-}
-
 std::string milliseconds(Duration duration)
 {
     return std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(duration).count());
@@ -637,7 +629,7 @@
     if (m_retryCharged || error == boost::beast::error::timeout) {
         return failedAttempt(AttemptOutcome::MayHaveRun, GrantOutcome::Silent, "silent");
     }
-    return failedAttempt(AttemptOutcome::MayHaveRun, isParseError(error) ? GrantOutcome::Malformed : GrantOutcome::Broken, error.message());
+    return failedAttempt(AttemptOutcome::MayHaveRun, isMalformedResponse(error) ? GrantOutcome::Malformed : GrantOutcome::Broken, error.message());
 }
 
 Duration ForwardingSession::answerTimeout(const Assignment &assignment, TimePoint now) const
--- a/Source/Http/UpstreamCall.cpp
+++ b/Source/Http/UpstreamCall.cpp
@@ -32,7 +32,7 @@
 
 UpstreamCall::~UpstreamCall()
 {
-    if (m_stream && m_parser && m_parser->is_done() && m_parser->keep_alive() && !m_cancelled) {
+    if (canReuseConnection()) {
         m_pool->release(std::move(m_stream));
     }
 }
@@ -61,12 +61,32 @@
     // Even a failed write may have sent some bytes.
     m_anyBytesSent = true;
     error = std::get<0>(co_await BeastHttp::async_write(*m_stream, request, awaitTuple));
-    if (error && m_cancelled) {
+    if (error && (m_cancelled || error == boost::beast::error::timeout)) {
         co_return error;
     }
-    m_parser = std::make_unique<Parser>();
-    m_parser->body_limit(std::numeric_limits<std::uint64_t>::max());
-    co_return std::get<0>(co_await BeastHttp::async_read_header(*m_stream, m_buffer, *m_parser, awaitTuple));
+    if (error) {
+        m_completeness.requestWriteFailed();
+    }
+    const boost::system::error_code readError = co_await readFinalHeader();
+    // Without a response, the failed write is the cause; reading reports only an end.
+    co_return readError == BeastHttp::error::end_of_stream &&error ? error : readError;
+}
+
+Asio::awaitable<boost::system::error_code> UpstreamCall::readFinalHeader()
+{
+    while (!m_completeness.hasFinalHeader()) {
+        m_parser = std::make_unique<Parser>();
+        m_parser->body_limit(std::numeric_limits<std::uint64_t>::max());
+        const auto [readError, bytes] = co_await BeastHttp::async_read_header(*m_stream, m_buffer, *m_parser, awaitTuple);
+        if (readError) {
+            co_return readError;
+        }
+        const boost::system::error_code malformed = m_completeness.headerReceived(m_parser->get().result_int(), m_parser->need_eof());
+        if (malformed) {
+            co_return malformed;
+        }
+    }
+    co_return boost::system::error_code();
 }
 
 Asio::awaitable<boost::system::error_code> UpstreamCall::read(std::string &bodyPart)
@@ -84,7 +104,7 @@
         }
         bodyPart.append(data.data(), data.size() - body.size);
     }
-    co_return boost::system::error_code();
+    co_return bodyPart.empty() ? m_completeness.bodyEnded() : boost::system::error_code();
 }
 
 Asio::awaitable<boost::system::error_code> UpstreamCall::readAll(std::string &body, std::size_t limitBytes)
@@ -132,6 +152,12 @@
     return m_connectFailed;
 }
 
+// Bytes behind the response belong to no request, so that the next response on the connection could be theirs.
+bool UpstreamCall::canReuseConnection() const
+{
+    return m_completeness.allowsReuse() && m_parser->keep_alive() && m_buffer.size() == 0 && !m_cancelled;
+}
+
 void UpstreamCall::cancel()
 {
     m_cancelled = true;
--- a/Source/Http/UpstreamCall.h
+++ b/Source/Http/UpstreamCall.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "Base/Time.h"
+#include "Http/ResponseCompleteness.h"
 
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/io_context.hpp>
@@ -23,8 +24,8 @@
  * \brief One HTTP call to an upstream; the body of the response is read incrementally.
  *
  * The call ends at its deadline, whatever has arrived by then. What arrives outside of the body (status line, header, chunk sizes, trailers) is limited in
- * size, so that an upstream that never completes it cannot fill the memory. After a failure, anyBytesSent() tells whether the upstream may have received any
- * byte of the request.
+ * size, so that an upstream that never completes it cannot fill the memory. ResponseCompleteness decides what is a complete response. After a failure,
+ * anyBytesSent() tells whether the upstream may have received any byte of the request.
  */
 class UpstreamCall
 {
@@ -41,11 +42,11 @@
     /// Makes the call fail within seconds if the upstream's machine or the way to it is gone, instead of at the deadline. Takes effect at start().
     void detectUnreachableUpstream();
 
-    /// Connects or reuses an idle connection, writes \p request and reads the response header. Sets the Host field if \p request has none. A response
-    /// that arrives before the whole request is written is accepted, too.
+    /// Connects or reuses an idle connection, writes \p request and reads the header of the final response. Sets the Host field if \p request has none. A
+    /// response that arrives before the whole request is written is accepted, too.
     boost::asio::awaitable<boost::system::error_code> start(Request request);
 
-    /// Reads the next part of the body into \p bodyPart; an empty \p bodyPart without error means that the body is complete.
+    /// Reads the next part of the body into \p bodyPart; an empty \p bodyPart without error means that the response is complete.
     boost::asio::awaitable<boost::system::error_code> read(std::string &bodyPart);
 
     /// Appends the whole body to \p body; fails with body_limit if the body with its framing exceeds \p limitBytes.
@@ -75,12 +76,16 @@
 private:
     using Parser = boost::beast::http::response_parser<boost::beast::http::buffer_body>;
 
+    boost::asio::awaitable<boost::system::error_code> readFinalHeader();
+    bool canReuseConnection() const;
+
     std::shared_ptr<UpstreamConnectionPool> m_pool;
     TimePoint m_deadline;
     std::shared_ptr<boost::beast::tcp_stream> m_stream;
     boost::beast::flat_buffer m_buffer{maxFramingBytes};
     std::size_t m_receivedBytes = 0;
     std::unique_ptr<Parser> m_parser;
+    ResponseCompleteness m_completeness;
     bool m_detectsUnreachable = false;
     bool m_anyBytesSent = false;
     bool m_connectFailed = false;
--- a/Source/Store/HttpConnectionPool.cpp
+++ b/Source/Store/HttpConnectionPool.cpp
@@ -1,5 +1,7 @@
 #include "Store/HttpConnectionPool.h"
 
+#include "Http/ResponseCompleteness.h"
+
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
@@ -55,6 +57,34 @@
     co_return stream;
 }
 
+asio::awaitable<HttpConnectionPool::ReadResult> HttpConnectionPool::readResponse(Stream &stream, Limit limit)
+{
+    ReadResult result;
+    beast::flat_buffer buffer(maxFramingBytes);
+    ResponseCompleteness completeness;
+    std::optional<http::response_parser<http::string_body>> parser;
+    while (!completeness.hasFinalHeader()) {
+        parser.emplace();
+        parser->body_limit(maxAnswerBytes);
+        while (!result.error && !parser->is_done()) {
+            stream.expires_at(limit.next());
+            co_await http::async_read_some(stream, buffer, *parser, asio::redirect_error(asio::use_awaitable, result.error));
+        }
+        if (!result.error) {
+            result.error = completeness.headerReceived(parser->get().result_int(), parser->need_eof());
+        }
+        if (result.error) {
+            co_return result;
+        }
+    }
+    result.error = completeness.bodyEnded();
+    if (!result.error) {
+        result.allowsReuse = completeness.allowsReuse() && parser->keep_alive() && buffer.size() == 0;
+        result.response = parser->release();
+    }
+    co_return result;
+}
+
 asio::awaitable<HttpCallResult> HttpConnectionPool::exchange(std::unique_ptr<Stream> stream, Request &request, Limit limit)
 {
     HttpCallResult result;
@@ -62,21 +92,18 @@
     boost::system::error_code error;
     stream->expires_at(limit.next());
     co_await http::async_write(*stream, request, asio::redirect_error(asio::use_awaitable, error));
-    beast::flat_buffer buffer(maxFramingBytes);
-    http::response_parser<http::string_body> parser;
-    parser.body_limit(maxAnswerBytes);
-    while (!error && !parser.is_done()) {
-        stream->expires_at(limit.next());
-        co_await http::async_read_some(*stream, buffer, parser, asio::redirect_error(asio::use_awaitable, error));
+    // Nothing is read after a failed write: a call to the store is small, so that the connection was lost before the call arrived.
+    ReadResult read;
+    if (error) {
+        read.error = error;
+    } else {
+        read = co_await readResponse(*stream, limit);
     }
-    if (error == beast::error::timeout) {
+    if (read.error == beast::error::timeout) {
         m_idleConnections.clear();
     }
-    if (error) {
-        co_return result;
-    }
-    result.response = parser.release();
-    if (result.response->keep_alive() && m_idleConnections.size() < maxIdleConnections) {
+    result.response = std::move(read.response);
+    if (read.allowsReuse && m_idleConnections.size() < maxIdleConnections) {
         stream->expires_never();
         m_idleConnections.push_back(std::move(stream));
     }
--- a/Source/Store/HttpConnectionPool.h
+++ b/Source/Store/HttpConnectionPool.h
@@ -11,6 +11,7 @@
 #include <boost/beast/http/string_body.hpp>
 
 #include <memory>
+#include <optional>
 #include <vector>
 
 namespace Mangofall {
@@ -19,7 +20,8 @@
  * \class HttpConnectionPool
  * \brief Makes HTTP calls to one server over reused connections. Not thread-safe: only one thread may run the io_context.
  *
- * A timeout closes the idle connections too, because existing connections can stall permanently while new ones work.
+ * ResponseCompleteness decides what is a complete response; a call whose request cannot be written to its end has none. A timeout closes the idle connections
+ * too, because existing connections can stall permanently while new ones work.
  */
 class HttpConnectionPool
 {
@@ -42,6 +44,7 @@
 
 private:
     using Stream = boost::beast::tcp_stream;
+    using Response = boost::beast::http::response<boost::beast::http::string_body>;
 
     /// When a call ends, whether it has got a response or not.
     struct Limit {
@@ -52,7 +55,15 @@
         TimePoint next() const;
     };
 
+    /// What was read after a request.
+    struct ReadResult {
+        boost::system::error_code error;
+        std::optional<Response> response; ///< Set if there was no error.
+        bool allowsReuse = false;
+    };
+
     boost::asio::awaitable<std::unique_ptr<Stream>> connect(Limit limit);
+    static boost::asio::awaitable<ReadResult> readResponse(Stream &stream, Limit limit);
     boost::asio::awaitable<HttpCallResult> exchange(std::unique_ptr<Stream> stream, Request &request, Limit limit);
 
     boost::asio::io_context &m_context;
--- a/Tests/Forwarding/ForwardingHost.h
+++ b/Tests/Forwarding/ForwardingHost.h
@@ -64,6 +64,9 @@
     return std::make_shared<const RouteTable>(configuration);
 }
 
+// Large enough for requests that do not fit into the buffers of a connection.
+constexpr std::size_t maxRequestBytes = 32'000'000;
+
 // A host that serves callers on loopback, with a caller that sends one request and reads until the connection closes.
 struct Host {
     AnswerMemory answerMemory; ///< Before io, because requests in progress end with it.
@@ -78,7 +81,7 @@
     RetryBudgets budgets{1};
     ForwardingContext context{io, translator, placement, engineMemory, directory, budgets, answerMemory, log, metrics};
     Forwarder forwarder{context};
-    HttpListener listener{io, forwarder, 1'000'000};
+    HttpListener listener{io, forwarder, maxRequestBytes};
     std::vector<std::unique_ptr<ScriptedUpstream>> upstreams;
 
     Host()
@@ -95,10 +98,11 @@
         return *upstreams.back();
     }
 
-    std::string call(const std::string &method, const std::string &path, const std::string &fields = std::string())
+    std::string call(const std::string &method, const std::string &path, const std::string &fields = std::string(), const std::string &body = std::string())
     {
         std::string answer;
-        const std::string request = method + " " + path + " HTTP/1.1\r\nHost: x\r\nId: 7\r\nConnection: close\r\n" + fields + "Content-Length: 0\r\n\r\n";
+        const std::string length = "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n";
+        const std::string request = method + " " + path + " HTTP/1.1\r\nHost: x\r\nId: 7\r\nConnection: close\r\n" + fields + length + body;
         boost::asio::co_spawn(io, exchange(request, answer), [this](const std::exception_ptr &) {
             io.stop();
         });
--- a/Tests/Forwarding/ScriptedUpstream.h
+++ b/Tests/Forwarding/ScriptedUpstream.h
@@ -38,6 +38,7 @@
     std::string block; ///< Sent again and again after the scripted part, with the pause in between, until the host closes or `blockLimit` is reached.
     std::size_t blockLimit = 0;
     std::size_t blocksSent = 0;
+    bool resets = false; ///< Ends each connection with a reset instead of an orderly close.
 
     std::uint16_t port() const
     {
@@ -85,6 +86,11 @@
             co_await boost::asio::async_write(socket, boost::asio::buffer(rest), boost::asio::as_tuple(boost::asio::use_awaitable));
         }
         boost::system::error_code ignored;
+        if (resets) {
+            socket.set_option(boost::asio::socket_base::linger(true, 0), ignored);
+            socket.close(ignored);
+            co_return;
+        }
         socket.shutdown(boost::asio::ip::tcp::socket::shutdown_both, ignored);
     }
 
--- a/Tests/PlatformAdapter/EngineMemoryClientTest.cpp
+++ b/Tests/PlatformAdapter/EngineMemoryClientTest.cpp
@@ -78,4 +78,10 @@
     CHECK(answerTo("HTTP/1.1 404 X\r\nContent-Length: 0\r\n\r\n", true) == EngineMemoryAnswer::Done);
     CHECK(answerTo("HTTP/1.1 503 X\r\nContent-Length: 0\r\n\r\n", true) == EngineMemoryAnswer::Refused);
     CHECK(answerTo("", false) == EngineMemoryAnswer::None);
+    CHECK(answerTo(std::string("HTTP/1.1 100 Continue\r\n\r\n") + emptyAnswer, false) == EngineMemoryAnswer::Done);
+    for (const char *status : {"000", "099", "600", "101", "103"}) {
+        const std::string odd = "HTTP/1.1 " + std::string(status) + " X\r\nContent-Length: 0\r\n\r\n";
+        CHECK_TEXT(answerTo(odd, false) == EngineMemoryAnswer::None, status);
+        CHECK_TEXT(answerTo(odd, true) == EngineMemoryAnswer::None, status);
+    }
 }
