Follow the store's era: a restored store replaces the view of the old one

Cause: the view ignored whatever was not newer than the known revision, and nothing read the header Store-Era. After a restore from a copy all later writes with smaller revisions were ignored, and hosts kept leases whose numbers may belong to other hosts. Change: StoreClient reads the era of every answer; feed calls and answers carry it. An answer of an older era is a failure of its source, one of a newer era makes the host read all keys into a new view, which replaces the old one when it is complete. KeyRestorePolicy decides which items are held, for 10 s at most. Leases are used only in their era; entries and suspects are written again, spread below a quarter of storeWritesPerSecond (new, optional). Log lines and metrics of the era.

--- a/Source/Feed/FeedAnswer.h
+++ b/Source/Feed/FeedAnswer.h
@@ -17,6 +17,7 @@
     std::string afterKey;
     std::uint64_t afterRevision = 0;
     TimePoint deadline; ///< The caller gets an answer at this time, even if nothing has changed.
+    std::uint64_t era = 0; ///< The newest era that the caller knows; 0 if it knows none.
 };
 
 /// The answer to \p request at \p now; empty if the caller is to wait.
--- a/Source/Feed/FeedClient.cpp
+++ b/Source/Feed/FeedClient.cpp
@@ -67,20 +67,22 @@
     return *this;
 }
 
-Asio::awaitable<ItemPage> FeedClient::readPage(std::string after)
+Asio::awaitable<ItemPage> FeedClient::readPage(std::uint64_t era, std::string after)
 {
     Wire::FeedCallT request;
     request.kind = Wire::FeedCallKind::Page;
+    request.era = era;
     request.after_key = std::move(after);
     request.wait_ms = static_cast<std::uint32_t>(pageWait.count());
     ItemPage page = co_await call(std::move(request), pageWait + pageTimeoutMargin);
     co_return page;
 }
 
-Asio::awaitable<ItemPage> FeedClient::watch(std::uint64_t revision, std::chrono::milliseconds wait)
+Asio::awaitable<ItemPage> FeedClient::watch(std::uint64_t era, std::uint64_t revision, std::chrono::milliseconds wait)
 {
     Wire::FeedCallT request;
     request.kind = Wire::FeedCallKind::Changes;
+    request.era = era;
     request.after_revision = revision;
     request.wait_ms = static_cast<std::uint32_t>(wait.count());
     ItemPage page = co_await call(std::move(request), wait + watchTimeoutMargin);
--- a/Source/Feed/FeedClient.h
+++ b/Source/Feed/FeedClient.h
@@ -43,8 +43,8 @@
     void closeLink();
 
     ItemSource &peer(const HostId &host) override;
-    boost::asio::awaitable<ItemPage> readPage(std::string after) override;
-    boost::asio::awaitable<ItemPage> watch(std::uint64_t revision, std::chrono::milliseconds wait) override;
+    boost::asio::awaitable<ItemPage> readPage(std::uint64_t era, std::string after) override;
+    boost::asio::awaitable<ItemPage> watch(std::uint64_t era, std::uint64_t revision, std::chrono::milliseconds wait) override;
 
     void handleMessage(const std::shared_ptr<PeerConnection> &connection, Wire::PeerMessageT &&message) override;
     void handleClosed(const std::shared_ptr<PeerConnection> &connection) override;
--- a/Source/Feed/FeedServer.cpp
+++ b/Source/Feed/FeedServer.cpp
@@ -92,7 +92,7 @@
     }
     const TimePoint now = Clock::now();
     const Duration wait = std::min<Duration>(maxWait, std::chrono::milliseconds(call->wait_ms));
-    known->second = WaitingCall{call->call, {call->kind == Wire::FeedCallKind::Page, call->after_key, call->after_revision, now + wait}};
+    known->second = WaitingCall{call->call, {call->kind == Wire::FeedCallKind::Page, call->after_key, call->after_revision, now + wait, call->era}};
     answerWaiting(now);
 }
 
--- a/Source/Feed/MirrorState.cpp
+++ b/Source/Feed/MirrorState.cpp
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <exception>
+#include <utility>
 
 namespace Mangofall::Feed {
 
@@ -26,6 +27,8 @@
 constexpr std::chrono::milliseconds listRetryInterval{150};
 // If another host has read the store within this time, a failed call means that this host is cut off, not that the store is down.
 constexpr std::chrono::milliseconds storeAnswersOthersTime{1500};
+// Bounds the lines that one answer adds to the log; store_era_read has the numbers.
+constexpr std::size_t maxLoggedItems = 20;
 
 std::string describe(const SourceId &source)
 {
@@ -39,11 +42,12 @@
 
 }
 
-MirrorState::MirrorState(SourceSelector &selector, WatchWaits waits, StoreObserver &observer, EventLog &log, TimePoint now)
+MirrorState::MirrorState(SourceSelector &selector, WatchWaits waits, StoreObserver &observer, const RestorePolicy &policy, EventLog &log, TimePoint now)
     : m_selector(selector)
     , m_waits(waits)
     , m_observer(observer)
     , m_log(log)
+    , m_transition(policy)
     , m_nextStoreCall(now)
     , m_nextListing(now)
 {
@@ -70,6 +74,7 @@
     call.source = choice.source;
     call.at = choice.source.isStore() ? std::max(choice.at, m_nextStoreCall) : choice.at;
     call.page = m_read.has_value();
+    call.era = m_era;
     if (m_read) {
         call.afterKey = m_read->after;
     } else {
@@ -81,6 +86,9 @@
 
 void MirrorState::handleAnswer(const MirrorCall &call, const ItemPage &page, TimePoint now)
 {
+    if (!checkEra(call, page, now)) {
+        return;
+    }
     switch (page.status) {
     case SourceStatus::Failed:
         handleFailure(call.source, now);
@@ -102,6 +110,34 @@
     }
 }
 
+void MirrorState::eraSeen(std::uint64_t era, const SourceId &source, TimePoint now)
+{
+    if (era <= m_era) {
+        return;
+    }
+    const std::uint64_t former = std::exchange(m_era, era);
+    if (former != 0) {
+        m_eraChangedAt = now;
+        m_log.write("store_era_changed", {{"from", std::to_string(former)}, {"to", std::to_string(era)}, {"source", describe(source)}});
+    }
+    if (m_transition.hasTold()) {
+        m_replacement.emplace();
+    } else {
+        m_view = StoreView();
+    }
+    startRead(now);
+    m_observer.storeEraChanged(former, era);
+}
+
+void MirrorState::expireHeldItems(TimePoint now)
+{
+    const EraChanges changes = m_transition.expire(now);
+    deliver(changes);
+    if (!changes.reported.empty()) {
+        m_observer.changeBatchCompleted();
+    }
+}
+
 bool MirrorState::synchronised() const
 {
     return m_synchronisedAt.has_value();
@@ -122,6 +158,26 @@
     return m_storeFailedAt ? std::optional<Duration>(now - *m_storeFailedAt) : std::nullopt;
 }
 
+std::uint64_t MirrorState::era() const
+{
+    return m_era;
+}
+
+std::optional<Duration> MirrorState::eraAge(TimePoint now) const
+{
+    return m_eraChangedAt ? std::optional<Duration>(now - *m_eraChangedAt) : std::nullopt;
+}
+
+bool MirrorState::readsNewEra() const
+{
+    return m_replacement.has_value();
+}
+
+std::size_t MirrorState::heldItems() const
+{
+    return m_transition.held();
+}
+
 bool MirrorState::followsPeer() const
 {
     return !m_source.isStore();
@@ -138,12 +194,29 @@
     return m_selector.role() == FeedRole::Reader ? m_waits.reader : m_waits.independent;
 }
 
+// Refusals and failures count whatever their era is; keys and history are of use only in the newest era, and only if the call was made in it.
+bool MirrorState::checkEra(const MirrorCall &call, const ItemPage &page, TimePoint now)
+{
+    const bool hasContent = page.status == SourceStatus::Ok || page.status == SourceStatus::HistoryGone;
+    // The store's answers to this host without the header give no information, but the view of a peer that knows no era may be one of an older era.
+    const bool unknownAtPeer = page.era == 0 && m_era != 0 && hasContent && !call.source.isStore();
+    if (unknownAtPeer || (page.era != 0 && page.era < m_era)) {
+        m_log.write("feed_source_behind", {{"source", describe(call.source)}, {"era", std::to_string(page.era)}, {"known", std::to_string(m_era)}});
+        handleFailure(call.source, now);
+        return false;
+    }
+    eraSeen(page.era, call.source, now);
+    const bool beginsRead = call.page && call.afterKey.empty() && page.status == SourceStatus::Ok;
+    return !hasContent || call.era == m_era || beginsRead;
+}
+
 void MirrorState::handlePage(const ItemPage &page, TimePoint now)
 {
     for (const StoreItem &item : page.items) {
         m_read->present.insert(item.key);
-        applyItem(item);
+        applyItem(item, now);
     }
+    m_read->firstRevision = m_read->after.empty() ? page.revision : m_read->firstRevision;
     m_read->revision = m_read->revision == 0 ? page.revision : std::min(m_read->revision, page.revision);
     const bool complete = !page.more || page.items.empty() || page.items.back().key == m_read->after;
     if (complete) {
@@ -156,7 +229,7 @@
 void MirrorState::handleChanges(const SourceId &source, const ItemPage &page, TimePoint now)
 {
     for (const StoreItem &item : page.items) {
-        applyItem(item);
+        applyItem(item, now);
     }
     m_view.setRevision(page.revision);
     if (page.items.empty()) {
@@ -170,10 +243,13 @@
 
 void MirrorState::completeRead(TimePoint now)
 {
-    for (const StoreItem &item : m_view.removeMissing(m_read->present, m_read->revision)) {
-        notify(item);
+    for (const StoreItem &item : target().removeMissing(m_read->present, m_read->revision)) {
+        deliver(m_transition.changed(item, now));
+    }
+    target().setRevision(m_read->revision);
+    if (m_replacement) {
+        replaceView(now);
     }
-    m_view.setRevision(m_read->revision);
     m_log.write("store_read",
                 {{"source", describe(m_source)},
                  {"keys", std::to_string(m_view.size())},
@@ -184,6 +260,16 @@
     m_observer.changeBatchCompleted();
 }
 
+void MirrorState::replaceView(TimePoint now)
+{
+    m_view = std::move(*m_replacement);
+    m_replacement.reset();
+    const EraChanges changes = m_transition.restored({m_view.items(), m_read->firstRevision, m_read->revision}, now);
+    m_log.write("store_era_read",
+                {{"era", std::to_string(m_era)}, {"applied", std::to_string(changes.reported.size())}, {"held", std::to_string(m_transition.held())}});
+    deliver(changes);
+}
+
 void MirrorState::handleFailure(const SourceId &source, TimePoint now)
 {
     m_selector.failed(source, now);
@@ -256,13 +342,37 @@
     return followsPeer() && m_currentAt && now < *m_currentAt + storeAnswersOthersTime;
 }
 
-void MirrorState::applyItem(const StoreItem &item)
+StoreView &MirrorState::target()
 {
-    if (m_view.apply(item)) {
+    return m_replacement ? *m_replacement : m_view;
+}
+
+void MirrorState::applyItem(const StoreItem &item, TimePoint now)
+{
+    if (target().apply(item) && !m_replacement) {
+        deliver(m_transition.changed(item, now));
+    }
+}
+
+void MirrorState::deliver(const EraChanges &changes)
+{
+    logHeld(changes);
+    for (const StoreItem &item : changes.reported) {
         notify(item);
     }
 }
 
+void MirrorState::logHeld(const EraChanges &changes)
+{
+    for (std::size_t index = 0; index < std::min(maxLoggedItems, changes.held.size()); ++index) {
+        m_log.write("store_item_held", {{"key", changes.held[index]}, {"era", std::to_string(m_era)}});
+    }
+    for (std::size_t index = 0; index < std::min(maxLoggedItems, changes.released.size()); ++index) {
+        const ReleasedItem &item = changes.released[index];
+        m_log.write("store_item_released", {{"key", item.key}, {"cause", name(item.cause)}, {"era", std::to_string(m_era)}});
+    }
+}
+
 void MirrorState::notify(const StoreItem &item)
 {
     try {
--- a/Source/Feed/MirrorState.h
+++ b/Source/Feed/MirrorState.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "Base/Time.h"
+#include "Feed/EraTransition.h"
 #include "Feed/SourceSelector.h"
 #include "Feed/StoreView.h"
 
@@ -16,6 +17,7 @@
 
 namespace Mangofall::Feed {
 
+class RestorePolicy;
 class StoreObserver;
 
 /// Times for which one call waits for changes. A silent connection is detected after about this time.
@@ -30,6 +32,7 @@
     SourceId source;
     TimePoint at;
     bool page = false; ///< Whether a page of keys is read; otherwise the call waits for changes.
+    std::uint64_t era = 0; ///< The newest era that is known.
     std::string afterKey; ///< For a page: it begins after this key.
     std::uint64_t afterRevision = 0; ///< For changes: they begin after this revision.
     std::chrono::milliseconds wait{0}; ///< For changes: the longest time to wait.
@@ -41,12 +44,15 @@
  *
  * All keys are read first, and read again when the sources no longer keep the history that watching needs. Reading goes on where it stopped after a failed
  * call, also from another source.
+ *
+ * An answer of a newer era means that the store was restored from a copy: all keys are read into a new view, which replaces the view of the old era when it is
+ * complete. An answer of an older era counts as a failure of its source.
  */
 class MirrorState
 {
 public:
     /// All arguments must outlive the state.
-    MirrorState(SourceSelector &selector, WatchWaits waits, StoreObserver &observer, EventLog &log, TimePoint now);
+    MirrorState(SourceSelector &selector, WatchWaits waits, StoreObserver &observer, const RestorePolicy &policy, EventLog &log, TimePoint now);
 
     /// Whether the hosts are to be listed before the next call, so that the selector knows the peers.
     bool listingDue(TimePoint now) const;
@@ -54,6 +60,10 @@
 
     MirrorCall next(TimePoint now) const;
     void handleAnswer(const MirrorCall &call, const ItemPage &page, TimePoint now);
+    /// Records that \p source has answered in \p era.
+    void eraSeen(std::uint64_t era, const SourceId &source, TimePoint now);
+    /// Reports the items of the store that were held back since a restore, if they were held for long enough.
+    void expireHeldItems(TimePoint now);
 
     /// Whether all keys have been read at least once.
     bool synchronised() const;
@@ -62,6 +72,14 @@
     std::optional<Duration> age(TimePoint now) const;
     /// Time since the last failure of the store, here or at a host that this one reads from; empty if there was none or the store has answered others since.
     std::optional<Duration> failureAge(TimePoint now) const;
+    /// The newest era that is known; 0 if none is.
+    std::uint64_t era() const;
+    /// Time since the era changed; empty if it did not since the start of the process.
+    std::optional<Duration> eraAge(TimePoint now) const;
+    /// Whether the view is of an older era than era(), because the keys of the newer one are still being read.
+    bool readsNewEra() const;
+    /// The number of keys of which the observer knows another item than the store holds.
+    std::size_t heldItems() const;
     /// Whether the last answer came from a peer.
     bool followsPeer() const;
 
@@ -71,10 +89,13 @@
         TimePoint startedAt;
         std::string after; ///< The next page begins after this key.
         std::uint64_t revision = 0; ///< Smallest revision of the pages.
+        std::uint64_t firstRevision = 0; ///< Revision of the first page.
         std::set<std::string> present; ///< The keys that were read.
     };
 
     std::chrono::milliseconds watchWait(const SourceChoice &choice) const;
+    /// Whether the content of an answer may be used, as far as its era tells.
+    bool checkEra(const MirrorCall &call, const ItemPage &page, TimePoint now);
     void handlePage(const ItemPage &page, TimePoint now);
     void handleChanges(const SourceId &source, const ItemPage &page, TimePoint now);
     void handleFailure(const SourceId &source, TimePoint now);
@@ -85,7 +106,13 @@
     void recordFailuresOfPeer(const ItemPage &page, TimePoint now);
     /// Whether another host has read the store a short time ago.
     bool storeAnswersOthers(TimePoint now) const;
-    void applyItem(const StoreItem &item);
+    /// The view that is being read, or is kept up to date.
+    StoreView &target();
+    /// Puts the view of the new era in force.
+    void replaceView(TimePoint now);
+    void applyItem(const StoreItem &item, TimePoint now);
+    void deliver(const EraChanges &changes);
+    void logHeld(const EraChanges &changes);
     /// Tells the observer of a change. An item that it cannot handle must not keep it from the others.
     void notify(const StoreItem &item);
     Duration batchDelay(TimePoint now) const;
@@ -94,7 +121,11 @@
     WatchWaits m_waits;
     StoreObserver &m_observer;
     EventLog &m_log;
+    EraTransition m_transition;
     StoreView m_view;
+    std::optional<StoreView> m_replacement; ///< The view of a newer era while its keys are being read.
+    std::uint64_t m_era = 0; ///< The newest era that is known.
+    std::optional<TimePoint> m_eraChangedAt;
     std::optional<FullRead> m_read; ///< Set while all keys are being read.
     SourceId m_source; ///< The source of the last answer.
     bool m_storeFailing = false; ///< Whether the last call to the store failed.
--- a/Source/Feed/StoreFeed.cpp
+++ b/Source/Feed/StoreFeed.cpp
@@ -35,7 +35,7 @@
     , m_log(log)
     , m_selector(settings.self, settings.readers, settings.maxAge, RandomEngine(std::random_device{}()))
     , m_client(io, settings.self, settings.dataCentre, log, byteCounter)
-    , m_state(m_selector, settings.waits, adapter.observer, log, std::chrono::steady_clock::now())
+    , m_state(m_selector, settings.waits, adapter.observer, adapter.restorePolicy, log, std::chrono::steady_clock::now())
     , m_mirror(io, {adapter.store, m_client, adapter.lister}, m_state, log)
     , m_server(io, m_state, log, byteCounter)
 {
@@ -66,6 +66,16 @@
     m_server.viewChanged();
 }
 
+void StoreFeed::eraSeen(std::uint64_t era)
+{
+    m_state.eraSeen(era, SourceId(), std::chrono::steady_clock::now());
+}
+
+void StoreFeed::expireHeldItems()
+{
+    m_state.expireHeldItems(std::chrono::steady_clock::now());
+}
+
 void StoreFeed::closeLink()
 {
     m_client.closeLink();
--- a/Source/Feed/StoreFeed.h
+++ b/Source/Feed/StoreFeed.h
@@ -41,6 +41,7 @@
         ItemSource &store;
         HostLister &lister;
         StoreObserver &observer;
+        const RestorePolicy &restorePolicy;
     };
 
     /// All arguments must outlive the feed.
@@ -53,6 +54,10 @@
     void setHosts(const std::vector<FeedHost> &hosts);
     /// Tells the hosts that wait for changes that the view has changed.
     void viewChanged();
+    /// Records that a call to the store was answered in \p era.
+    void eraSeen(std::uint64_t era);
+    /// Releases items that were held for long enough; to be called several times a second.
+    void expireHeldItems();
     /// Closes the connection to the followed host.
     void closeLink();
 
--- a/Source/Feed/StoreMirror.cpp
+++ b/Source/Feed/StoreMirror.cpp
@@ -72,9 +72,9 @@
     ItemSource &source = call.source.isStore() ? m_sources.store : m_sources.peers.peer(call.source.host);
     ItemPage page;
     if (call.page) {
-        page = co_await source.readPage(call.afterKey);
+        page = co_await source.readPage(call.era, call.afterKey);
     } else {
-        page = co_await source.watch(call.afterRevision, call.wait);
+        page = co_await source.watch(call.era, call.afterRevision, call.wait);
     }
     co_return page;
 }
--- a/Source/Feed/StoreView.cpp
+++ b/Source/Feed/StoreView.cpp
@@ -59,6 +59,11 @@
     return m_revision > 0 && (m_keysByRevision.empty() || m_keysByRevision.rbegin()->first <= m_revision);
 }
 
+const std::map<std::string, StoreItem> &StoreView::items() const
+{
+    return m_items;
+}
+
 std::size_t StoreView::size() const
 {
     return m_present;
--- a/Source/Feed/StoreView.h
+++ b/Source/Feed/StoreView.h
@@ -17,7 +17,8 @@
  * \class StoreView
  * \brief What a host knows of the store's keys: the newest known item of each key, and the changes that it can pass on to other hosts.
  *
- * The view of a key never goes back to an older revision, whichever sources its items come from.
+ * The view of a key never goes back to an older revision, whichever sources its items come from. All items must be of one era of the store, since revisions
+ * are reused after a restore.
  */
 class StoreView
 {
@@ -34,6 +35,8 @@
     std::uint64_t revision() const;
     /// Whether all keys have been read, and no item is newer than revision().
     bool consistent() const;
+    /// Present keys and those that were removed recently.
+    const std::map<std::string, StoreItem> &items() const;
     /// The number of present keys.
     std::size_t size() const;
 
--- a/Source/Feed/WireFeed.cpp
+++ b/Source/Feed/WireFeed.cpp
@@ -58,6 +58,7 @@
         entry->removed = item.removed;
         answer.items.push_back(std::move(entry));
     }
+    answer.era = page.era;
     answer.revision = page.revision;
     answer.more = page.more;
     answer.age_ms = wireMilliseconds(page.age);
@@ -74,6 +75,7 @@
     }
     ItemPage page;
     page.status = *status;
+    page.era = answer.era;
     page.revision = answer.revision;
     page.more = answer.more;
     page.age = std::chrono::milliseconds(answer.age_ms);
--- a/Source/Peer/PeerMessages_generated.h
+++ b/Source/Peer/PeerMessages_generated.h
@@ -5832,6 +5832,7 @@
   std::string after_key{};
   uint64_t after_revision = 0;
   uint32_t wait_ms = 0;
+  uint64_t era = 0;
 };
 
 /// Reads keys of the store from another host's view.
@@ -5843,7 +5844,8 @@
     VT_KIND = 6,
     VT_AFTER_KEY = 8,
     VT_AFTER_REVISION = 10,
-    VT_WAIT_MS = 12
+    VT_WAIT_MS = 12,
+    VT_ERA = 14
   };
   uint64_t call() const {
     return GetField<uint64_t>(VT_CALL, 0);
@@ -5863,6 +5865,10 @@
   uint32_t wait_ms() const {
     return GetField<uint32_t>(VT_WAIT_MS, 0);
   }
+  /// The newest era of the store that the caller knows; 0 if it knows none. The revision is of this era.
+  uint64_t era() const {
+    return GetField<uint64_t>(VT_ERA, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_CALL, 8) &&
@@ -5871,6 +5877,7 @@
            verifier.VerifyString(after_key()) &&
            VerifyField<uint64_t>(verifier, VT_AFTER_REVISION, 8) &&
            VerifyField<uint32_t>(verifier, VT_WAIT_MS, 4) &&
+           VerifyField<uint64_t>(verifier, VT_ERA, 8) &&
            verifier.EndTable();
   }
   FeedCallT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -5897,6 +5904,9 @@
   void add_wait_ms(uint32_t wait_ms) {
     fbb_.AddElement<uint32_t>(FeedCall::VT_WAIT_MS, wait_ms, 0);
   }
+  void add_era(uint64_t era) {
+    fbb_.AddElement<uint64_t>(FeedCall::VT_ERA, era, 0);
+  }
   explicit FeedCallBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -5914,8 +5924,10 @@
     Mangofall::Wire::FeedCallKind kind = Mangofall::Wire::FeedCallKind::Page,
     flatbuffers::Offset<flatbuffers::String> after_key = 0,
     uint64_t after_revision = 0,
-    uint32_t wait_ms = 0) {
+    uint32_t wait_ms = 0,
+    uint64_t era = 0) {
   FeedCallBuilder builder_(_fbb);
+  builder_.add_era(era);
   builder_.add_after_revision(after_revision);
   builder_.add_call(call);
   builder_.add_wait_ms(wait_ms);
@@ -5930,7 +5942,8 @@
     Mangofall::Wire::FeedCallKind kind = Mangofall::Wire::FeedCallKind::Page,
     const char *after_key = nullptr,
     uint64_t after_revision = 0,
-    uint32_t wait_ms = 0) {
+    uint32_t wait_ms = 0,
+    uint64_t era = 0) {
   auto after_key__ = after_key ? _fbb.CreateString(after_key) : 0;
   return Mangofall::Wire::CreateFeedCall(
       _fbb,
@@ -5938,7 +5951,8 @@
       kind,
       after_key__,
       after_revision,
-      wait_ms);
+      wait_ms,
+      era);
 }
 
 flatbuffers::Offset<FeedCall> CreateFeedCall(flatbuffers::FlatBufferBuilder &_fbb, const FeedCallT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -6056,6 +6070,7 @@
   uint32_t age_ms = 0;
   bool store_failed = false;
   uint32_t failure_age_ms = 0;
+  uint64_t era = 0;
   FeedAnswerT() = default;
   FeedAnswerT(const FeedAnswerT &o);
   FeedAnswerT(FeedAnswerT&&) FLATBUFFERS_NOEXCEPT = default;
@@ -6073,7 +6088,8 @@
     VT_MORE = 12,
     VT_AGE_MS = 14,
     VT_STORE_FAILED = 16,
-    VT_FAILURE_AGE_MS = 18
+    VT_FAILURE_AGE_MS = 18,
+    VT_ERA = 20
   };
   uint64_t call() const {
     return GetField<uint64_t>(VT_CALL, 0);
@@ -6103,6 +6119,10 @@
   uint32_t failure_age_ms() const {
     return GetField<uint32_t>(VT_FAILURE_AGE_MS, 0);
   }
+  /// The era of the view, or the newer one that the answering host is reading; 0 if it is not known.
+  uint64_t era() const {
+    return GetField<uint64_t>(VT_ERA, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_CALL, 8) &&
@@ -6115,6 +6135,7 @@
            VerifyField<uint32_t>(verifier, VT_AGE_MS, 4) &&
            VerifyField<uint8_t>(verifier, VT_STORE_FAILED, 1) &&
            VerifyField<uint32_t>(verifier, VT_FAILURE_AGE_MS, 4) &&
+           VerifyField<uint64_t>(verifier, VT_ERA, 8) &&
            verifier.EndTable();
   }
   FeedAnswerT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -6150,6 +6171,9 @@
   void add_failure_age_ms(uint32_t failure_age_ms) {
     fbb_.AddElement<uint32_t>(FeedAnswer::VT_FAILURE_AGE_MS, failure_age_ms, 0);
   }
+  void add_era(uint64_t era) {
+    fbb_.AddElement<uint64_t>(FeedAnswer::VT_ERA, era, 0);
+  }
   explicit FeedAnswerBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -6170,8 +6194,10 @@
     bool more = false,
     uint32_t age_ms = 0,
     bool store_failed = false,
-    uint32_t failure_age_ms = 0) {
+    uint32_t failure_age_ms = 0,
+    uint64_t era = 0) {
   FeedAnswerBuilder builder_(_fbb);
+  builder_.add_era(era);
   builder_.add_revision(revision);
   builder_.add_call(call);
   builder_.add_failure_age_ms(failure_age_ms);
@@ -6192,7 +6218,8 @@
     bool more = false,
     uint32_t age_ms = 0,
     bool store_failed = false,
-    uint32_t failure_age_ms = 0) {
+    uint32_t failure_age_ms = 0,
+    uint64_t era = 0) {
   auto items__ = items ? _fbb.CreateVector<flatbuffers::Offset<Mangofall::Wire::FeedItem>>(*items) : 0;
   return Mangofall::Wire::CreateFeedAnswer(
       _fbb,
@@ -6203,7 +6230,8 @@
       more,
       age_ms,
       store_failed,
-      failure_age_ms);
+      failure_age_ms,
+      era);
 }
 
 flatbuffers::Offset<FeedAnswer> CreateFeedAnswer(flatbuffers::FlatBufferBuilder &_fbb, const FeedAnswerT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -8388,6 +8416,7 @@
   { auto _e = after_key(); if (_e) _o->after_key = _e->str(); }
   { auto _e = after_revision(); _o->after_revision = _e; }
   { auto _e = wait_ms(); _o->wait_ms = _e; }
+  { auto _e = era(); _o->era = _e; }
 }
 
 inline flatbuffers::Offset<FeedCall> FeedCall::Pack(flatbuffers::FlatBufferBuilder &_fbb, const FeedCallT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -8403,13 +8432,15 @@
   auto _after_key = _o->after_key.empty() ? 0 : _fbb.CreateString(_o->after_key);
   auto _after_revision = _o->after_revision;
   auto _wait_ms = _o->wait_ms;
+  auto _era = _o->era;
   return Mangofall::Wire::CreateFeedCall(
       _fbb,
       _call,
       _kind,
       _after_key,
       _after_revision,
-      _wait_ms);
+      _wait_ms,
+      _era);
 }
 
 inline FeedItemT *FeedItem::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
@@ -8454,7 +8485,8 @@
         more(o.more),
         age_ms(o.age_ms),
         store_failed(o.store_failed),
-        failure_age_ms(o.failure_age_ms) {
+        failure_age_ms(o.failure_age_ms),
+        era(o.era) {
   items.reserve(o.items.size());
   for (const auto &items_ : o.items) { items.emplace_back((items_) ? new Mangofall::Wire::FeedItemT(*items_) : nullptr); }
 }
@@ -8468,6 +8500,7 @@
   std::swap(age_ms, o.age_ms);
   std::swap(store_failed, o.store_failed);
   std::swap(failure_age_ms, o.failure_age_ms);
+  std::swap(era, o.era);
   return *this;
 }
 
@@ -8488,6 +8521,7 @@
   { auto _e = age_ms(); _o->age_ms = _e; }
   { auto _e = store_failed(); _o->store_failed = _e; }
   { auto _e = failure_age_ms(); _o->failure_age_ms = _e; }
+  { auto _e = era(); _o->era = _e; }
 }
 
 inline flatbuffers::Offset<FeedAnswer> FeedAnswer::Pack(flatbuffers::FlatBufferBuilder &_fbb, const FeedAnswerT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -8506,6 +8540,7 @@
   auto _age_ms = _o->age_ms;
   auto _store_failed = _o->store_failed;
   auto _failure_age_ms = _o->failure_age_ms;
+  auto _era = _o->era;
   return Mangofall::Wire::CreateFeedAnswer(
       _fbb,
       _call,
@@ -8515,7 +8550,8 @@
       _more,
       _age_ms,
       _store_failed,
-      _failure_age_ms);
+      _failure_age_ms,
+      _era);
 }
 
 inline PeerMessageT *PeerMessage::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
--- a/Source/Telemetry/ForwardingMetrics.cpp
+++ b/Source/Telemetry/ForwardingMetrics.cpp
@@ -29,6 +29,10 @@
     , m_viewRevision(registerGauge(*m_registry, "mangofall_view_revision", "Revision of the store up to which this host knows all changes."))
     , m_viewFollowsPeer(registerGauge(*m_registry, "mangofall_view_follows_peer", "1 if the last answer came from another host, 0 if from the store."))
     , m_feedConnections(registerGauge(*m_registry, "mangofall_feed_connections", "Hosts that are connected to read the changes of the store here."))
+    , m_storeEra(registerGauge(*m_registry, "mangofall_store_era", "Newest era of the store that this host knows; it increases with each restore."))
+    , m_storeEraAge(registerGauge(
+          *m_registry, "mangofall_store_era_age_seconds", "Time since this host saw the era of the store change; 0 if it has not changed since the start."))
+    , m_heldStoreItems(registerGauge(*m_registry, "mangofall_store_items_held", "Keys whose known item is held against an older one in the restored store."))
     , m_configurationVersion(registerGauge(*m_registry, "mangofall_configuration_version", "Version of the configuration in force on this host."))
     , m_liveHosts(registerGauge(*m_registry, "mangofall_live_hosts", "Hosts that this host considers alive."))
     , m_upstreams(registerGauge(*m_registry, "mangofall_upstreams", "Upstreams that this host knows of."))
@@ -94,6 +98,21 @@
     return m_viewFollowsPeer;
 }
 
+prometheus::Gauge &ForwardingMetrics::storeEra()
+{
+    return m_storeEra;
+}
+
+prometheus::Gauge &ForwardingMetrics::storeEraAge()
+{
+    return m_storeEraAge;
+}
+
+prometheus::Gauge &ForwardingMetrics::heldStoreItems()
+{
+    return m_heldStoreItems;
+}
+
 prometheus::Gauge &ForwardingMetrics::feedConnections()
 {
     return m_feedConnections;
--- a/Source/Telemetry/ForwardingMetrics.h
+++ b/Source/Telemetry/ForwardingMetrics.h
@@ -45,6 +45,10 @@
     prometheus::Gauge &viewRevision();
     prometheus::Gauge &viewFollowsPeer();
     prometheus::Gauge &feedConnections();
+    prometheus::Gauge &storeEra();
+    prometheus::Gauge &storeEraAge();
+    /// Keys of which this host keeps an item against the one that the store holds since it was restored.
+    prometheus::Gauge &heldStoreItems();
     prometheus::Gauge &configurationVersion();
     prometheus::Gauge &liveHosts();
     prometheus::Gauge &upstreams();
@@ -66,6 +70,9 @@
     prometheus::Gauge &m_viewRevision;
     prometheus::Gauge &m_viewFollowsPeer;
     prometheus::Gauge &m_feedConnections;
+    prometheus::Gauge &m_storeEra;
+    prometheus::Gauge &m_storeEraAge;
+    prometheus::Gauge &m_heldStoreItems;
     prometheus::Gauge &m_configurationVersion;
     prometheus::Gauge &m_liveHosts;
     prometheus::Gauge &m_upstreams;
--- a/Tests/Feed/FeedFixtures.h
+++ b/Tests/Feed/FeedFixtures.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "Feed/FeedHost.h"
+#include "Feed/RestorePolicy.h"
 #include "Feed/StoreItem.h"
 #include "Feed/StoreObserver.h"
 #include "Telemetry/LineSink.h"
@@ -48,6 +49,25 @@
     }
 };
 
+/// Holds whatever differs in the copy, except the value "-", which stands for an upstream that is leaving. Only a write replaces the value of the key "config",
+/// and a smaller value only after the hold time.
+class FakeRestorePolicy final : public RestorePolicy
+{
+public:
+    static constexpr std::chrono::seconds holdTime{10};
+
+    HoldTerms againstCopy(const StoreItem &known, const StoreItem &copied) const override
+    {
+        static_cast<void>(known);
+        return copied.value == "-" ? HoldTerms() : HoldTerms{holdTime, copied.key == "config"};
+    }
+
+    Duration againstWrite(const StoreItem &known, const StoreItem &written) const override
+    {
+        return written.key == "config" && written.value < known.value ? Duration(holdTime) : Duration::zero();
+    }
+};
+
 /// Records what a mirror reports, and whether the view of a key ever went back.
 class RecordingObserver final : public StoreObserver
 {
@@ -56,6 +76,7 @@
     std::map<std::string, std::uint64_t> revisions;
     bool wentBack = false;
     int failures = 0;
+    std::uint64_t era = 0;
     std::optional<TimePoint> readerFailure;
     std::string unusableKey; ///< Changes of this key throw.
 
@@ -87,6 +108,11 @@
     {
         readerFailure = time;
     }
+
+    void storeEraChanged(std::uint64_t, std::uint64_t to) override
+    {
+        era = to;
+    }
 };
 
 }
--- a/Tests/Feed/FeedServerTest.cpp
+++ b/Tests/Feed/FeedServerTest.cpp
@@ -31,8 +31,9 @@
     DiscardingSink sink;
     EventLog log{"h", 0, sink};
     RecordingObserver observer;
+    FakeRestorePolicy policy;
     SourceSelector selector{HostId("server"), ReaderLimits(), milliseconds(2000), RandomEngine(1)};
-    MirrorState state{selector, waits, observer, log, Clock::now()};
+    MirrorState state{selector, waits, observer, policy, log, Clock::now()};
     FeedServer server{io, state, log, [](std::size_t) {}};
     FeedClient client{io, HostId("client"), DataCentreId("dc"), log, [](std::size_t) {}};
 
@@ -69,7 +70,7 @@
         Asio::co_spawn(
             io,
             [this]() -> Asio::awaitable<void> {
-                result = co_await client.peer(HostId("server")).readPage("");
+                result = co_await client.peer(HostId("server")).readPage(0, "");
             },
             Asio::detached);
     }
@@ -80,7 +81,7 @@
         Asio::co_spawn(
             io,
             [this, revision, wait]() -> Asio::awaitable<void> {
-                result = co_await client.peer(HostId("server")).watch(revision, wait);
+                result = co_await client.peer(HostId("server")).watch(0, revision, wait);
             },
             Asio::detached);
     }
--- a/Tests/Feed/FeedSimulation.cpp
+++ b/Tests/Feed/FeedSimulation.cpp
@@ -155,7 +155,7 @@
     host.observer = std::make_unique<RecordingObserver>();
     host.selector = std::make_unique<SourceSelector>(host.id, m_settings.readers, m_settings.maxAge, RandomEngine(m_random()));
     host.selector->setHosts(m_feedHosts);
-    host.state = std::make_unique<MirrorState>(*host.selector, m_settings.waits, *host.observer, m_log, m_now);
+    host.state = std::make_unique<MirrorState>(*host.selector, m_settings.waits, *host.observer, m_policy, m_log, m_now);
     host.state->hostsListed(true, m_now);
     scheduleOn(host, m_now, [this, &host]() {
         step(host);
--- a/Tests/Feed/FeedSimulation.h
+++ b/Tests/Feed/FeedSimulation.h
@@ -90,6 +90,7 @@
 
     RandomEngine m_random;
     DiscardingSink m_sink;
+    FakeRestorePolicy m_policy;
     EventLog m_log;
     FeedSettings m_settings;
     TimePoint m_now;
--- a/Tests/Feed/MirrorStateTest.cpp
+++ b/Tests/Feed/MirrorStateTest.cpp
@@ -37,13 +37,14 @@
     DiscardingSink sink;
     EventLog log{"h", 0, sink};
     RecordingObserver observer;
+    FakeRestorePolicy policy;
     SourceSelector selector;
     MirrorState state;
     TimePoint now = start;
 
     explicit Mirror(const std::string &self = "h0", const std::vector<FeedHost> &hosts = {})
         : selector(HostId(self), ReaderLimits(), milliseconds(2000), RandomEngine(1))
-        , state(selector, waits, observer, log, start)
+        , state(selector, waits, observer, policy, log, start)
     {
         selector.setHosts(hosts);
         state.hostsListed(true, start);
--- a/Tests/Feed/WireFeedTest.cpp
+++ b/Tests/Feed/WireFeedTest.cpp
@@ -16,6 +16,7 @@
     ItemPage result;
     result.status = SourceStatus::Ok;
     result.items = {written("a", 5, std::string("x\0y", 3)), removal("b", 7)};
+    result.era = 0x100000000;
     result.revision = 9;
     result.more = true;
     result.age = milliseconds(120);
@@ -35,6 +36,7 @@
     LONGS_EQUAL(2, decoded->items.size());
     LONGS_EQUAL(3, decoded->items[0].value.size());
     CHECK(decoded->items[1].removed);
+    CHECK(decoded->era == 0x100000000);
     LONGS_EQUAL(9, decoded->revision);
     CHECK(decoded->more);
     CHECK(decoded->age == milliseconds(120));
--- a/Tests/PlatformAdapter/PlatformSettingsTest.cpp
+++ b/Tests/PlatformAdapter/PlatformSettingsTest.cpp
@@ -79,6 +79,7 @@
                                                             {"{{listen.ready|json}}", "\"10.0.0.1:2\""},
                                                             {"{{internal_ports.0}}", "7340"},
                                                             {"{{provider.address|json}}", "\"10.0.0.9:3\""},
+                                                            {"{{provider.writes_per_s}}", "700"},
                                                             {"{{bounds.retry_budget_ratio}}", "0.2"},
                                                             {"{{bounds.retry_budget_slack}}", "106"},
                                                             {"{{bounds.contact_ms}}", "3000"},
@@ -100,4 +101,5 @@
     const std::optional<PlatformSettings> settings = parseSettings(text, problem);
     CHECK_TEXT(settings.has_value(), problem.c_str());
     CHECK_EQUAL(260ULL * 1024 * 1024, settings->memoryBytes);
+    DOUBLES_EQUAL(700, settings->storeWritesPerSecond, 1e-9);
 }
--- a/Tests/PlatformAdapter/StoreMirrorTest.cpp
+++ b/Tests/PlatformAdapter/StoreMirrorTest.cpp
@@ -4,6 +4,7 @@
 #include "Feed/StoreObserver.h"
 
 #include "Base64.h"
+#include "KeyRestorePolicy.h"
 #include "StoreClient.h"
 #include "Telemetry/EventLog.h"
 #include "Telemetry/LineSink.h"
@@ -38,7 +39,8 @@
 public:
     struct Answer {
         unsigned status = 200;
-        std::string body;
+        std::string body = {};
+        std::string era = {}; ///< The header Store-Era; there is none if empty.
     };
 
     ScriptedStore(Asio::io_context &io, std::vector<Answer> answers)
@@ -89,8 +91,9 @@
             if (answer.body.empty()) {
                 co_return;
             }
-            const std::string text
-                = "HTTP/1.1 " + std::to_string(answer.status) + " X\r\nContent-Length: " + std::to_string(answer.body.size()) + "\r\n\r\n" + answer.body;
+            const std::string era = answer.era.empty() ? std::string() : "Store-Era: " + answer.era + "\r\n";
+            const std::string text = "HTTP/1.1 " + std::to_string(answer.status) + " X\r\n" + era + "Content-Length: " + std::to_string(answer.body.size())
+                + "\r\n\r\n" + answer.body;
             co_await Asio::async_write(socket, Asio::buffer(text), Asio::as_tuple(Asio::use_awaitable));
         }
     }
@@ -128,6 +131,10 @@
     void readerCallFailed(TimePoint) override
     {
     }
+
+    void storeEraChanged(std::uint64_t, std::uint64_t) override
+    {
+    }
 };
 
 class DiscardingSink final : public LineSink
@@ -187,7 +194,8 @@
     peers.failsOnce = failsOnce;
     Feed::SourceSelector selector(HostId("h"), Feed::ReaderLimits(), std::chrono::seconds(2), RandomEngine(1));
     const Feed::WatchWaits waits{std::chrono::milliseconds(50), std::chrono::milliseconds(50), std::chrono::milliseconds(50)};
-    Feed::MirrorState state(selector, waits, observer, log, std::chrono::steady_clock::now());
+    const KeyRestorePolicy policy;
+    Feed::MirrorState state(selector, waits, observer, policy, log, std::chrono::steady_clock::now());
     Feed::StoreMirror mirror(io, {client, peers, peers}, state, log);
     Asio::co_spawn(io, mirror.run(), Asio::detached);
     io.run();
@@ -229,6 +237,17 @@
     CHECK(changes == (Changes{"+p/a=new"}));
 }
 
+// Guards against a restore that is noticed only when a call succeeds, and against changes that are ignored since their revisions are smaller than known ones.
+TEST(StoreMirrorTest, ARefusalInANewerEraLeadsToAReadOfAllKeys)
+{
+    const Changes changes = runMirror({{200, items(item("p/a", "1", 9), 10), "1"},
+                                       {503, "{}", "2"},
+                                       {200, items(item("p/a", "copied", 3), 4), "2"},
+                                       {200, events(item("p/a", "2", 5), 5), "2"},
+                                       {200, events("", 5), "no number"}});
+    CHECK(changes == (Changes{"+p/a=1", "failed", "returned", "+p/a=copied", "+p/a=2"}));
+}
+
 // Guards against a mirror that stops, or reads all keys again, when a call fails.
 TEST(StoreMirrorTest, ContinuesAfterAnOutage)
 {
--- a/Tests/PlatformAdapter/SuspectQueueTest.cpp
+++ b/Tests/PlatformAdapter/SuspectQueueTest.cpp
@@ -79,3 +79,18 @@
     queue.written(twoCrashes);
     CHECK(queue.next() == threeCrashes);
 }
+
+// Guards against suspects that are forgotten with the next restart of all hosts because the store was restored from a copy without them.
+TEST(SuspectQueueTest, WhatThisHostWroteIsWrittenAgainAfterARestore)
+{
+    SuspectQueue queue;
+    queue.changed(twoCrashes);
+    queue.written(twoCrashes);
+    queue.changed({8, {21, 22}, {}, 0, 0});
+    queue.listed({8, {21, 22}, {}, 0, 0}, {8, {21, 22}, {}, 0, 0});
+    CHECK_FALSE(queue.next().has_value());
+    queue.storeRestored();
+    CHECK(queue.next() == twoCrashes);
+    queue.written(twoCrashes);
+    CHECK_FALSE(queue.next().has_value());
+}
