--- a/Tests/Soak/SoakStore.cpp
+++ b/Tests/Soak/SoakStore.cpp
@@ -94,10 +94,68 @@
 {
     m_down = down;
     if (!down) {
-        for (auto &[id, lease] : m_leases) {
-            lease.endsAt = Clock::now() + lease.timeToLive;
+        restartLeases();
+    }
+}
+
+void SoakStore::saveCopy()
+{
+    m_copy = {m_items, m_leases, m_revision, m_lastLease};
+}
+
+void SoakStore::restoreCopy()
+{
+    m_items = m_copy.items;
+    m_leases = m_copy.leases;
+    m_revision = m_copy.revision;
+    m_lastLease = m_copy.lastLease;
+    restartLeases();
+    m_history.clear();
+    m_compactedRevision = m_revision;
+    m_era += m_era == 0 ? 0 : 1;
+    wakeWatches();
+    m_server.resetConnections();
+}
+
+void SoakStore::setEra(std::uint64_t era)
+{
+    m_era = era;
+}
+
+std::vector<std::string> SoakStore::keys(const std::string &prefix) const
+{
+    std::vector<std::string> result;
+    for (const auto &[key, item] : m_items) {
+        if (key.starts_with(prefix)) {
+            result.push_back(key);
         }
     }
+    return result;
+}
+
+void SoakStore::addLeases(std::uint64_t count, std::chrono::milliseconds timeToLive)
+{
+    for (std::uint64_t number = 0; number < count; ++number) {
+        m_leases[++m_lastLease] = {timeToLive, Clock::now() + timeToLive};
+    }
+}
+
+bool SoakStore::hasLease(std::uint64_t lease) const
+{
+    return m_leases.contains(lease);
+}
+
+std::uint64_t SoakStore::leaseOf(const std::string &key) const
+{
+    const auto item = m_items.find(key);
+    return item == m_items.end() ? 0 : item->second.lease;
+}
+
+void SoakStore::restartLeases()
+{
+    for (auto &[id, lease] : m_leases) {
+        lease.endsAt = Clock::now() + lease.timeToLive;
+    }
 }
 
 void SoakStore::compactHistory()
@@ -117,6 +175,9 @@
             co_return;
         }
         Response response = co_await answer(request);
+        if (m_era != 0) {
+            response.set("Store-Era", std::to_string(m_era));
+        }
         response.keep_alive(true);
         const auto [writeError, written] = co_await Http::async_write(*socket, response, awaitTuple);
         if (writeError) {
@@ -157,13 +218,13 @@
 
 Asio::awaitable<SoakStore::Response> SoakStore::watch(std::uint64_t after, std::chrono::milliseconds wait)
 {
-    if (m_revision <= after) {
+    if (m_revision == after) {
         Asio::steady_timer timer(m_io, wait);
         m_watchTimers.push_back(&timer);
         co_await timer.async_wait(awaitTuple);
         m_watchTimers.remove(&timer);
     }
-    if (after < m_compactedRevision) {
+    if (after < m_compactedRevision || after > m_revision) {
         co_return reply(Http::status::gone, json::object());
     }
     json body = json::object();
@@ -273,6 +334,11 @@
 void SoakStore::recordChange(const std::string &key)
 {
     m_history.push_back({++m_revision, key});
+    wakeWatches();
+}
+
+void SoakStore::wakeWatches()
+{
     for (Asio::steady_timer *timer : m_watchTimers) {
         timer->cancel();
     }
--- a/Tests/Soak/SoakStore.h
+++ b/Tests/Soak/SoakStore.h
@@ -15,6 +15,7 @@
 #include <map>
 #include <memory>
 #include <string>
+#include <vector>
 
 namespace Mangofall::Soak {
 
@@ -41,6 +42,20 @@
     void remove(const std::string &key);
     /// While the store is down, every new call is answered with status 503 and no lease expires; each lease starts anew when it is up again.
     void setDown(bool down);
+    /// Saves a copy of all items, leases and revisions.
+    void saveCopy();
+    /// Goes back to the copy, as after a loss of the store: later writes are lost, revisions and lease numbers are reused, and the era increases. Leases of the
+    /// copy start anew. All connections are reset.
+    void restoreCopy();
+    /// The era, which is in the header Store-Era of all answers; 0 if they are to have no such header.
+    void setEra(std::uint64_t era);
+    /// The keys that start with \p prefix.
+    std::vector<std::string> keys(const std::string &prefix) const;
+    /// Creates leases with the next numbers, as other hosts do.
+    void addLeases(std::uint64_t count, std::chrono::milliseconds timeToLive);
+    bool hasLease(std::uint64_t lease) const;
+    /// The lease of \p key; 0 if the key does not exist or has none.
+    std::uint64_t leaseOf(const std::string &key) const;
     /// Discards the history of changes, as a compaction does, and resets all connections. Watches from an earlier revision get status 410.
     void compactHistory();
 
@@ -58,6 +73,13 @@
         std::chrono::milliseconds timeToLive{};
         TimePoint endsAt;
     };
+    /// What a copy holds.
+    struct Copy {
+        std::map<std::string, Item> items;
+        std::map<std::uint64_t, Lease> leases;
+        std::uint64_t revision = 1;
+        std::uint64_t lastLease = 0;
+    };
 
     boost::asio::awaitable<void> serve(std::shared_ptr<Socket> socket);
     boost::asio::awaitable<Response> answer(const Request &request);
@@ -70,6 +92,9 @@
     void write(const std::string &key, std::string value, std::uint64_t lease);
     void endLease(std::uint64_t id);
     void recordChange(const std::string &key);
+    void wakeWatches();
+    /// Restarts the time to live of all leases.
+    void restartLeases();
     nlohmann::json describe(const std::string &key) const;
 
     boost::asio::io_context &m_io;
@@ -81,6 +106,8 @@
     std::uint64_t m_revision = 1;
     std::uint64_t m_compactedRevision = 0;
     std::uint64_t m_lastLease = 0;
+    std::uint64_t m_era = 1;
+    Copy m_copy;
     bool m_down = false;
     LoopbackServer m_server;
 };
