Restore the store from a copy in the soak

Cause: the soak never lost acknowledged writes of the store. Upstreams and the operator write again after 1.5 s, entries of upstreams that are gone are removed after 3.6 s. At the end each host must have the last configuration in force and be listed under a lease of its own. A page without the header is no first page of a newer era.

--- a/Source/Feed/MirrorState.cpp
+++ b/Source/Feed/MirrorState.cpp
@@ -206,7 +206,7 @@
         return false;
     }
     eraSeen(page.era, call.source, now);
-    const bool beginsRead = call.page && call.afterKey.empty() && page.status == SourceStatus::Ok;
+    const bool beginsRead = call.page && call.afterKey.empty() && page.era == m_era && page.status == SourceStatus::Ok;
     return !hasContent || call.era == m_era || beginsRead;
 }
 
--- a/Tests/Soak/FaultPlan.cpp
+++ b/Tests/Soak/FaultPlan.cpp
@@ -3,6 +3,7 @@
 #include "Base/RandomEngine.h"
 #include "Soak/SoakOptions.h"
 
+#include <algorithm>
 #include <array>
 #include <random>
 
@@ -16,6 +17,8 @@
 constexpr int maxGapMs = 450;
 constexpr int minFaultMs = 150;
 constexpr int maxFaultMs = 2500;
+constexpr std::chrono::milliseconds restoreInterval{3500}; // Longer than a copy gets old, so that there is one copy at a time.
+constexpr std::uint64_t restoreSeed = 0x5e57; // Keeps the draws of restores apart from those of the other faults, whose plans stay as they are.
 
 // Kinds that are to be drawn more often are listed more than once.
 constexpr std::array<FaultKind, 19> overlappingKinds = {FaultKind::KillHost,
@@ -94,10 +97,27 @@
         return "silence the link to an upstream";
     case FaultKind::DrainUpstream:
         return "drain an upstream";
+    case FaultKind::RestoreStore:
+        return "restore the store from a copy";
     }
     return "unknown";
 }
 
+namespace {
+
+void addRestores(std::vector<FaultStep> &steps, const SoakOptions &options, Duration start)
+{
+    RandomEngine random(options.seed ^ restoreSeed);
+    for (Duration at = start; at < options.faultTime; at += restoreInterval) {
+        steps.push_back({at, FaultKind::RestoreStore, 0, randomDuration(random, minFaultMs, maxFaultMs), LinkFault::None});
+    }
+    std::stable_sort(steps.begin(), steps.end(), [](const FaultStep &left, const FaultStep &right) {
+        return left.at < right.at;
+    });
+}
+
+}
+
 std::vector<FaultStep> makeFaultPlan(const SoakOptions &options)
 {
     RandomEngine random(options.seed);
@@ -113,6 +133,9 @@
         const std::size_t target = targetsUpstream(kind) ? drawUpstream(random, options) : host(random);
         steps.push_back({at, kind, target, randomDuration(random, minFaultMs, maxFaultMs), linkFault});
     }
+    if (options.restores) {
+        addRestores(steps, options, maintenanceEnd);
+    }
     return steps;
 }
 
--- a/Tests/Soak/FaultPlan.h
+++ b/Tests/Soak/FaultPlan.h
@@ -28,6 +28,7 @@
     MakeUpstreamFail,
     SilenceUpstreamLink,
     DrainUpstream,
+    RestoreStore, ///< A copy of the store is saved at the start; the store is restored from it at the end.
 };
 
 std::string_view name(FaultKind kind);
--- a/Tests/Soak/SoakFleet.cpp
+++ b/Tests/Soak/SoakFleet.cpp
@@ -15,7 +15,10 @@
 #include <boost/beast/http/write.hpp>
 #include <nlohmann/json.hpp>
 
+#include <algorithm>
 #include <random>
+#include <set>
+#include <vector>
 
 namespace Mangofall::Soak {
 
@@ -31,6 +34,9 @@
 constexpr std::chrono::milliseconds readinessInterval{500};
 constexpr std::chrono::milliseconds readinessTimeout{400};
 constexpr std::size_t dataCentres = 3;
+// After a restore upstreams list themselves again within two seconds, and the entries of those that are gone are removed after three heartbeats (3.6 s).
+constexpr std::chrono::milliseconds relistTime{1500};
+constexpr std::chrono::milliseconds removalTime{2100};
 constexpr unsigned httpVersion = 11;
 
 std::string dataCentre(std::size_t index)
@@ -95,7 +101,7 @@
 
 void SoakFleet::start()
 {
-    m_store.put("op/config", configuration());
+    writeConfiguration();
     for (const auto &host : m_hosts) {
         host->start();
         Asio::co_spawn(m_io, watchReadiness(*host), Asio::detached);
@@ -124,6 +130,63 @@
     return m_store;
 }
 
+void SoakFleet::saveStore()
+{
+    constexpr int writes = 200;
+    m_store.saveCopy();
+    for (int number = 0; number < writes; ++number) {
+        m_store.put("other/key", std::to_string(number));
+    }
+}
+
+void SoakFleet::writeConfiguration()
+{
+    ++m_configurationVersion;
+    m_store.put("op/config", configuration());
+}
+
+void SoakFleet::checkAgreement(RunLedger &ledger) const
+{
+    const std::string adopted = "\"version\":\"" + std::to_string(m_configurationVersion) + "\"";
+    std::set<std::uint64_t> leases;
+    for (const auto &host : m_hosts) {
+        if (!host->hasLogged(adopted)) {
+            ledger.reportViolation(host->id() + " has not put the last configuration in force");
+        }
+        const std::uint64_t lease = m_store.leaseOf("mangofall/hosts/" + host->id());
+        if (lease == 0 || !leases.insert(lease).second) {
+            ledger.reportViolation(host->id() + " is not listed under a lease of its own");
+        }
+    }
+}
+
+void SoakFleet::restoreStore()
+{
+    m_store.restoreCopy();
+    Asio::co_spawn(m_io, writeAfterRestore(), Asio::detached);
+}
+
+Asio::awaitable<void> SoakFleet::writeAfterRestore()
+{
+    Asio::steady_timer timer(m_io, relistTime);
+    co_await timer.async_wait(awaitTuple);
+    writeConfiguration();
+    for (const auto &upstream : m_upstreams) {
+        upstream->relist();
+    }
+    timer.expires_after(removalTime);
+    co_await timer.async_wait(awaitTuple);
+    std::vector<std::string> gone = m_store.keys("servers/");
+    std::erase_if(gone, [this](const std::string &key) {
+        return std::any_of(m_upstreams.begin(), m_upstreams.end(), [&](const auto &upstream) {
+            return key == "servers/" + upstream->id();
+        });
+    });
+    for (const std::string &key : gone) {
+        m_store.remove(key);
+    }
+}
+
 std::size_t SoakFleet::pickHost(RandomEngine &random) const
 {
     std::vector<std::size_t> ready;
@@ -184,7 +247,7 @@
 std::string SoakFleet::configuration() const
 {
     json document = json::object();
-    document["version"] = 1;
+    document["version"] = m_configurationVersion;
     document["routes"] = json::array();
     document["routes"].push_back(route("stream", "streaming", Names::engineService));
     document["routes"].push_back(route("once", "unsafe", Names::plainService));
--- a/Tests/Soak/SoakFleet.h
+++ b/Tests/Soak/SoakFleet.h
@@ -37,6 +37,15 @@
     std::vector<std::unique_ptr<SoakHost>> &hosts();
     std::vector<std::unique_ptr<SoakUpstream>> &upstreams();
     SoakStore &store();
+    /// Saves a copy of the store. Other users of the store write to it, so that its revision is above that of the copy for some time after a restore.
+    void saveStore();
+    /// Restores the store from its copy. The operator and the upstreams write again, and the entries of upstreams that are gone are removed, as the platform
+    /// does.
+    void restoreStore();
+    /// Writes the next version of the configuration.
+    void writeConfiguration();
+    /// Reports hosts that have not put the last configuration in force, or are not listed under a lease of their own.
+    void checkAgreement(RunLedger &ledger) const;
 
     /// Draws the index of a host for a new connection, among the hosts in rotation if there are any.
     std::size_t pickHost(RandomEngine &random) const;
@@ -47,6 +56,7 @@
     bool wasFaultFree(std::size_t host, TimePoint time) const;
 
 private:
+    boost::asio::awaitable<void> writeAfterRestore();
     boost::asio::awaitable<void> watchProcesses();
     boost::asio::awaitable<void> watchReadiness(SoakHost &host);
     std::string configuration() const;
@@ -56,6 +66,7 @@
     SoakStore m_store;
     std::vector<std::unique_ptr<SoakHost>> m_hosts;
     std::vector<std::unique_ptr<SoakUpstream>> m_upstreams;
+    std::uint64_t m_configurationVersion = 0;
     TimePoint m_lastFaultChange; ///< Covers a fault in progress as well, because faults are shorter than stabilisationTime.
 };
 
--- a/Tests/Soak/SoakHost.cpp
+++ b/Tests/Soak/SoakHost.cpp
@@ -10,6 +10,7 @@
 
 #include <csignal>
 #include <fstream>
+#include <sstream>
 
 namespace Mangofall::Soak {
 
@@ -52,11 +53,20 @@
                  [address = m_address]() {
                      return NetworkAddress{address, feedPort};
                  })
-    , m_process(setup.program, setup.folder + "/" + m_id + ".json", setup.folder + "/" + m_id + ".log")
+    , m_logFile(setup.folder + "/" + m_id + ".log")
+    , m_process(setup.program, setup.folder + "/" + m_id + ".json", m_logFile)
 {
     writeSettings(setup);
 }
 
+bool SoakHost::hasLogged(const std::string &text) const
+{
+    std::ifstream stream(m_logFile);
+    std::stringstream log;
+    log << stream.rdbuf();
+    return log.str().find(text) != std::string::npos;
+}
+
 const std::string &SoakHost::id() const
 {
     return m_id;
--- a/Tests/Soak/SoakHost.h
+++ b/Tests/Soak/SoakHost.h
@@ -30,6 +30,8 @@
     SoakHost(boost::asio::io_context &io, const Setup &setup, RunLedger &ledger);
 
     const std::string &id() const;
+    /// Whether the log of its processes has \p text.
+    bool hasLogged(const std::string &text) const;
     NetworkAddress callerAddress() const;
     NetworkAddress readinessAddress() const;
     /// The address at which peers connect to it, which is that of the proxy.
@@ -71,6 +73,7 @@
     FaultProxy m_storeLink;
     FaultProxy m_peerLink;
     FaultProxy m_feedLink;
+    std::string m_logFile;
     HostProcess m_process;
     bool m_paused = false;
     bool m_killed = false;
--- a/Tests/Soak/SoakRun.cpp
+++ b/Tests/Soak/SoakRun.cpp
@@ -84,6 +84,10 @@
         co_await sleepUntil(faultStart + step.at);
         beginFault(step);
     }
+    if (m_options.restores) {
+        co_await sleepUntil(measurementStart);
+        m_fleet.writeConfiguration();
+    }
     co_await sleepUntil(measurementStart + measurementTime + outstandingAnswerTime);
     checkRecovery(measurementStart);
 }
@@ -154,6 +158,9 @@
     case FaultKind::DrainUpstream:
         upstreams[step.target]->drain();
         break;
+    case FaultKind::RestoreStore:
+        m_fleet.saveStore();
+        break;
     }
     if (isMaintenance(step.kind)) {
         return;
@@ -182,6 +189,9 @@
     case FaultKind::StopStore:
         m_fleet.store().setDown(false);
         break;
+    case FaultKind::RestoreStore:
+        m_fleet.restoreStore();
+        break;
     case FaultKind::MakeUpstreamUnresponsive:
     case FaultKind::MakeUpstreamRefuse:
     case FaultKind::MakeUpstreamFail:
@@ -202,6 +212,9 @@
     addReportLine("answered " + std::to_string(m_ledger.count(CallerOutcome::Answered)) + ", refused " + std::to_string(m_ledger.count(CallerOutcome::Refused))
                   + ", failed " + std::to_string(m_ledger.count(CallerOutcome::Failed)) + ", incomplete "
                   + std::to_string(m_ledger.count(CallerOutcome::Incomplete)) + "; after the recovery a share of " + std::to_string(share) + " answered");
+    if (m_options.restores) {
+        m_fleet.checkAgreement(m_ledger);
+    }
     if (share < minAnsweredShare) {
         m_ledger.reportViolation("after the recovery only a share of " + std::to_string(share) + " of the requests was answered");
     }
--- a/Tests/Soak/SoakUpstream.cpp
+++ b/Tests/Soak/SoakUpstream.cpp
@@ -152,6 +152,18 @@
     });
 }
 
+void SoakUpstream::relist()
+{
+    if (m_alive) {
+        publish(m_leaving);
+    }
+}
+
+const std::string &SoakUpstream::id() const
+{
+    return m_id;
+}
+
 bool SoakUpstream::isHealthy() const
 {
     return m_alive && !m_leaving && m_fault == UpstreamFault::None && m_proxy->fault() == LinkFault::None;
--- a/Tests/Soak/SoakUpstream.h
+++ b/Tests/Soak/SoakUpstream.h
@@ -46,6 +46,10 @@
     void crash(std::chrono::milliseconds downTime);
     /// Announces that it leaves, serves for some time, then crashes and comes back under another id.
     void drain();
+    /// Writes its entry again, as a heartbeat does.
+    void relist();
+    /// The id under which it is listed.
+    const std::string &id() const;
     /// Whether it accepts requests, is not draining and has no fault.
     bool isHealthy() const;
 
