Report everything that is wrong with a configuration: mangofallctl check

Cause: the decoder stopped at the first problem, took fields of another type for missing ones, and operators learned of an invalid configuration only after writing it into the store.

Change: readConfiguration records all findings with JSON pointers and decides alone what is valid; hosts adopt by ConfigurationAdoption and refuse versions not above the one in force. mangofallctl check reports errors, warnings on meaning and differences from the configuration in force, as text or JSON. The executable is composed in platform/, since Source/ has no names of the platform.

Result: CheckTest, CtlTest, PlatformAdapterTest and EdgeTest pass.

--- a/Source/Ctl/CtlCommands.cpp
+++ b/Source/Ctl/CtlCommands.cpp
@@ -1,5 +1,6 @@
 #include "Ctl/CtlCommands.h"
 
+#include "Ctl/CheckCommand.h"
 #include "Ctl/LogExplainer.h"
 
 #include "Config/ChangeAnswer.h"
@@ -426,7 +427,7 @@
 
 }
 
-CtlStatus runCtl(const std::vector<std::string> &arguments, std::ostream &output, std::ostream &errors)
+CtlStatus runCtl(const std::vector<std::string> &arguments, const Check::ConfigurationSource &configurations, std::ostream &output, std::ostream &errors)
 {
     const CtlParseResult parsed = parseCtlOptions(arguments, output, errors);
     if (!parsed.options.has_value()) {
@@ -435,6 +436,9 @@
     if (!parsed.options->words.empty() && parsed.options->words.front() == "explain") {
         return explain(parsed.options->words, output, errors);
     }
+    if (!parsed.options->words.empty() && parsed.options->words.front() == "check") {
+        return CheckCommand(*parsed.options, configurations, output, errors).run();
+    }
     const std::optional<std::string> key = readSecretFile(parsed.options->keyFile);
     if (!key.has_value()) {
         errors << "mangofallctl: " << parsed.options->keyFile << " cannot be read or contains no key\n";
--- a/Source/Ctl/CtlCommands.h
+++ b/Source/Ctl/CtlCommands.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "Check/ConfigurationSource.h"
 #include "Config/ConfigurationChange.h"
 #include "Ctl/CtlOptions.h"
 #include "Ctl/OperatorClient.h"
@@ -52,7 +53,7 @@
     std::ostream &m_errors;
 };
 
-/// Runs mangofallctl with \p arguments, the first of which is the program's name.
-CtlStatus runCtl(const std::vector<std::string> &arguments, std::ostream &output, std::ostream &errors);
+/// Runs mangofallctl with \p arguments, the first of which is the program's name. \p configurations is used by the check of a configuration.
+CtlStatus runCtl(const std::vector<std::string> &arguments, const Check::ConfigurationSource &configurations, std::ostream &output, std::ostream &errors);
 
 }
--- a/Source/Ctl/CtlOptions.cpp
+++ b/Source/Ctl/CtlOptions.cpp
@@ -22,12 +22,21 @@
                           "  orders list | orders show KEY | orders unresolved\n"
                           "  limits\n"
                           "  config history\n"
-                          "  explain REQUEST FILE...   (needs no daemon and no key)\n";
+                          "  explain REQUEST FILE...   (needs no daemon and no key)\n"
+                          "  check CONFIG [--in-force CONFIG|ADDRESS:PORT] [--strict] [--json]   (needs no daemon and no key)\n";
 
 // Whether the subcommand only reads files, so that it needs no daemon and no key.
 bool isOffline(const std::vector<std::string> &words)
 {
-    return !words.empty() && words.front() == "explain";
+    return !words.empty() && (words.front() == "explain" || words.front() == "check");
+}
+
+CtlParseResult reportUsageError(std::ostream &errors, const std::string &message)
+{
+    errors << "mangofallctl: " << message << '\n' << usage;
+    return {std::nullopt, CtlStatus::UsageError};
+}
+
 }
 
 std::optional<NetworkAddress> parseServer(const std::string &text)
@@ -45,14 +54,6 @@
     return validPort && ipAddressRule.accepts(address.address) ? std::optional(address) : std::nullopt;
 }
 
-CtlParseResult reportUsageError(std::ostream &errors, const std::string &message)
-{
-    errors << "mangofallctl: " << message << '\n' << usage;
-    return {std::nullopt, CtlStatus::UsageError};
-}
-
-}
-
 std::optional<Duration> parseDuration(const std::string &text)
 {
     std::uint32_t value = 0;
@@ -83,6 +84,9 @@
         TCLAP::ValueArg<std::string> idArg("", "change-id", "id of an earlier change to repeat", false, "", "ID", command);
         TCLAP::ValueArg<std::string> waitArg("", "wait", "longest time to wait until every live host has the change", false, "", "DURATION", command);
         TCLAP::SwitchArg jsonArg("", "json", "print the daemon's answer as JSON", command);
+        TCLAP::ValueArg<std::string> inForceArg(
+            "", "in-force", "configuration to compare with: a file, or the address of the store", false, "", "CONFIG", command);
+        TCLAP::SwitchArg strictArg("", "strict", "fail on warnings", command);
         TCLAP::SwitchArg helpArg("h", "help", "print the usage", command);
         TCLAP::UnlabeledMultiArg<std::string> wordsArg("command", "subcommand and its arguments", false, "COMMAND", command);
         command.parse(arguments);
@@ -95,6 +99,8 @@
         options.keyFile = keyArg.getValue();
         options.changeId = idArg.getValue();
         options.json = jsonArg.getValue();
+        options.inForce = inForceArg.getValue();
+        options.strict = strictArg.getValue();
         options.words = wordsArg.getValue();
     } catch (const TCLAP::ArgException &error) {
         return reportUsageError(errors, error.argId() + ": " + error.error());
@@ -104,6 +110,10 @@
         return reportUsageError(errors, "--server: found \"" + server + "\", allowed: a numeric address and a port, such as 127.0.0.1:8081");
     }
     options.server = *address;
+    const bool checks = !options.words.empty() && options.words.front() == "check";
+    if (!checks && (options.strict || !options.inForce.empty())) {
+        return reportUsageError(errors, "--strict and --in-force belong to the command check");
+    }
     if (options.keyFile.empty() && !isOffline(options.words)) {
         return reportUsageError(errors, "--key-file is required");
     }
--- a/Source/Telemetry/ForwardingMetrics.cpp
+++ b/Source/Telemetry/ForwardingMetrics.cpp
@@ -24,6 +24,8 @@
     , m_feedBytes(registerCounterFamily(*m_registry, "mangofall_feed_bytes_total", "Bytes sent to other hosts to pass on changes of the store."))
     , m_answerTime(BuildHistogram().Name("mangofall_answer_seconds").Help("Time to the end of an answer by route.").Register(*m_registry))
     , m_firstEvent(BuildHistogram().Name("mangofall_first_event_seconds").Help("Time to the first event of a stream by route.").Register(*m_registry))
+    , m_refusedConfigurations(
+          registerCounterFamily(*m_registry, "mangofall_configurations_refused_total", "Configurations of the store that were refused because of errors."))
     , m_heldSuspects(registerGauge(*m_registry, "mangofall_held_suspects", "Requests and parts of prompts held back because they appear to crash upstreams."))
     , m_viewAge(registerGauge(*m_registry, "mangofall_view_age_seconds", "Time since the store last answered, directly or through other hosts."))
     , m_viewRevision(registerGauge(*m_registry, "mangofall_view_revision", "Revision of the store up to which this host knows all changes."))
@@ -69,6 +71,11 @@
     m_storeCalls.Add({{"kind", kind}}).Increment();
 }
 
+void ForwardingMetrics::countRefusedConfiguration()
+{
+    m_refusedConfigurations.Add({}).Increment();
+}
+
 void ForwardingMetrics::countFeedBytes(std::size_t bytes)
 {
     m_feedBytes.Add({}).Increment(static_cast<double>(bytes));
--- a/Source/Telemetry/ForwardingMetrics.h
+++ b/Source/Telemetry/ForwardingMetrics.h
@@ -39,6 +39,9 @@
     /// Counts bytes sent to other hosts to pass on changes of the store.
     void countFeedBytes(std::size_t bytes);
 
+    /// Counts a configuration that was refused because of errors.
+    void countRefusedConfiguration();
+
     /// Suspects whose requests are held back because they appear to crash upstreams.
     prometheus::Gauge &heldSuspects();
     prometheus::Gauge &viewAge();
@@ -61,6 +64,7 @@
     prometheus::Family<prometheus::Counter> &m_feedBytes;
     prometheus::Family<prometheus::Histogram> &m_answerTime;
     prometheus::Family<prometheus::Histogram> &m_firstEvent;
+    prometheus::Family<prometheus::Counter> &m_refusedConfigurations;
     prometheus::Gauge &m_heldSuspects;
     prometheus::Gauge &m_viewAge;
     prometheus::Gauge &m_viewRevision;
--- a/Tests/Ctl/CtlCommandsTest.cpp
+++ b/Tests/Ctl/CtlCommandsTest.cpp
@@ -34,6 +34,28 @@
     return status;
 }
 
+/// Refuses all configurations; the commands under test check none.
+class NoConfigurations final : public Check::ConfigurationSource
+{
+public:
+    Check::ReadConfiguration read(std::string_view, std::optional<std::uint64_t>) const override
+    {
+        return {};
+    }
+
+    std::string pointer(const Check::ConfigurationPlace &) const override
+    {
+        return {};
+    }
+
+    std::optional<std::string> readInForce(const NetworkAddress &, std::string &) const override
+    {
+        return std::nullopt;
+    }
+};
+
+const NoConfigurations noConfigurations;
+
 /// Stand-in for the operator listener of a daemon, on its own thread. Also holds the files that the commands read.
 class OperatorListener
 {
@@ -78,7 +100,7 @@
         arguments.insert(arguments.end(), words.begin(), words.end());
         output.str({});
         errors.str({});
-        return runCtl(arguments, output, errors);
+        return runCtl(arguments, noConfigurations, output, errors);
     }
 
     /// Set these before run(): the thread of the listener reads them while run() is in progress.
@@ -246,7 +268,8 @@
         CHECK_TEXT(listener.run(words) == CtlStatus::UsageError, name.c_str());
         CHECK_TEXT(!listener.errors.str().empty() && listener.output.str().empty(), name.c_str());
     }
-    CHECK(runCtl({"mangofallctl", "status"}, listener.output, listener.errors) == CtlStatus::UsageError);
-    CHECK(runCtl({"mangofallctl", "--key-file", "k", "--server", "localhost:1", "status"}, listener.output, listener.errors) == CtlStatus::UsageError);
+    CHECK(runCtl({"mangofallctl", "status"}, noConfigurations, listener.output, listener.errors) == CtlStatus::UsageError);
+    CHECK(runCtl({"mangofallctl", "--key-file", "k", "--server", "localhost:1", "status"}, noConfigurations, listener.output, listener.errors)
+          == CtlStatus::UsageError);
     CHECK(listener.run({"--help"}) == CtlStatus::Success);
 }
