--- a/Tests/PlatformAdapter/ConfigurationCheckTest.cpp
+++ b/Tests/PlatformAdapter/ConfigurationCheckTest.cpp
@@ -151,6 +151,8 @@
                                            with("/tenants/0/api_keys", json::parse(R"(["a", "a", ""])")),
                                            without("/routes/0/traffic_split/1", "weight"),
                                            zeroWeights.dump(),
+                                           with("/routes/0/traffic_split/1", json::parse(R"({"service": "s9", "weight": 0})")),
+                                           with("/routes/0/service", "s9"),
                                            with("/unknown", json::parse(std::string(20, '[') + std::string(20, ']')))};
     for (const std::string &text : unusual) {
         const Check::ReadConfiguration read = readConfiguration(text, std::nullopt);
