Soak: informational responses before whole answers, statuses that are none

Cause: the soak had no upstream whose answers need more than reading one header. Change: every whole answer follows a 103; a failing upstream answers 500 and 000 in turn; a caller that gets a status outside of 200 to 599 is a violation.

--- a/Source/Http/UpstreamCall.cpp
+++ b/Source/Http/UpstreamCall.cpp
@@ -69,7 +69,8 @@
     }
     const boost::system::error_code readError = co_await readFinalHeader();
     // Without a response, the failed write is the cause; reading reports only an end.
-    co_return readError == BeastHttp::error::end_of_stream &&error ? error : readError;
+    const bool hasNoResponse = readError == BeastHttp::error::end_of_stream;
+    co_return error &&hasNoResponse ? error : readError;
 }
 
 Asio::awaitable<boost::system::error_code> UpstreamCall::readFinalHeader()
--- a/Tests/Soak/SoakCaller.cpp
+++ b/Tests/Soak/SoakCaller.cpp
@@ -170,6 +170,9 @@
         }
         return CallerOutcome::Answered;
     }
+    if (status < 200 || status > 599) {
+        m_ledger.reportViolation(subject + " got status " + std::to_string(status) + ", which is no final status");
+    }
     if (rejectsValidRequests(status)) {
         m_ledger.reportViolation(subject + " is valid but was rejected with status " + std::to_string(status));
     }
--- a/Tests/Soak/SoakUpstream.cpp
+++ b/Tests/Soak/SoakUpstream.cpp
@@ -15,6 +15,7 @@
 #include <boost/beast/http/read.hpp>
 #include <nlohmann/json.hpp>
 
+#include <array>
 #include <cstdio>
 #include <utility>
 
@@ -40,6 +41,10 @@
 constexpr unsigned statusMisdirected = 421;
 constexpr unsigned statusError = 500;
 constexpr unsigned statusUnavailable = 503;
+// No status of HTTP, which hosts must not pass on.
+constexpr unsigned statusInvalid = 0;
+// Precedes each whole answer; hosts must wait for the final response.
+constexpr const char *informational = "HTTP/1.1 103 Early Hints\r\n\r\n";
 constexpr unsigned slots = 16;
 
 std::string field(const SoakUpstream::Request &request, std::string_view name)
@@ -63,7 +68,9 @@
 
 std::string responseHead(const SoakUpstream::Request &request, unsigned status, bool executed, bool leaving)
 {
-    std::string text = "HTTP/1.1 " + std::to_string(status) + " Soak\r\n";
+    std::array<char, 32> statusLine{};
+    std::snprintf(statusLine.data(), statusLine.size(), "HTTP/1.1 %03u Soak\r\n", status);
+    std::string text = statusLine.data();
     text += std::string(Header::attemptId) + ": " + field(request, Header::attemptId) + "\r\n";
     text += executed ? std::string(Header::signature) + ": soak\r\n" : std::string(Header::notExecuted) + ": 1\r\n";
     text += leaving ? std::string(Header::serverLeaving) + ": 1\r\n" : std::string();
@@ -194,7 +201,8 @@
         co_return false;
     }
     if (m_fault == UpstreamFault::Failing) {
-        const bool keepOpen = co_await respond(socket, request, statusError, true);
+        ++m_failures;
+        const bool keepOpen = co_await respond(socket, request, m_failures % 2 == 0 ? statusInvalid : statusError, true);
         co_return keepOpen;
     }
     if (eventCount(request) > 0) {
@@ -238,7 +246,8 @@
 Asio::awaitable<bool> SoakUpstream::respond(std::shared_ptr<Socket> socket, const Request &request, unsigned status, bool executed)
 {
     const std::string body = completeBody(field(request, Header::attemptId));
-    const std::string bytes = responseHead(request, status, executed, m_leaving) + "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+    const std::string bytes
+        = informational + responseHead(request, status, executed, m_leaving) + "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
     const auto [error, written] = co_await Asio::async_write(*socket, Asio::buffer(bytes), awaitTuple);
     co_return !error;
 }
--- a/Tests/Soak/SoakUpstream.h
+++ b/Tests/Soak/SoakUpstream.h
@@ -73,6 +73,7 @@
     bool m_leaving = false;
     std::optional<TimePoint> m_leavingSince;
     UpstreamFault m_fault = UpstreamFault::None;
+    unsigned m_failures = 0; ///< Answers of the fault Failing.
     LoopbackServer m_server;
     std::unique_ptr<FaultProxy> m_proxy;
 };
