Check the meaning of a configuration beside its errors

Cause: one error hid all warnings, and a version that was not raised hid the differences. Change: the decoder keeps a draft, entry for entry, for the check of meaning only. Entries with errors are checked no further; differences need no other error than that of the version.

--- a/Source/Check/CheckReport.cpp
+++ b/Source/Check/CheckReport.cpp
@@ -89,7 +89,7 @@
     const std::size_t errors = count(report.findings, Severity::Error);
     output << (errors == 0 ? "valid" : "invalid") << ": " << errors << " errors, " << count(report.findings, Severity::Warning) << " warnings\n";
     if (errors > 0) {
-        output << "routes, limits and differences are checked when there are no errors\n";
+        output << "entries with errors were checked no further\n";
     }
 }
 
--- a/Source/Check/ConfigurationSource.h
+++ b/Source/Check/ConfigurationSource.h
@@ -15,6 +15,8 @@
 /// A configuration as the hosts read it.
 struct ReadConfiguration {
     std::optional<Forwarding::ForwardingConfiguration> configuration; ///< Set if there is no error.
+    /// Set instead if there are errors, but entries could be read. Entries with errors have arbitrary values, so that hosts must not use it.
+    std::optional<Forwarding::ForwardingConfiguration> draft;
     Findings findings;
 };
 
--- a/Source/Ctl/CheckCommand.cpp
+++ b/Source/Ctl/CheckCommand.cpp
@@ -8,6 +8,7 @@
 #include <filesystem>
 #include <fstream>
 #include <iostream>
+#include <set>
 #include <utility>
 
 namespace Mangofall {
@@ -17,6 +18,22 @@
 constexpr const char *standardInput = "-";
 constexpr std::size_t wordsOfCheck = 2;
 
+// The values of entries with other errors are not known, so that differences from them would be wrong.
+bool hasOnlyVersionErrors(const Check::Findings &findings)
+{
+    return std::all_of(findings.begin(), findings.end(), [](const Check::Finding &finding) {
+        return finding.severity != Check::Severity::Error || finding.code == "version-not-above";
+    });
+}
+
+// JSON pointer of the entry that the field at \p path belongs to, such as `/routes/3`, or of its section.
+std::string entryOf(const std::string &path)
+{
+    const std::size_t section = path.find('/', 1);
+    const std::size_t entry = section == std::string::npos ? std::string::npos : path.find('/', section + 1);
+    return path.substr(0, entry);
+}
+
 }
 
 std::optional<std::string> readLimited(std::istream &stream, std::size_t limitBytes)
@@ -65,12 +82,13 @@
         inForce = std::move(read.configuration);
     }
     Check::ReadConfiguration read = m_configurations.read(*text, inForce ? std::optional(inForce->version) : std::nullopt);
+    const std::optional<Forwarding::ForwardingConfiguration> &next = read.configuration ? read.configuration : read.draft;
     Check::CheckReport report{std::move(read.findings), std::nullopt};
-    if (read.configuration) {
-        addMeaning(*read.configuration, report.findings);
+    if (next && inForce && hasOnlyVersionErrors(report.findings)) {
+        report.differences = Check::compare(*inForce, *next);
     }
-    if (read.configuration && inForce) {
-        report.differences = Check::compare(*inForce, *read.configuration);
+    if (next) {
+        addMeaning(*next, report.findings);
     }
     return print(report);
 }
@@ -111,9 +129,17 @@
 
 void CheckCommand::addMeaning(const Forwarding::ForwardingConfiguration &configuration, Check::Findings &findings) const
 {
+    std::set<std::string> entriesWithErrors;
+    for (const Check::Finding &finding : findings) {
+        if (finding.severity == Check::Severity::Error) {
+            entriesWithErrors.insert(entryOf(finding.path));
+        }
+    }
     for (Check::MeaningWarning &warning : Check::checkMeaning(configuration)) {
-        findings.push_back(
-            {Check::Severity::Warning, std::move(warning.code), m_configurations.pointer(warning.place), std::move(warning.found), std::move(warning.allowed)});
+        std::string path = m_configurations.pointer(warning.place);
+        if (!entriesWithErrors.contains(entryOf(path))) {
+            findings.push_back({Check::Severity::Warning, std::move(warning.code), std::move(path), std::move(warning.found), std::move(warning.allowed)});
+        }
     }
 }
 
--- a/Source/Ctl/CheckCommand.h
+++ b/Source/Ctl/CheckCommand.h
@@ -32,6 +32,7 @@
     /// Text of the file \p name, or of the standard input if it is `-`. Otherwise writes an error message and returns nothing.
     std::optional<std::string> readInput(const std::string &name);
     std::optional<std::string> readInForce();
+    /// Adds the warnings on meaning, except those on entries that have errors.
     void addMeaning(const Forwarding::ForwardingConfiguration &configuration, Check::Findings &findings) const;
     CtlStatus print(const Check::CheckReport &report);
     CtlStatus reportUsageError(const std::string &message);
--- a/Tests/PlatformAdapter/ConfigurationCheckTest.cpp
+++ b/Tests/PlatformAdapter/ConfigurationCheckTest.cpp
@@ -204,6 +204,8 @@
     LONGS_EQUAL(1, tool.run({broken, "--json"}));
     const json report = json::parse(tool.output.str());
     CHECK(report["valid"] == false && report["findings"][0]["path"] == "/routes/1/kind");
+    LONGS_EQUAL(1, tool.run({valid, "--in-force", valid}));
+    CHECK(contains(tool.output.str(), "version-not-above"));
     LONGS_EQUAL(1, tool.run({tool.directory.string()}));
     LONGS_EQUAL(1, tool.run({"/dev/zero"}));
     LONGS_EQUAL(2, tool.run({}));
@@ -211,6 +213,24 @@
     LONGS_EQUAL(2, tool.run({"-", "--in-force", "-"}));
 }
 
+// Guards against reporting only a part of what is wrong, and against follow-up findings on an entry that could not be read.
+TEST(ConfigurationCheckTest, WarningsAreReportedBesideErrors)
+{
+    json document = validDocument();
+    document["routes"][0] = 5;
+    document["routes"][1]["path_prefix"] = "/b";
+    document["services"][1]["cold_per_s"] = "x";
+    Tool tool;
+    LONGS_EQUAL(1, tool.run({tool.write("next", document.dump())}));
+    STRCMP_EQUAL("error /routes/0: wrong-type: found a value of type number, allowed: an object\n"
+                 "error /services/1/cold_per_s: wrong-type: found \"x\", allowed: a number\n"
+                 "warning /routes/1/path_prefix: route-never-matches: found \"/b\", allowed: a prefix that starts and ends with a slash\n"
+                 "warning /services/0: service-without-route: found \"s1\", allowed: a service that a route sends requests to\n"
+                 "invalid: 2 errors, 2 warnings\n"
+                 "entries with errors were checked no further\n",
+                 tool.output.str().c_str());
+}
+
 // Guards against a key in the output, in whatever place or type an operator writes it, and against other contents of the document in the message of a parser.
 TEST(ConfigurationCheckTest, KeysAreNeverPrinted)
 {
