Place the requests again of a host that was lost and still calls

Cause: a host that was dropped while its connection stood had its waiting requests removed from the table, but not from the list of known ones, so that they were answered as queued until their deadlines. A host that found the entry of its own former process took the new one for another process and dropped its own requests. Links that were still connecting when all were closed after a pause were connected later. The number of deferred requests had no limit.

Change: both lists are cleared together; a host never loses itself; links are closed for good; at most 2,000 requests are deferred, further ones declined.

--- a/Source/Forwarding/FleetPeers.cpp
+++ b/Source/Forwarding/FleetPeers.cpp
@@ -19,7 +19,9 @@
             log.write("peer_listed_again", {{"peer", change.host.value()}});
             break;
         case MembershipChange::Kind::Dropped:
-            log.write("peer_dropped", {{"peer", change.host.value()}, {"cause", name(change.cause)}});
+            if (change.cause != MembershipChange::Cause::NotKept) {
+                log.write("peer_dropped", {{"peer", change.host.value()}, {"cause", name(change.cause)}});
+            }
             break;
         }
     }
@@ -158,7 +160,9 @@
     std::vector<HostId> lost;
     for (const auto &[id, known] : m_members) {
         const auto position = next.find(id);
-        if (position == next.end() || !isSameProcess(position->second, known)) {
+        const bool isMember = position != next.end() && isSameProcess(position->second, known);
+        // This host may find the entry of its own former process, which tells nothing about its requests.
+        if (!isMember && id != m_self) {
             lost.push_back(id);
         }
     }
--- a/Source/Forwarding/FleetPlacement.cpp
+++ b/Source/Forwarding/FleetPlacement.cpp
@@ -68,12 +68,20 @@
 void FleetPlacement::hostsLost(const std::vector<HostId> &hosts, TimePoint now)
 {
     for (const HostId &host : hosts) {
-        m_table.hostLost(host, now);
-        m_owned.hostLost(host);
+        forgetRequestsOf(host, now);
         forgetOwner(host);
     }
 }
 
+void FleetPlacement::forgetRequestsOf(const HostId &host, TimePoint now)
+{
+    m_table.hostLost(host, now);
+    m_owned.hostLost(host);
+    std::erase_if(m_waitingPeerRequests, [&](const Placement::PlacementRequestId &id) {
+        return id.host == host;
+    });
+}
+
 void FleetPlacement::startLeaving()
 {
     m_owned.startLeaving();
@@ -254,11 +262,7 @@
     const TimePoint now = Clock::now();
     if (const std::optional<HostId> from = m_connections.removeAccepted(connection)) {
         if (!from->empty()) {
-            m_table.hostLost(*from, now);
-            m_owned.hostLost(*from);
-            std::erase_if(m_waitingPeerRequests, [&](const Placement::PlacementRequestId &id) {
-                return id.host == *from;
-            });
+            forgetRequestsOf(*from, now);
         }
         return;
     }
@@ -276,8 +280,7 @@
     placement.owner = m_peers.owners().owner(service);
     placement.answerDeadline = now + answerTimeout;
     placement.resendAt = now + resendInterval;
-    const bool isOwner = placement.owner == m_self;
-    const OwnershipDecision decision = isOwner ? m_owned.decide(placement.placementRequest, std::nullopt, now) : OwnershipDecision::Place;
+    const auto decision = placement.owner == m_self ? m_owned.decide(placement.placementRequest, std::nullopt, now) : OwnershipDecision::Place;
     if (decision == OwnershipDecision::Decline) {
         passOverSelf(now);
         placement.owner = m_peers.owners().owner(service);
@@ -289,7 +292,6 @@
         return;
     }
     placement.queued = true;
-    // A host that declines places its own requests if there is no other owner.
     if (decision != OwnershipDecision::Defer) {
         place(placement.placementRequest, now);
     }
@@ -434,18 +436,18 @@
 {
     const TimePoint now = Clock::now();
     const Placement::PlacementRequest placementRequest = fromWire(call, from, now);
-    const std::optional<StoreViewStatus> callerView = viewFromWire(call);
-    const OwnershipDecision decision = callerView ? m_owned.decide(placementRequest, callerView, now) : OwnershipDecision::Place;
+    const std::optional<StoreViewStatus> view = viewFromWire(call);
+    const OwnershipDecision decision = view ? m_owned.decide(placementRequest, view, now) : OwnershipDecision::Place;
     if (decision == OwnershipDecision::Decline) {
         decline(*connection, placementRequest.id, now);
         return;
     }
-    const bool isNew = m_waitingPeerRequests.insert(placementRequest.id).second;
-    if (isNew && decision == OwnershipDecision::Place) {
-        place(placementRequest, now);
-    } else if (decision == OwnershipDecision::Place) {
+    if (decision == OwnershipDecision::Place) {
         m_owned.record(placementRequest.service, m_peers.alone(), now);
     }
+    if (m_waitingPeerRequests.insert(placementRequest.id).second && decision == OwnershipDecision::Place) {
+        place(placementRequest, now);
+    }
     if (m_waitingPeerRequests.contains(placementRequest.id)) {
         m_log.write("placement_queued", {{"entry", from.value()}, {"demand", std::to_string(call.number)}, {"waiting", std::to_string(m_table.waiting())}});
         connection->send(toPeerMessage(queuedAnswer(placementRequest.id)));
@@ -505,22 +507,20 @@
 
 void FleetPlacement::scheduleTick()
 {
-    const bool tableIdle = m_table.waiting() == 0 && m_table.granted() == 0;
-    const bool idle = m_localPlacements.empty() && tableIdle && !m_peers.owners().skipsAny() && !m_owned.defersAny();
-    if (m_tickScheduled || idle) {
+    const bool idle = m_localPlacements.empty() && m_table.waiting() == 0 && m_table.granted() == 0;
+    if (m_tickScheduled || (idle && !m_peers.owners().skipsAny() && !m_owned.defersAny())) {
         return;
     }
     m_tickScheduled = true;
     m_timer.expires_after(tickInterval);
     m_timer.async_wait([this](const boost::system::error_code &error) {
-        if (error) {
-            return; // This object is gone.
+        if (!error) {
+            m_tickScheduled = false;
+            const ScopeGuard scheduled([this]() {
+                scheduleTick();
+            });
+            tick();
         }
-        m_tickScheduled = false;
-        const ScopeGuard scheduled([this]() {
-            scheduleTick();
-        });
-        tick();
     });
 }
 
--- a/Source/Forwarding/FleetPlacement.h
+++ b/Source/Forwarding/FleetPlacement.h
@@ -94,6 +94,7 @@
         bool prefilling = true;
     };
 
+    /// Places the request or sends it to its owner. If this host declines and there is no other owner, it places its own requests.
     void requestAssignment(LocalPlacement &placement, TimePoint now);
     /// Passes over this host as owner for a while.
     void passOverSelf(TimePoint now);
@@ -104,6 +105,9 @@
     void onDeclined(const HostId &from, Duration time, TimePoint now);
     /// Ends what depended on the processes of these hosts.
     void hostsLost(const std::vector<HostId> &hosts, TimePoint now);
+    /// Removes the waiting requests of another host, which it may send again.
+    void forgetRequestsOf(const HostId &host, TimePoint now);
+    /// Removes the services that another host has owned for some time.
     void expireOwnerships(TimePoint now);
     /// Lets the requests of this host that were sent to \p host be sent to the present owner.
     void forgetOwner(const HostId &host);
--- a/Source/Forwarding/OwnershipGate.cpp
+++ b/Source/Forwarding/OwnershipGate.cpp
@@ -27,10 +27,8 @@
         noteCaller(*caller, own, now);
     }
     const OwnershipDecision decision = judge(request, own, now);
-    if (decision == OwnershipDecision::Defer) {
-        keep(request);
-    }
-    return decision;
+    const bool tooMany = decision == OwnershipDecision::Defer && !keep(request);
+    return tooMany ? OwnershipDecision::Decline : decision;
 }
 
 Duration OwnershipGate::declineTime() const
@@ -84,14 +82,18 @@
     return unknown ? OwnershipDecision::Defer : OwnershipDecision::Place;
 }
 
-void OwnershipGate::keep(const Placement::PlacementRequest &request)
+bool OwnershipGate::keep(const Placement::PlacementRequest &request)
 {
     const bool isKept = std::any_of(m_kept.begin(), m_kept.end(), [&](const Placement::PlacementRequest &kept) {
         return kept.id == request.id;
     });
+    if (!isKept && m_kept.size() >= m_limits.maxDeferred) {
+        return false;
+    }
     if (!isKept) {
         m_kept.push_back(request);
     }
+    return true;
 }
 
 void OwnershipGate::noteCaller(const StoreViewStatus &caller, const StoreViewStatus &own, TimePoint now)
--- a/Source/Forwarding/OwnershipGate.h
+++ b/Source/Forwarding/OwnershipGate.h
@@ -3,6 +3,7 @@
 #include "Forwarding/StoreViewStatus.h"
 #include "Placement/PlacementRequest.h"
 
+#include <cstddef>
 #include <optional>
 #include <set>
 #include <utility>
@@ -29,6 +30,8 @@
     Duration declineTime = std::chrono::seconds(2);
     /// A host that leaves is passed over until it is gone.
     Duration leavingDeclineTime = std::chrono::seconds(60);
+    /// How many requests wait at most; further ones are declined.
+    std::size_t maxDeferred = 2000;
     /// How long a newer view that a caller had is remembered.
     Duration newerViewMemory = std::chrono::seconds(60);
 };
@@ -74,7 +77,8 @@
     };
 
     OwnershipDecision judge(const Placement::PlacementRequest &request, const StoreViewStatus &own, TimePoint now);
-    void keep(const Placement::PlacementRequest &request);
+    /// Keeps the request unless it is kept already; returns false if too many are.
+    bool keep(const Placement::PlacementRequest &request);
     void noteCaller(const StoreViewStatus &caller, const StoreViewStatus &own, TimePoint now);
     /// Whether a caller has shown a newer view that this host should know by now.
     bool isStale(const StoreViewStatus &own, TimePoint now) const;
--- a/Source/Forwarding/PeerConnections.cpp
+++ b/Source/Forwarding/PeerConnections.cpp
@@ -61,7 +61,7 @@
 {
     const auto links = std::exchange(m_links, {});
     for (const auto &[host, link] : links) {
-        link->close();
+        link->closeSilently();
     }
 }
 
