Decide by cost when requests leave their data centre

Cause: a constant stood for the distance to another data centre, the same for a request of 2 kB and for one of 3 MB, at any load and delay.

Change: DataCentreTraffic compares, for each service and data centre, the bytes that would cross at the operator's price and the delay in both directions with the wait that its whole demand would have at home and elsewhere. The selectors take the cost of the distance from DistanceCost; without the setting it is the constant of before. PlacementCall carries the bytes of the request and those expected of the answer (new fields at its end); delays of the configuration's engine are decoded. Setting placement.crossDataCentre (absent: as before); log line data_centre_share; gauge mangofall_leaving_share.

--- a/Source/Forwarding/FleetPlacement.cpp
+++ b/Source/Forwarding/FleetPlacement.cpp
@@ -137,6 +137,11 @@
     return m_table.findings(Clock::now());
 }
 
+std::vector<Placement::LeavingReport> FleetPlacement::leavingReports() const
+{
+    return m_table.leavingReports(Clock::now());
+}
+
 Placement::PlacementRequestId FleetPlacement::nextId()
 {
     return {m_self, ++m_nextNumber};
@@ -537,6 +542,7 @@
     const TimePoint now = Clock::now();
     applyActions(m_table.tick(now));
     m_loadFindingsLog.update(m_table.findings(now), m_log);
+    m_leavingLog.update(m_table.leavingReports(now), m_log);
     expireOwnerships(now);
     checkOwners(now);
     sendProbes(now);
--- a/Source/Forwarding/FleetPlacement.h
+++ b/Source/Forwarding/FleetPlacement.h
@@ -2,6 +2,7 @@
 
 #include "Forwarding/CrashReplica.h"
 #include "Forwarding/FleetHost.h"
+#include "Forwarding/LeavingLog.h"
 #include "Forwarding/LoadFindingsLog.h"
 #include "Forwarding/OwnerSelector.h"
 #include "Forwarding/PeerConnections.h"
@@ -50,6 +51,7 @@
     std::error_code listen(const NetworkAddress &address);
 
     void setHosts(const std::vector<FleetHost> &hosts);
+    /// Must be called before setServices().
     void setOptions(const Placement::PlacementOptions &options);
     void setServices(const std::vector<Placement::ServiceSpec> &services);
     void setUpstreams(const std::vector<Placement::UpstreamEntry> &upstreams);
@@ -71,6 +73,8 @@
     std::size_t waiting() const;
     /// Load of the upstreams that this host has not granted as owner.
     Placement::LoadFindings loadFindings() const;
+    /// The shares of requests that leave their data centres, for the services that this host owns.
+    std::vector<Placement::LeavingReport> leavingReports() const;
 
     Placement::PlacementRequestId nextId() override;
     void submit(const Placement::PlacementRequest &placementRequest, Handler handler) override;
@@ -148,6 +152,7 @@
     boost::asio::steady_timer m_timer;
     bool m_tickScheduled = false;
     LoadFindingsLog m_loadFindingsLog;
+    LeavingLog m_leavingLog;
 };
 
 }
--- a/Source/Forwarding/ForwardingContext.h
+++ b/Source/Forwarding/ForwardingContext.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "Base/Time.h"
+#include "Forwarding/AnswerSizes.h"
 
 #include <boost/asio/io_context.hpp>
 
@@ -34,6 +35,7 @@
     AnswerMemory &answerMemory;
     EventLog &log;
     ForwardingMetrics &metrics;
+    AnswerSizes answerSizes{};
     std::optional<TimePoint> hostEndsAt{}; ///< When a host that is shutting down ends the requests that are still in progress.
 };
 
--- a/Source/Forwarding/ForwardingSession.cpp
+++ b/Source/Forwarding/ForwardingSession.cpp
@@ -300,6 +300,8 @@
     placementRequest.service = m_service;
     placementRequest.promptTokens = m_request.promptTokens;
     placementRequest.outputTokens = m_request.outputTokens;
+    placementRequest.requestBytes = m_exchange.request().body().size();
+    placementRequest.answerBytes = m_context.answerSizes.expected(m_service, m_request.outputTokens);
     placementRequest.target = m_route.target;
     placementRequest.pauseLimit = m_route.pauseLimit;
     placementRequest.arrivedAt = m_exchange.receivedAt();
@@ -404,6 +406,9 @@
         result.grantOutcome = m_hostEnding ? GrantOutcome::Cancelled : result.grantOutcome;
         result.cause = error.message();
     }
+    if (result.outcome == AttemptOutcome::Answered) {
+        m_context.answerSizes.record(m_service, call.receivedBytes());
+    }
     m_call = nullptr;
     m_silenceTimer.cancel();
     co_return result;
--- a/Source/Forwarding/WirePlacement.cpp
+++ b/Source/Forwarding/WirePlacement.cpp
@@ -42,6 +42,8 @@
     call.first_attempt = placementRequest.firstAttempt;
     call.borrows_retry = placementRequest.borrowsRetry;
     call.shared_parts = placementRequest.sharedParts;
+    call.request_bytes = placementRequest.requestBytes;
+    call.answer_bytes = placementRequest.answerBytes;
     return call;
 }
 
@@ -65,6 +67,8 @@
     placementRequest.firstAttempt = call.first_attempt;
     placementRequest.borrowsRetry = call.borrows_retry;
     placementRequest.sharedParts = call.shared_parts;
+    placementRequest.requestBytes = call.request_bytes;
+    placementRequest.answerBytes = call.answer_bytes;
     return placementRequest;
 }
 
--- a/Source/Peer/PeerMessages_generated.h
+++ b/Source/Peer/PeerMessages_generated.h
@@ -4834,6 +4834,8 @@
   bool first_attempt = false;
   bool borrows_retry = false;
   std::vector<uint64_t> shared_parts{};
+  uint64_t request_bytes = 0;
+  uint64_t answer_bytes = 0;
 };
 
 /// A placement request, from the entry host of a caller's request to the owner of its service.
@@ -4855,7 +4857,9 @@
     VT_EXCLUDED = 26,
     VT_FIRST_ATTEMPT = 28,
     VT_BORROWS_RETRY = 30,
-    VT_SHARED_PARTS = 32
+    VT_SHARED_PARTS = 32,
+    VT_REQUEST_BYTES = 34,
+    VT_ANSWER_BYTES = 36
   };
   uint64_t number() const {
     return GetField<uint64_t>(VT_NUMBER, 0);
@@ -4906,6 +4910,13 @@
   const flatbuffers::Vector<uint64_t> *shared_parts() const {
     return GetPointer<const flatbuffers::Vector<uint64_t> *>(VT_SHARED_PARTS);
   }
+  /// Bytes of the request, and those expected of its answer; 0 if unknown.
+  uint64_t request_bytes() const {
+    return GetField<uint64_t>(VT_REQUEST_BYTES, 0);
+  }
+  uint64_t answer_bytes() const {
+    return GetField<uint64_t>(VT_ANSWER_BYTES, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_NUMBER, 8) &&
@@ -4928,6 +4939,8 @@
            VerifyField<uint8_t>(verifier, VT_BORROWS_RETRY, 1) &&
            VerifyOffset(verifier, VT_SHARED_PARTS) &&
            verifier.VerifyVector(shared_parts()) &&
+           VerifyField<uint64_t>(verifier, VT_REQUEST_BYTES, 8) &&
+           VerifyField<uint64_t>(verifier, VT_ANSWER_BYTES, 8) &&
            verifier.EndTable();
   }
   PlacementCallT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -4984,6 +4997,12 @@
   void add_shared_parts(flatbuffers::Offset<flatbuffers::Vector<uint64_t>> shared_parts) {
     fbb_.AddOffset(PlacementCall::VT_SHARED_PARTS, shared_parts);
   }
+  void add_request_bytes(uint64_t request_bytes) {
+    fbb_.AddElement<uint64_t>(PlacementCall::VT_REQUEST_BYTES, request_bytes, 0);
+  }
+  void add_answer_bytes(uint64_t answer_bytes) {
+    fbb_.AddElement<uint64_t>(PlacementCall::VT_ANSWER_BYTES, answer_bytes, 0);
+  }
   explicit PlacementCallBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -5011,8 +5030,12 @@
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> excluded = 0,
     bool first_attempt = false,
     bool borrows_retry = false,
-    flatbuffers::Offset<flatbuffers::Vector<uint64_t>> shared_parts = 0) {
+    flatbuffers::Offset<flatbuffers::Vector<uint64_t>> shared_parts = 0,
+    uint64_t request_bytes = 0,
+    uint64_t answer_bytes = 0) {
   PlacementCallBuilder builder_(_fbb);
+  builder_.add_answer_bytes(answer_bytes);
+  builder_.add_request_bytes(request_bytes);
   builder_.add_fingerprint(fingerprint);
   builder_.add_output_tokens(output_tokens);
   builder_.add_prompt_tokens(prompt_tokens);
@@ -5047,7 +5070,9 @@
     const std::vector<flatbuffers::Offset<flatbuffers::String>> *excluded = nullptr,
     bool first_attempt = false,
     bool borrows_retry = false,
-    const std::vector<uint64_t> *shared_parts = nullptr) {
+    const std::vector<uint64_t> *shared_parts = nullptr,
+    uint64_t request_bytes = 0,
+    uint64_t answer_bytes = 0) {
   auto service__ = service ? _fbb.CreateString(service) : 0;
   auto data_centre__ = data_centre ? _fbb.CreateString(data_centre) : 0;
   auto excluded__ = excluded ? _fbb.CreateVector<flatbuffers::Offset<flatbuffers::String>>(*excluded) : 0;
@@ -5068,7 +5093,9 @@
       excluded__,
       first_attempt,
       borrows_retry,
-      shared_parts__);
+      shared_parts__,
+      request_bytes,
+      answer_bytes);
 }
 
 flatbuffers::Offset<PlacementCall> CreatePlacementCall(flatbuffers::FlatBufferBuilder &_fbb, const PlacementCallT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -8125,6 +8152,8 @@
   { auto _e = first_attempt(); _o->first_attempt = _e; }
   { auto _e = borrows_retry(); _o->borrows_retry = _e; }
   { auto _e = shared_parts(); if (_e) { _o->shared_parts.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->shared_parts[_i] = _e->Get(_i); } } }
+  { auto _e = request_bytes(); _o->request_bytes = _e; }
+  { auto _e = answer_bytes(); _o->answer_bytes = _e; }
 }
 
 inline flatbuffers::Offset<PlacementCall> PlacementCall::Pack(flatbuffers::FlatBufferBuilder &_fbb, const PlacementCallT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -8150,6 +8179,8 @@
   auto _first_attempt = _o->first_attempt;
   auto _borrows_retry = _o->borrows_retry;
   auto _shared_parts = _o->shared_parts.size() ? _fbb.CreateVector(_o->shared_parts) : 0;
+  auto _request_bytes = _o->request_bytes;
+  auto _answer_bytes = _o->answer_bytes;
   return Mangofall::Wire::CreatePlacementCall(
       _fbb,
       _number,
@@ -8166,7 +8197,9 @@
       _excluded,
       _first_attempt,
       _borrows_retry,
-      _shared_parts);
+      _shared_parts,
+      _request_bytes,
+      _answer_bytes);
 }
 
 inline PlacementAnswerT *PlacementAnswer::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
--- a/Source/Placement/EngineSelector.cpp
+++ b/Source/Placement/EngineSelector.cpp
@@ -5,6 +5,7 @@
 #include "Placement/UpstreamLoad.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace Mangofall::Placement {
 
@@ -31,7 +32,7 @@
 // Costs that rank the engines which keep all limits.
 constexpr double shortenedLimitCost = 1.0; // The request would give the engine a shorter pause limit than it has.
 constexpr double strictEngineCost = 1.5; // The engine serves a shorter pause limit than that of the request.
-constexpr double otherDataCentreCost = 0.15;
+constexpr double otherDataCentreCost = 0.15; // Unless the deployment decides by cost (DataCentreTraffic).
 constexpr double fillBonus = 1.2; // Outweighs another data centre and one more prefill, so that engines taken into use in a burst become idle after it.
 constexpr double beyondPreferredCost = 1.2; // Makes the use of another engine better than an estimate near the target.
 constexpr double helperCost = 0.01; // Each helper is one more engine whose loss ends the request.
@@ -58,8 +59,9 @@
 
 }
 
-EngineSelector::EngineSelector(const EngineSpec &spec)
+EngineSelector::EngineSelector(const EngineSpec &spec, std::shared_ptr<const DistanceCost> distance)
     : m_spec(spec)
+    , m_distance(distance ? std::move(distance) : std::make_shared<ConstantDistanceCost>(otherDataCentreCost))
 {
 }
 
@@ -263,7 +265,7 @@
     const Duration shortestLimit = load.shortestPauseLimit();
     double total = shortestLimit > request.pauseLimit ? shortenedLimitCost : 0;
     total += shortestLimit < request.pauseLimit ? strictEngineCost : 0;
-    total += load.entry().dataCentre == request.dataCentre ? 0 : otherDataCentreCost;
+    total += m_distance->of(request, load.entry());
     total -= fillBonus * load.requests() / std::max(m_spec.slots, 1U);
     total += load.failures().cost(now);
     return total;
--- a/Source/Placement/EngineSelector.h
+++ b/Source/Placement/EngineSelector.h
@@ -1,9 +1,11 @@
 #pragma once
 
+#include "Placement/DistanceCost.h"
 #include "Placement/EngineSpec.h"
 #include "Placement/UpstreamSelector.h"
 
 #include <cstdint>
+#include <memory>
 #include <vector>
 
 namespace Mangofall::Placement {
@@ -19,7 +21,8 @@
 class EngineSelector final : public UpstreamSelector
 {
 public:
-    explicit EngineSelector(const EngineSpec &spec);
+    /// Without \p distance, upstreams in other data centres have a fixed cost.
+    explicit EngineSelector(const EngineSpec &spec, std::shared_ptr<const DistanceCost> distance = nullptr);
 
     std::optional<Selection> select(const PlacementRequest &request, const Candidates &candidates, TimePoint now) const override;
     Duration leastServiceTime(const PlacementRequest &request) const override;
@@ -70,6 +73,7 @@
     double baseCost(const PlacementRequest &request, const UpstreamLoad &load, TimePoint now) const;
 
     EngineSpec m_spec;
+    std::shared_ptr<const DistanceCost> m_distance;
 };
 
 }
--- a/Source/Placement/PlacementOptions.h
+++ b/Source/Placement/PlacementOptions.h
@@ -1,5 +1,9 @@
 #pragma once
 
+#include "Placement/CrossDataCentreOptions.h"
+
+#include <optional>
+
 namespace Mangofall::Placement {
 
 /**
@@ -8,6 +12,8 @@
  */
 struct PlacementOptions {
     bool reportedLoad = false; ///< Whether the load and the lateness that upstreams show in their answers influence placement.
+    std::optional<CrossDataCentreOptions>
+        crossDataCentre{}; ///< If set, requests leave their data centre by cost; otherwise other data centres have fixed costs.
 
     friend bool operator==(const PlacementOptions &, const PlacementOptions &) = default;
 };
--- a/Source/Placement/PlacementRequest.h
+++ b/Source/Placement/PlacementRequest.h
@@ -38,6 +38,8 @@
     DataCentreId dataCentre; ///< The entry host's data centre.
     std::uint64_t promptTokens = 0; ///< 0 for services without a model.
     std::uint64_t outputTokens = 0;
+    std::uint64_t requestBytes = 0;
+    std::uint64_t answerBytes = 0; ///< Expected; 0 if unknown.
     Duration target{}; ///< Longest time from the arrival to the first event of the answer that counts as on time.
     Duration pauseLimit{}; ///< Longest pause between events that counts as on time; zero for answers without a stream.
     TimePoint arrivedAt; ///< When the caller's request arrived.
--- a/Source/Placement/PlacementTable.cpp
+++ b/Source/Placement/PlacementTable.cpp
@@ -1,10 +1,13 @@
 #include "Placement/PlacementTable.h"
 
+#include "Placement/DataCentreLoads.h"
 #include "Placement/EngineSelector.h"
 #include "Placement/ServiceLateness.h"
 #include "Placement/SlotSelector.h"
 
 #include <algorithm>
+#include <iterator>
+#include <limits>
 #include <numeric>
 #include <set>
 #include <utility>
@@ -24,12 +27,12 @@
 constexpr double retrySpread = 0.25;
 constexpr std::uint64_t retrySteps = 256;
 
-std::unique_ptr<UpstreamSelector> makeSelector(const ServiceSpec &spec)
+std::unique_ptr<UpstreamSelector> makeSelector(const ServiceSpec &spec, std::shared_ptr<const DistanceCost> distance)
 {
     if (spec.engine) {
-        return std::make_unique<EngineSelector>(*spec.engine);
+        return std::make_unique<EngineSelector>(*spec.engine, std::move(distance));
     }
-    return std::make_unique<SlotSelector>();
+    return std::make_unique<SlotSelector>(std::move(distance));
 }
 
 // Requests that are refused at the same time get different retry times, so that they do not all retry at once.
@@ -68,7 +71,7 @@
         if (known != m_services.end() && known->second.spec == spec) {
             next.emplace(spec.id, std::move(known->second));
         } else {
-            next.emplace(spec.id, Service{spec, makeSelector(spec), {}, {}, {}, {}});
+            next.emplace(spec.id, makeService(spec));
         }
     }
     m_services = std::move(next);
@@ -248,13 +251,18 @@
         known->second.endsAt = grant.placementRequest.deadline + m_limits.grantSlack;
         return;
     }
-    m_grants[id] = GrantRecord{grant.upstream,
+    m_grants[id] = GrantRecord{grant.placementRequest.service,
+                               grant.placementRequest.dataCentre,
+                               grant.upstream,
                                grant.helpers,
                                now,
                                grant.placementRequest.deadline + m_limits.grantSlack,
                                grant.placementRequest.sharedParts,
                                grant.placementRequest.fingerprint,
                                Duration::zero()};
+    if (DataCentreTraffic *traffic = trafficOf(grant.placementRequest.service)) {
+        traffic->adopted(grant.placementRequest.dataCentre);
+    }
     const auto service = m_services.find(grant.placementRequest.service);
     const auto parts = static_cast<std::uint32_t>(grant.helpers.size() + 1);
     const Duration prefill = service == m_services.end() ? Duration::zero() : service->second.selector->partPrefillTime(grant.placementRequest, parts);
@@ -323,6 +331,32 @@
     return findings;
 }
 
+PlacementTable::Service PlacementTable::makeService(const ServiceSpec &spec) const
+{
+    std::shared_ptr<DataCentreTraffic> traffic;
+    if (m_options.crossDataCentre) {
+        traffic = std::make_shared<DataCentreTraffic>(*m_options.crossDataCentre, spec.delays);
+    }
+    return Service{spec, traffic, makeSelector(spec, traffic), {}, {}, {}, {}};
+}
+
+DataCentreTraffic *PlacementTable::trafficOf(const ServiceId &id) const
+{
+    const auto service = m_services.find(id);
+    return service == m_services.end() ? nullptr : service->second.traffic.get();
+}
+
+std::vector<LeavingReport> PlacementTable::leavingReports(TimePoint now) const
+{
+    std::vector<LeavingReport> reports;
+    for (const auto &[id, service] : m_services) {
+        if (service.traffic) {
+            std::ranges::move(service.traffic->reports(id, now), std::back_inserter(reports));
+        }
+    }
+    return reports;
+}
+
 UpstreamLoad *PlacementTable::find(const UpstreamId &id)
 {
     const auto position = m_upstreams.find(id);
@@ -396,8 +430,18 @@
     // With helpers it is not known which of the upstreams a late answer is due to.
     const Duration estimate
         = selection->helpers.empty() ? toDuration(Seconds(selection->firstEventEstimate) / selection->primary->slowness()) : Duration::zero();
-    m_grants[request.id] = GrantRecord{
-        grant.assignment.upstream, grant.assignment.helpers, now, request.deadline + m_limits.grantSlack, request.sharedParts, request.fingerprint, estimate};
+    m_grants[request.id] = GrantRecord{request.service,
+                                       request.dataCentre,
+                                       grant.assignment.upstream,
+                                       grant.assignment.helpers,
+                                       now,
+                                       request.deadline + m_limits.grantSlack,
+                                       request.sharedParts,
+                                       request.fingerprint,
+                                       estimate};
+    if (service->second.traffic) {
+        service->second.traffic->granted(request, selection->primary->entry().dataCentre);
+    }
     return grant;
 }
 
@@ -511,6 +555,9 @@
             load->unknownLoad().ended(id, now);
         }
     }
+    if (DataCentreTraffic *traffic = trafficOf(grant->second.service)) {
+        traffic->ended(grant->second.home, now - grant->second.grantedAt);
+    }
     m_grants.erase(grant);
 }
 
@@ -520,6 +567,14 @@
         if (m_options.reportedLoad) {
             updateSlowness(service.upstreams, now);
         }
+        if (service.traffic) {
+            const std::uint32_t slotLimit = service.spec.engine ? service.spec.engine->slots : std::numeric_limits<std::uint32_t>::max();
+            DataCentreTraffic::Loads loads = dataCentreLoads(service.upstreams, slotLimit, m_outages, now);
+            for (const Waiting &waiting : m_waiting) {
+                loads[waiting.request.dataCentre].waiting += waiting.request.service == id ? 1 : 0;
+            }
+            service.traffic->update(loads, now);
+        }
     }
 }
 
--- a/Source/Placement/PlacementTable.h
+++ b/Source/Placement/PlacementTable.h
@@ -2,6 +2,7 @@
 
 #include "Placement/CrashRecord.h"
 #include "Placement/DataCentreOutages.h"
+#include "Placement/DataCentreTraffic.h"
 #include "Placement/GrantOutcome.h"
 #include "Placement/LoadFindings.h"
 #include "Placement/PlacementActions.h"
@@ -55,7 +56,7 @@
     PlacementTable(const PlacementLimits &limits, CrashRecord &crashes);
     ~PlacementTable();
 
-    /// Enables and disables parts; all of them are disabled at first.
+    /// Enables parts; all of them are disabled at first. Must be called before setServices().
     void setOptions(const PlacementOptions &options);
     void setServices(const std::vector<ServiceSpec> &services);
     PlacementActions setUpstreams(const std::vector<UpstreamEntry> &upstreams, TimePoint now);
@@ -86,10 +87,13 @@
     /// The load of one upstream; null if the upstream is not known.
     const UpstreamLoad *load(const UpstreamId &id) const;
     LoadFindings findings(TimePoint now) const;
+    /// The shares of requests that leave their data centres; empty unless the option is set.
+    std::vector<LeavingReport> leavingReports(TimePoint now) const;
 
 private:
     struct Service {
         ServiceSpec spec;
+        std::shared_ptr<DataCentreTraffic> traffic; ///< Null unless requests leave their data centre by cost.
         std::unique_ptr<UpstreamSelector> selector;
         std::vector<UpstreamLoad *> upstreams; ///< The upstreams that accept requests.
         TimePoint grantsPausedUntil; ///< Nothing is granted before this time.
@@ -97,6 +101,8 @@
         WaitingWork workAhead; ///< Work of the waiting requests that the present pass over the queue has left waiting.
     };
     struct GrantRecord {
+        ServiceId service;
+        DataCentreId home; ///< The data centre in which the request arrived.
         UpstreamId upstream;
         std::vector<UpstreamId> helpers;
         TimePoint grantedAt;
@@ -113,6 +119,9 @@
     };
 
     UpstreamLoad *find(const UpstreamId &id);
+    Service makeService(const ServiceSpec &spec) const;
+    /// What decides when requests of the service leave their data centre; null if nothing does.
+    DataCentreTraffic *trafficOf(const ServiceId &id) const;
     /// The upstreams that may run the request. Those of suspected data centres are left out unless there are no others.
     UpstreamSelector::Candidates candidates(const Service &service, const PlacementRequest &request, TimePoint now) const;
     /// Records what the end of a grant tells about the upstream that caused it.
--- a/Source/Placement/SlotSelector.cpp
+++ b/Source/Placement/SlotSelector.cpp
@@ -5,25 +5,30 @@
 
 #include <algorithm>
 #include <limits>
+#include <utility>
 
 namespace Mangofall::Placement {
 
 namespace {
 
 // Costs are measured in shares of an upstream's slots.
-constexpr double otherDataCentreCost = 0.1;
+constexpr double otherDataCentreCost = 0.1; // Unless the deployment decides by cost (DataCentreTraffic).
 constexpr std::chrono::milliseconds leastTime{5};
 
-double cost(const PlacementRequest &request, const UpstreamLoad &load, std::uint32_t requests, TimePoint now)
+double cost(const UpstreamLoad &load, std::uint32_t requests, TimePoint now)
 {
     double total = static_cast<double>(requests) / std::max(load.entry().slots, 1U);
     total += load.failures().cost(now);
-    total += load.entry().dataCentre == request.dataCentre ? 0 : otherDataCentreCost;
     return total;
 }
 
 }
 
+SlotSelector::SlotSelector(std::shared_ptr<const DistanceCost> distance)
+    : m_distance(distance ? std::move(distance) : std::make_shared<ConstantDistanceCost>(otherDataCentreCost))
+{
+}
+
 std::optional<Selection> SlotSelector::select(const PlacementRequest &request, const Candidates &candidates, TimePoint now) const
 {
     UpstreamLoad *best = nullptr;
@@ -33,7 +38,7 @@
         if (requests >= load->entry().slots) {
             continue;
         }
-        const double candidateCost = cost(request, *load, requests, now);
+        const double candidateCost = cost(*load, requests, now) + m_distance->of(request, load->entry());
         if (candidateCost < lowest) {
             lowest = candidateCost;
             best = load;
--- a/Source/Telemetry/ForwardingMetrics.cpp
+++ b/Source/Telemetry/ForwardingMetrics.cpp
@@ -35,6 +35,8 @@
     , m_activeRequests(registerGauge(*m_registry, "mangofall_active_requests", "Requests of callers in progress on this host."))
     , m_waitingPlacementRequests(
           registerGauge(*m_registry, "mangofall_waiting_demands", "Placement requests from all hosts that wait at this host for an upstream."))
+    , m_leavingShare(registerGaugeFamily(
+          *m_registry, "mangofall_leaving_share", "Share of a data centre's requests that leave it, decided and observed by this host as owner."))
     , m_unknownRequests(
           registerGauge(*m_registry, "mangofall_unknown_upstream_requests", "Requests that upstreams run beyond the grants of this host as owner."))
     , m_slowUpstreams(registerGauge(*m_registry, "mangofall_slow_upstreams", "Upstreams that this host, as owner, takes to be slower than estimated."))
@@ -127,6 +129,11 @@
     return m_waitingPlacementRequests;
 }
 
+void ForwardingMetrics::setLeavingShare(const std::string &service, const std::string &dataCentre, const std::string &kind, double share)
+{
+    m_leavingShare.Add({{"service", service}, {"data_centre", dataCentre}, {"kind", kind}}).Set(share);
+}
+
 prometheus::Gauge &ForwardingMetrics::unknownRequests()
 {
     return m_unknownRequests;
--- a/Source/Telemetry/ForwardingMetrics.h
+++ b/Source/Telemetry/ForwardingMetrics.h
@@ -34,6 +34,10 @@
     /// Records that a request is retried, or that the retry budget refused the retry (\p reason "budget spent").
     void recordRetry(const std::string &reason);
 
+    /// Sets the share, between 0 and 1, of a data centre's requests that leave it, as this host decides it as owner (\p kind "decided") and has granted it
+    /// ("observed").
+    void setLeavingShare(const std::string &service, const std::string &dataCentre, const std::string &kind, double share);
+
     /// Counts a call to the store; \p kind is "range", "watch", "lease", "renew", "end_lease" or "write".
     void countStoreCall(const std::string &kind);
     /// Counts bytes sent to other hosts to pass on changes of the store.
@@ -75,6 +79,7 @@
     prometheus::Gauge &m_upstreams;
     prometheus::Gauge &m_activeRequests;
     prometheus::Gauge &m_waitingPlacementRequests;
+    prometheus::Family<prometheus::Gauge> &m_leavingShare;
     prometheus::Gauge &m_unknownRequests;
     prometheus::Gauge &m_slowUpstreams;
 };
--- a/Source/Telemetry/MetricFamilies.cpp
+++ b/Source/Telemetry/MetricFamilies.cpp
@@ -7,6 +7,11 @@
     return prometheus::BuildCounter().Name(name).Help(help).Register(registry);
 }
 
+prometheus::Family<prometheus::Gauge> &registerGaugeFamily(prometheus::Registry &registry, const char *name, const char *help)
+{
+    return prometheus::BuildGauge().Name(name).Help(help).Register(registry);
+}
+
 prometheus::Gauge &registerGauge(prometheus::Registry &registry, const char *name, const char *help)
 {
     return prometheus::BuildGauge().Name(name).Help(help).Register(registry).Add({});
--- a/Tests/Forwarding/WirePlacementTest.cpp
+++ b/Tests/Forwarding/WirePlacementTest.cpp
@@ -26,6 +26,8 @@
     result.firstAttempt = true;
     result.borrowsRetry = true;
     result.sharedParts = {5, 3};
+    result.requestBytes = 20'000;
+    result.answerBytes = 800;
     return result;
 }
 
@@ -48,6 +50,8 @@
     LONGS_EQUAL(99, received.fingerprint);
     CHECK(received.firstAttempt);
     CHECK(received.borrowsRetry);
+    LONGS_EQUAL(20'000, received.requestBytes);
+    LONGS_EQUAL(800, received.answerBytes);
     CHECK(received.sharedParts == placementRequest(sender).sharedParts);
 }
 
--- a/Tests/Placement/ReportedLoadTest.cpp
+++ b/Tests/Placement/ReportedLoadTest.cpp
@@ -39,6 +39,7 @@
     Engines(std::size_t ownerCount, int engineCount, PlacementOptions options)
     {
         std::vector<UpstreamEntry> entries;
+        entries.reserve(static_cast<std::size_t>(engineCount));
         for (int index = 0; index < engineCount; ++index) {
             entries.push_back(upstream("e" + std::to_string(index), engines, 12));
         }
--- a/Tests/PlatformAdapter/DecodersTest.cpp
+++ b/Tests/PlatformAdapter/DecodersTest.cpp
@@ -26,7 +26,8 @@
   {"name": "r2", "host": "h.example", "path_prefix": "/b/", "kind": "unsafe", "service": "s2"}],
  "services": [
   {"name": "s1", "cold_per_s": 26.0, "engine": {"slots": 16, "kv_capacity": 405000, "stride": 34, "step_ms": 1.31, "per_seq_ms": 0.0009,
-   "context_per_k": 0.002, "read_per_s": 154000.0, "pairs_per_m": 0.162, "chunk": 2048}},
+   "context_per_k": 0.002, "read_per_s": 154000.0, "pairs_per_m": 0.162, "chunk": 2048,
+   "delays": [{"from": "a", "target_version": "b", "delay_ms": 2.5}, {"from": "a", "target_version": "c", "delay_ms": -1}, {"from": 3}]}},
   {"name": "s2"}],
  "limits": {"max_header_bytes": 8192, "idle_timeout_ms": 15000},
  "tenants": [{"name": "t", "api_keys": ["k1"], "priority": 3}]})";
@@ -76,6 +77,9 @@
     LONGS_EQUAL(34, configuration->services[0].engine->stepsPerIteration);
     DOUBLES_EQUAL(154, configuration->services[0].engine->prefillTokensPerMs, 1e-9);
     CHECK_FALSE(configuration->services[1].engine.has_value());
+    LONGS_EQUAL(1, configuration->services[0].delays.size());
+    const Duration delay = Placement::delayBetween(configuration->services[1].delays, DataCentreId("b"), DataCentreId("a"));
+    CHECK(delay == std::chrono::microseconds(2500));
     LONGS_EQUAL(3, *configuration->organisations[0].priority);
     CHECK(configuration->requiresCredentials);
     LONGS_EQUAL(8192, configuration->callerLimits.headerBytes);
--- a/Tests/PlatformAdapter/PlatformSettingsTest.cpp
+++ b/Tests/PlatformAdapter/PlatformSettingsTest.cpp
@@ -40,8 +40,11 @@
     LONGS_EQUAL(7, settings->feed.readers.minHosts);
     CHECK_FALSE(settings->placement.reportedLoad);
     std::string enabled = valid;
-    enabled.replace(enabled.find("\"logLines"), 0, R"("placement": { "reportedLoad": true }, )");
+    enabled.replace(enabled.find("\"logLines"), 0, R"("placement": { "reportedLoad": true, "crossDataCentre": { "pricePerGigabyte": 5 } }, )");
     CHECK(parseSettings(enabled, problem)->placement.reportedLoad);
+    CHECK_FALSE(settings->placement.crossDataCentre.has_value());
+    DOUBLES_EQUAL(5, parseSettings(enabled, problem)->placement.crossDataCentre->pricePerGigabyte, 1e-9);
+    DOUBLES_EQUAL(1, parseSettings(enabled, problem)->placement.crossDataCentre->maxShare, 1e-9);
 }
 
 // Guards against a host whose feed and placement calls share a port, and against limits that no feed can keep.
--- a/Tests/Soak/SoakUpstream.cpp
+++ b/Tests/Soak/SoakUpstream.cpp
@@ -1,5 +1,6 @@
 #include "Soak/SoakUpstream.h"
 
+#include "Base/ScopeGuard.h"
 #include "HeaderNames.h"
 #include "Http/BeastStrings.h"
 #include "Soak/FaultProxy.h"
@@ -61,11 +62,12 @@
     return comma == std::string::npos ? 0 : number(counts.substr(comma + 1));
 }
 
-std::string responseHead(const SoakUpstream::Request &request, unsigned status, bool executed, bool leaving)
+std::string responseHead(const SoakUpstream::Request &request, unsigned status, bool executed, bool leaving, unsigned running)
 {
     std::string text = "HTTP/1.1 " + std::to_string(status) + " Soak\r\n";
     text += std::string(Header::attemptId) + ": " + field(request, Header::attemptId) + "\r\n";
     text += executed ? std::string(Header::signature) + ": soak\r\n" : std::string(Header::notExecuted) + ": 1\r\n";
+    text += std::string(Header::instanceLoad) + ": running=" + std::to_string(running) + ",waiting=0,slots=" + std::to_string(slots) + "\r\n";
     text += leaving ? std::string(Header::serverLeaving) + ": 1\r\n" : std::string();
     return text;
 }
@@ -188,6 +190,11 @@
     }
     checkRequest(request);
     m_ledger.recordRun(attempt);
+    ++*m_running;
+    // The coroutine may be destroyed after this object.
+    const ScopeGuard ended([running = m_running]() {
+        --*running;
+    });
     if (m_fault == UpstreamFault::Unresponsive) {
         Asio::steady_timer timer(m_io, unresponsiveTime);
         co_await timer.async_wait(awaitTuple);
@@ -219,7 +226,7 @@
         crash(harmfulCrashTime);
         co_return false;
     }
-    std::string bytes = responseHead(request, statusOk, true, m_leaving) + "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n";
+    std::string bytes = responseHead(request, statusOk, true, m_leaving, *m_running) + "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n";
     for (std::uint64_t event = number(field(request, Header::lastEventId)) + 1; event <= last; ++event) {
         bytes += chunk("id: " + std::to_string(event) + "\ndata: " + eventData(attempt, event) + "\n\n");
         const auto [error, written] = co_await Asio::async_write(*socket, Asio::buffer(bytes), awaitTuple);
@@ -238,7 +245,8 @@
 Asio::awaitable<bool> SoakUpstream::respond(std::shared_ptr<Socket> socket, const Request &request, unsigned status, bool executed)
 {
     const std::string body = completeBody(field(request, Header::attemptId));
-    const std::string bytes = responseHead(request, status, executed, m_leaving) + "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+    const std::string bytes
+        = responseHead(request, status, executed, m_leaving, *m_running) + "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
     const auto [error, written] = co_await Asio::async_write(*socket, Asio::buffer(bytes), awaitTuple);
     co_return !error;
 }
--- a/Tests/Soak/SoakUpstream.h
+++ b/Tests/Soak/SoakUpstream.h
@@ -69,6 +69,7 @@
     std::string m_id;
     std::uint32_t m_restarts = 0;
     std::uint64_t m_sequence = 0; ///< Of the entries that were published.
+    std::shared_ptr<unsigned> m_running = std::make_shared<unsigned>(0); ///< Requests in progress.
     bool m_alive = true;
     bool m_leaving = false;
     std::optional<TimePoint> m_leavingSince;
