Ignore load reports whose slots differ from the upstream list

Cause: numbers of another meaning or order, taken for load, could make every upstream of a service look full.

Change: the owner uses a report only if its slots are those of the upstream's entry.

--- a/Source/Placement/PlacementTable.cpp
+++ b/Source/Placement/PlacementTable.cpp
@@ -158,7 +158,9 @@
     if (grant == m_grants.end() || !m_options.reportedLoad) {
         return;
     }
-    if (UpstreamLoad *load = find(grant->second.upstream)) {
+    UpstreamLoad *load = find(grant->second.upstream);
+    // Other slots than in the upstream list show that the numbers mean something else; taken for load they could make every upstream look full.
+    if (load != nullptr && report.slots == load->entry().slots) {
         load->unknownLoad().reported(report, takenAt, now);
     }
 }
--- a/Source/Placement/PlacementTable.h
+++ b/Source/Placement/PlacementTable.h
@@ -65,7 +65,8 @@
     PlacementActions submit(const PlacementRequest &request, TimePoint now);
     /// The entry host got the first event of the answer, so the prefill is complete.
     void firstEventReceived(const PlacementRequestId &id, TimePoint now);
-    /// The assigned upstream has reported its load, at \p takenAt, in its answer. Without effect unless the option is set.
+    /// The assigned upstream has reported its load, at \p takenAt, in its answer. Without effect unless the option is set, or if the report
+    /// names other slots than the upstream list.
     void loadReported(const PlacementRequestId &id, const ReportedLoad &report, TimePoint takenAt, TimePoint now);
     /// The use of the grant ended, or the placement request was withdrawn while it waited. \p faulty is the helper that caused the failure; unset if it
     /// was the upstream itself.
--- a/Tests/Placement/ReportedLoadTest.cpp
+++ b/Tests/Placement/ReportedLoadTest.cpp
@@ -137,6 +137,18 @@
     LONGS_EQUAL(0, fleet.owners[0].findings(fleet.now).slowUpstreams);
 }
 
+// Guards against numbers of another meaning, or of another process, that make an upstream look full.
+TEST(ReportedLoadTest, AReportWithOtherSlotsThanTheListIsIgnored)
+{
+    Engines fleet(1, 1, {.reportedLoad = true});
+    PlacementTable &owner = fleet.owners.front();
+    owner.submit(shortPrompt(1, fleet.now), fleet.now);
+    owner.loadReported({HostId("entry"), 1}, {9, 0, 3}, fleet.now, fleet.now);
+    LONGS_EQUAL(0, owner.findings(fleet.now).unknownRequests);
+    owner.loadReported({HostId("entry"), 1}, {9, 0, 12}, fleet.now, fleet.now);
+    LONGS_EQUAL(8, owner.findings(fleet.now).unknownRequests);
+}
+
 // Guards against a deployment without the option, or without the header and late answers, that places requests in another way than before.
 TEST(ReportedLoadTest, WithoutReportsAndLatenessNothingChanges)
 {
