Keep less of the ended grants for load reports

Cause: the end of each grant searched all grants of the last 3.2 s of its upstream. At 200 requests a second that are hundreds of comparisons for each.

Change: running grants are found by their id; ended ones are kept in order for 1.2 s, and reports older than 1 s are ignored.

--- a/Source/Placement/DataCentreTraffic.h
+++ b/Source/Placement/DataCentreTraffic.h
@@ -60,8 +60,7 @@
 
     double of(const PlacementRequest &request, const UpstreamEntry &upstream) const override;
 
-    /// The shares of the data centres in which requests arrive.
-    /// Zero if nothing was decided recently, for example because another host owns the service now.
+    /// The shares of the data centres in which requests arrive; zero if nothing was decided recently, for example because another host owns the service now.
     std::vector<LeavingReport> reports(const ServiceId &service, TimePoint now) const;
 
 private:
--- a/Source/Placement/UnknownLoad.h
+++ b/Source/Placement/UnknownLoad.h
@@ -5,7 +5,8 @@
 #include "Placement/ReportedLoad.h"
 
 #include <cstdint>
-#include <vector>
+#include <deque>
+#include <map>
 
 namespace Mangofall::Placement {
 
@@ -31,24 +32,24 @@
     /// Records that a grant is known to have ended.
     void ended(const PlacementRequestId &id, TimePoint now);
 
-    /// Evaluates a report that the upstream made at \p takenAt or shortly before. Reports older than the newest one are ignored.
+    /// Evaluates a report that the upstream made at \p takenAt or shortly before. Reports that are older than the last one or than a second are ignored.
     void reported(const ReportedLoad &report, TimePoint takenAt, TimePoint now);
 
     /// The number of requests that count as unknown load: in full at first, then less, and none some time after the last report.
     std::uint32_t requests(TimePoint now) const;
 
 private:
-    struct KnownGrant {
-        PlacementRequestId id;
+    struct EndedGrant {
         TimePoint grantedAt;
-        TimePoint endedAt = TimePoint::max();
+        TimePoint endedAt;
     };
 
     /// The part of \p count that the age of the last report leaves.
     std::uint32_t remaining(std::uint32_t count, TimePoint now) const;
     void forgetEnded(TimePoint now);
 
-    std::vector<KnownGrant> m_grants; ///< Grants in use, and those that ended recently.
+    std::map<PlacementRequestId, TimePoint> m_running; ///< When the grants in use were given.
+    std::deque<EndedGrant> m_ended; ///< Grants that ended recently, in the order of their ends.
     std::uint32_t m_excess = 0; ///< Requests beyond the known grants in the last report.
     std::uint32_t m_grantedSince = 0; ///< Grants since the last report.
     TimePoint m_takenAt; ///< When the last report was made.
