--- a/Source/Forwarding/FleetPlacement.h
+++ b/Source/Forwarding/FleetPlacement.h
@@ -3,6 +3,7 @@
 #include "Forwarding/CrashReplica.h"
 #include "Forwarding/FleetHost.h"
 #include "Forwarding/FleetPeers.h"
+#include "Forwarding/LeavingLog.h"
 #include "Forwarding/LoadFindingsLog.h"
 #include "Forwarding/OwnedServices.h"
 #include "Forwarding/PeerConnections.h"
@@ -54,6 +55,7 @@
     void setHosts(const std::vector<FleetHost> &hosts);
     /// Places no further requests as owner, because this host has announced that it leaves.
     void startLeaving();
+    /// Must be called before setServices().
     void setOptions(const Placement::PlacementOptions &options);
     void setServices(const std::vector<Placement::ServiceSpec> &services);
     void setUpstreams(const std::vector<Placement::UpstreamEntry> &upstreams);
@@ -75,6 +77,8 @@
     std::size_t waiting() const;
     /// Load of the upstreams that this host has not granted as owner.
     Placement::LoadFindings loadFindings() const;
+    /// The shares of requests that leave their data centres, for the services that this host owns.
+    std::vector<Placement::LeavingReport> leavingReports() const;
 
     Placement::PlacementRequestId nextId() override;
     void submit(const Placement::PlacementRequest &placementRequest, Handler handler) override;
@@ -156,6 +160,7 @@
     boost::asio::steady_timer m_timer;
     bool m_tickScheduled = false;
     LoadFindingsLog m_loadFindingsLog;
+    LeavingLog m_leavingLog;
 };
 
 }
--- a/Source/Peer/PeerMessages_generated.h
+++ b/Source/Peer/PeerMessages_generated.h
@@ -4841,6 +4841,8 @@
   uint64_t view_era = 0;
   uint64_t view_revision = 0;
   uint32_t view_age_ms = 0;
+  uint64_t request_bytes = 0;
+  uint64_t answer_bytes = 0;
 };
 
 /// A placement request, from the entry host of a caller's request to the owner of its service.
@@ -4865,7 +4867,9 @@
     VT_SHARED_PARTS = 32,
     VT_VIEW_ERA = 34,
     VT_VIEW_REVISION = 36,
-    VT_VIEW_AGE_MS = 38
+    VT_VIEW_AGE_MS = 38,
+    VT_REQUEST_BYTES = 40,
+    VT_ANSWER_BYTES = 42
   };
   uint64_t number() const {
     return GetField<uint64_t>(VT_NUMBER, 0);
@@ -4926,6 +4930,13 @@
   uint32_t view_age_ms() const {
     return GetField<uint32_t>(VT_VIEW_AGE_MS, 0);
   }
+  /// Bytes of the request, and those expected of its answer; 0 if unknown.
+  uint64_t request_bytes() const {
+    return GetField<uint64_t>(VT_REQUEST_BYTES, 0);
+  }
+  uint64_t answer_bytes() const {
+    return GetField<uint64_t>(VT_ANSWER_BYTES, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_NUMBER, 8) &&
@@ -4951,6 +4962,8 @@
            VerifyField<uint64_t>(verifier, VT_VIEW_ERA, 8) &&
            VerifyField<uint64_t>(verifier, VT_VIEW_REVISION, 8) &&
            VerifyField<uint32_t>(verifier, VT_VIEW_AGE_MS, 4) &&
+           VerifyField<uint64_t>(verifier, VT_REQUEST_BYTES, 8) &&
+           VerifyField<uint64_t>(verifier, VT_ANSWER_BYTES, 8) &&
            verifier.EndTable();
   }
   PlacementCallT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -5016,6 +5029,12 @@
   void add_view_age_ms(uint32_t view_age_ms) {
     fbb_.AddElement<uint32_t>(PlacementCall::VT_VIEW_AGE_MS, view_age_ms, 0);
   }
+  void add_request_bytes(uint64_t request_bytes) {
+    fbb_.AddElement<uint64_t>(PlacementCall::VT_REQUEST_BYTES, request_bytes, 0);
+  }
+  void add_answer_bytes(uint64_t answer_bytes) {
+    fbb_.AddElement<uint64_t>(PlacementCall::VT_ANSWER_BYTES, answer_bytes, 0);
+  }
   explicit PlacementCallBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -5046,8 +5065,12 @@
     flatbuffers::Offset<flatbuffers::Vector<uint64_t>> shared_parts = 0,
     uint64_t view_era = 0,
     uint64_t view_revision = 0,
-    uint32_t view_age_ms = 0) {
+    uint32_t view_age_ms = 0,
+    uint64_t request_bytes = 0,
+    uint64_t answer_bytes = 0) {
   PlacementCallBuilder builder_(_fbb);
+  builder_.add_answer_bytes(answer_bytes);
+  builder_.add_request_bytes(request_bytes);
   builder_.add_view_revision(view_revision);
   builder_.add_view_era(view_era);
   builder_.add_fingerprint(fingerprint);
@@ -5088,7 +5111,9 @@
     const std::vector<uint64_t> *shared_parts = nullptr,
     uint64_t view_era = 0,
     uint64_t view_revision = 0,
-    uint32_t view_age_ms = 0) {
+    uint32_t view_age_ms = 0,
+    uint64_t request_bytes = 0,
+    uint64_t answer_bytes = 0) {
   auto service__ = service ? _fbb.CreateString(service) : 0;
   auto data_centre__ = data_centre ? _fbb.CreateString(data_centre) : 0;
   auto excluded__ = excluded ? _fbb.CreateVector<flatbuffers::Offset<flatbuffers::String>>(*excluded) : 0;
@@ -5112,7 +5137,9 @@
       shared_parts__,
       view_era,
       view_revision,
-      view_age_ms);
+      view_age_ms,
+      request_bytes,
+      answer_bytes);
 }
 
 flatbuffers::Offset<PlacementCall> CreatePlacementCall(flatbuffers::FlatBufferBuilder &_fbb, const PlacementCallT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -8200,6 +8227,8 @@
   { auto _e = view_era(); _o->view_era = _e; }
   { auto _e = view_revision(); _o->view_revision = _e; }
   { auto _e = view_age_ms(); _o->view_age_ms = _e; }
+  { auto _e = request_bytes(); _o->request_bytes = _e; }
+  { auto _e = answer_bytes(); _o->answer_bytes = _e; }
 }
 
 inline flatbuffers::Offset<PlacementCall> PlacementCall::Pack(flatbuffers::FlatBufferBuilder &_fbb, const PlacementCallT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -8228,6 +8257,8 @@
   auto _view_era = _o->view_era;
   auto _view_revision = _o->view_revision;
   auto _view_age_ms = _o->view_age_ms;
+  auto _request_bytes = _o->request_bytes;
+  auto _answer_bytes = _o->answer_bytes;
   return Mangofall::Wire::CreatePlacementCall(
       _fbb,
       _number,
@@ -8247,7 +8278,9 @@
       _shared_parts,
       _view_era,
       _view_revision,
-      _view_age_ms);
+      _view_age_ms,
+      _request_bytes,
+      _answer_bytes);
 }
 
 inline PlacementAnswerT *PlacementAnswer::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
