Reserve engines ahead of time for prompts that exceed one engine

A prompt that exceeds the KV memory of one engine started only while the mean prefill backlog of all engines was at most 60 ms and nothing else waited. In a phase of long prompts neither holds for seconds, and nothing was kept for it.

With ServiceSpec::advanceReservation the owner starts such a prompt as soon as enough engines can take a part of at most 1.5 s, on at most 0.4 of the engines together. For those that cannot start, ReservationTable reserves engines and a start from the forecast of each engine; EngineHold keeps away work that would delay the start. Without it everything is as before.

--- a/Source/Placement/EngineSelector.cpp
+++ b/Source/Placement/EngineSelector.cpp
@@ -1,6 +1,8 @@
 #include "Placement/EngineSelector.h"
 
 #include "Placement/EngineCost.h"
+#include "Placement/EngineForecast.h"
+#include "Placement/EngineRules.h"
 #include "Placement/PlacementRequest.h"
 #include "Placement/UpstreamLoad.h"
 
@@ -10,23 +12,10 @@
 
 namespace {
 
-// A request names at most 16 helpers in addition to the engine that answers.
-constexpr std::uint32_t maxParts = 17;
-// Shares of a limit that an estimate may use up. The rest covers network and waiting times that the estimates leave out.
-constexpr double pauseShare = 0.8;
+// Share of the time left below which an estimate is preferred.
 constexpr double preferredShare = 0.6;
-constexpr double targetShare = 0.85;
-// A part of a prompt is worth sending to another engine only if its prefill takes several steps.
-constexpr std::uint32_t leastChunksPerPart = 4;
 // Highest mean prefill backlog of the engines at which a prompt that exceeds one engine's memory is started.
 constexpr std::chrono::milliseconds lowLoadBacklog{60};
-// An engine prefills the part that came last first. So it helps with one prompt at a time, and with none while it has a longer prefill than this for a
-// request that it answers itself, because that prefill would be delayed.
-constexpr std::chrono::milliseconds maxDelayedPrefill{100};
-// Estimate for connecting, sending and forwarding.
-constexpr std::chrono::milliseconds networkTime{15};
-// Engines allocate memory in blocks, so a request takes slightly more than its tokens.
-constexpr double usableMemory = 0.97;
 
 // Costs that rank the engines which keep all limits.
 constexpr double shortenedLimitCost = 1.0; // The request would give the engine a shorter pause limit than it has.
@@ -43,7 +32,7 @@
 
 double shareOfTarget(const PlacementRequest &request, Duration estimate)
 {
-    return Seconds(estimate) / std::max(Seconds(request.target), Seconds(networkTime));
+    return Seconds(estimate) / std::max(Seconds(request.target), Seconds(engineNetworkTime));
 }
 
 double estimateCost(const PlacementRequest &request, Duration estimate, Duration preferred)
@@ -58,8 +47,9 @@
 
 }
 
-EngineSelector::EngineSelector(const EngineSpec &spec)
+EngineSelector::EngineSelector(const EngineSpec &spec, bool reserves)
     : m_spec(spec)
+    , m_reserves(reserves)
 {
 }
 
@@ -67,25 +57,33 @@
 {
     const bool late = now >= latestStart(request);
     const Duration timeLeft = late ? Duration(request.deadline - now) : timeToTarget(request, now);
-    Engines engines;
-    engines.reserve(candidates.size());
-    for (UpstreamLoad *load : candidates) {
-        engines.push_back(describe(request, *load, now));
-    }
+    const Engines engines = describeAll(request, candidates, now);
+    PartNumbers numbers{1, std::min(maxUsefulParts(m_spec, request.promptTokens), static_cast<std::uint32_t>(engines.size()))};
     if (exceedsOneEngine(request) && !hasLowLoad(engines)) {
+        if (!m_reserves) {
+            return std::nullopt;
+        }
+        numbers = {leastParts(m_spec, request.promptTokens), std::min(numbers.most, enginesForLargePrompts(engines))};
+    }
+    return choose(request, engines, numbers, late ? timeLeft : share(timeLeft, usableTargetShare), share(timeLeft, preferredShare));
+}
+
+std::optional<Selection> EngineSelector::selectReserved(const PlacementRequest &request, const Candidates &candidates, Duration acceptable, TimePoint now) const
+{
+    const Engines engines = describeAll(request, candidates, now);
+    const std::uint32_t parts = std::min(maxUsefulParts(m_spec, request.promptTokens), static_cast<std::uint32_t>(engines.size()));
+    std::optional<Choice> choice = chooseParts(request, engines, parts, acceptable);
+    if (!choice || choice->selection.firstEventEstimate > acceptable) {
         return std::nullopt;
     }
-    // Engines with a shorter pause limit than that of the request come last; otherwise the smaller backlog comes first.
-    std::stable_sort(engines.begin(), engines.end(), [&](const Engine &left, const Engine &right) {
-        const bool leftHasShorterLimit = left.shortestPauseLimit < request.pauseLimit;
-        const bool rightHasShorterLimit = right.shortestPauseLimit < request.pauseLimit;
-        return leftHasShorterLimit != rightHasShorterLimit ? rightHasShorterLimit : left.backlog < right.backlog;
-    });
-    const Duration acceptable = late ? timeLeft : share(timeLeft, targetShare);
-    const Duration preferred = share(timeLeft, preferredShare);
-    const std::uint32_t mostParts = std::min(maxUsefulParts(request), static_cast<std::uint32_t>(engines.size()));
+    return std::move(choice->selection);
+}
+
+std::optional<Selection>
+EngineSelector::choose(const PlacementRequest &request, const Engines &engines, const PartNumbers &numbers, Duration acceptable, Duration preferred) const
+{
     std::optional<Choice> best;
-    for (std::uint32_t parts = 1; parts <= mostParts; ++parts) {
+    for (std::uint32_t parts = numbers.least; parts <= numbers.most; ++parts) {
         std::optional<Choice> choice = parts == 1 ? chooseOne(request, engines, acceptable, preferred) : chooseParts(request, engines, parts, preferred);
         if (!choice || choice->selection.firstEventEstimate > acceptable) {
             continue;
@@ -100,9 +98,34 @@
     return std::move(best->selection);
 }
 
+std::uint32_t EngineSelector::enginesForLargePrompts(const Engines &engines) const
+{
+    const auto used = std::count_if(engines.begin(), engines.end(), [this](const Engine &engine) {
+        return Placement::exceedsOneEngine(m_spec, engine.load->largestPrefillPrompt());
+    });
+    const auto most = static_cast<std::ptrdiff_t>(largePromptShare * static_cast<double>(engines.size()));
+    return static_cast<std::uint32_t>(std::max<std::ptrdiff_t>(most - used, 0));
+}
+
+// Engines with a shorter pause limit than that of the request come last; otherwise the smaller backlog comes first.
+EngineSelector::Engines EngineSelector::describeAll(const PlacementRequest &request, const Candidates &candidates, TimePoint now) const
+{
+    Engines engines;
+    engines.reserve(candidates.size());
+    for (UpstreamLoad *load : candidates) {
+        engines.push_back(describe(request, *load, now));
+    }
+    std::stable_sort(engines.begin(), engines.end(), [&](const Engine &left, const Engine &right) {
+        const bool leftHasShorterLimit = left.shortestPauseLimit < request.pauseLimit;
+        const bool rightHasShorterLimit = right.shortestPauseLimit < request.pauseLimit;
+        return leftHasShorterLimit != rightHasShorterLimit ? rightHasShorterLimit : left.backlog < right.backlog;
+    });
+    return engines;
+}
+
 Duration EngineSelector::leastServiceTime(const PlacementRequest &request) const
 {
-    return prefillTime(m_spec, request.promptTokens, maxUsefulParts(request)) + networkTime;
+    return prefillTime(m_spec, request.promptTokens, maxUsefulParts(m_spec, request.promptTokens)) + engineNetworkTime;
 }
 
 Duration EngineSelector::partPrefillTime(const PlacementRequest &request, std::uint32_t parts) const
@@ -127,12 +150,6 @@
     return request.arrivedAt + request.target - leastServiceTime(request) - iterationTime(m_spec, 1, request.promptTokens);
 }
 
-std::uint32_t EngineSelector::maxUsefulParts(const PlacementRequest &request) const
-{
-    const std::uint64_t leastTokens = std::uint64_t{leastChunksPerPart} * m_spec.chunkTokens;
-    return static_cast<std::uint32_t>(std::clamp<std::uint64_t>(request.promptTokens / leastTokens, 1, maxParts));
-}
-
 EngineSelector::Engine EngineSelector::describe(const PlacementRequest &request, UpstreamLoad &load, TimePoint now) const
 {
     Engine engine;
@@ -140,11 +157,16 @@
     engine.backlog = load.prefillBacklog(now, iterationTime(m_spec, load.decodingRequests(), load.contextTokens()));
     engine.iteration = iterationTime(m_spec, load.requests() + 1, load.contextTokens());
     engine.shortestPauseLimit = load.shortestPauseLimit();
-    const auto usable = static_cast<std::uint64_t>(usableMemory * static_cast<double>(m_spec.memoryTokens));
+    const std::uint64_t usable = usableMemory(m_spec);
     engine.freeMemory = usable - std::min(usable, load.memoryTokens());
     engine.hasSlot = load.requests() < std::min(m_spec.slots, load.entry().slots);
     engine.canHelp = load.helperPrefills() == 0 && !load.failures().avoided(now) && load.longestOwnPrefill() <= maxDelayedPrefill;
     engine.cost = baseCost(request, load, now);
+    if (const std::optional<EngineHold> &hold = load.hold(); hold && hold->owner != request.id) {
+        engine.untilHold = std::max<Duration>(hold->start - now, Duration::zero());
+        engine.heldPrefill = hold->partPrefill;
+        engine.heldMemory = hold->memoryTokens;
+    }
     return engine;
 }
 
@@ -155,7 +177,8 @@
     std::optional<Choice> best;
     for (const Engine &engine : engines) {
         const Duration estimate = timeToFirstEvent(engine, prefill);
-        if (estimate > acceptable || !hasRoom(engine, request) || !keepsPauseLimits(engine, prefill, request.promptTokens)) {
+        if (estimate > acceptable || !hasRoom(engine, request) || !keepsPauseLimits(engine, prefill, request.promptTokens)
+            || !endsBeforeHold(engine, request, prefill)) {
             continue;
         }
         const double cost = engine.cost + estimateCost(request, estimate, preferred);
@@ -174,14 +197,14 @@
     const Engine *primary = nullptr;
     double lowest = 0;
     for (const Engine &engine : engines) {
-        if (!engine.canHelp || !keepsPauseLimits(engine, prefill, request.promptTokens)) {
+        if (!engine.canHelp || !keepsPauseLimits(engine, prefill, request.promptTokens) || engine.backlog + prefill > engine.untilHold) {
             continue;
         }
         eligible.push_back(&engine);
         const double memoryShare = exceedsOneEngine(request) ? static_cast<double>(engine.freeMemory) / static_cast<double>(m_spec.memoryTokens) : 0;
         const double cost = engine.cost + shareOfTarget(request, engine.backlog) - memoryShare;
         const bool usable = exceedsOneEngine(request) ? engine.hasSlot : hasRoom(engine, request);
-        if (usable && (primary == nullptr || cost < lowest)) {
+        if (usable && endsBeforeHold(engine, request, prefill) && (primary == nullptr || cost < lowest)) {
             primary = &engine;
             lowest = cost;
         }
@@ -189,6 +212,11 @@
     if (primary == nullptr || eligible.size() < parts) {
         return std::nullopt;
     }
+    if (exceedsOneEngine(request) && m_reserves) {
+        std::stable_sort(eligible.begin(), eligible.end(), [](const Engine *left, const Engine *right) {
+            return left->freeMemory > right->freeMemory;
+        });
+    }
     Selection selection{primary->load, {}, {}, prefill, timeToFirstEvent(*primary, prefill)};
     std::vector<const Engine *> helpers;
     for (const Engine *engine : eligible) {
@@ -207,7 +235,7 @@
 
 bool EngineSelector::exceedsOneEngine(const PlacementRequest &request) const
 {
-    return static_cast<double>(request.promptTokens + request.outputTokens) > usableMemory * static_cast<double>(m_spec.memoryTokens);
+    return Placement::exceedsOneEngine(m_spec, request.promptTokens + request.outputTokens);
 }
 
 bool EngineSelector::hasLowLoad(const Engines &engines)
@@ -245,14 +273,29 @@
         return true;
     }
     const std::uint64_t largest = std::max(promptTokens, engine.load->largestPrefillPrompt());
-    return engine.iteration + longestPrefillInIteration(m_spec, engine.backlog + prefill, largest) <= share(engine.shortestPauseLimit, pauseShare);
+    return engine.iteration + longestPrefillInIteration(m_spec, engine.backlog + prefill, largest) <= share(engine.shortestPauseLimit, usablePauseShare);
+}
+
+bool EngineSelector::endsBeforeHold(const Engine &engine, const PlacementRequest &request, Duration prefill) const
+{
+    if (engine.untilHold == Duration::max()) {
+        return true;
+    }
+    const Duration prefillEnd = timeToFirstEvent(engine, prefill);
+    if (prefillEnd + answerTime(m_spec, request.outputTokens, engine.iteration) <= engine.untilHold) {
+        return true;
+    }
+    const bool keepsPause = request.pauseLimit == Duration::zero() || engine.iteration + engine.heldPrefill <= share(request.pauseLimit, usablePauseShare);
+    const bool leavesRoom = request.promptTokens + request.outputTokens + engine.heldMemory <= engine.freeMemory;
+    const bool leavesSlot = engine.load->requests() + 2 <= std::min(m_spec.slots, engine.load->entry().slots);
+    return prefillEnd <= engine.untilHold && keepsPause && leavesRoom && leavesSlot;
 }
 
 // If the engine has requests in decode, the prompt is prefilled inside their iterations, and the first event follows at the end of an iteration.
 Duration EngineSelector::timeToFirstEvent(const Engine &engine, Duration prefill) const
 {
     const Duration waitForIteration = engine.load->decodingRequests() > 0 ? engine.iteration / 2 : Duration::zero();
-    return engine.backlog + prefill + engine.iteration + waitForIteration + networkTime;
+    return engine.backlog + prefill + engine.iteration + waitForIteration + engineNetworkTime;
 }
 
 double EngineSelector::baseCost(const PlacementRequest &request, const UpstreamLoad &load, TimePoint now) const
--- a/Source/Placement/EngineSelector.h
+++ b/Source/Placement/EngineSelector.h
@@ -19,9 +19,11 @@
 class EngineSelector final : public UpstreamSelector
 {
 public:
-    explicit EngineSelector(const EngineSpec &spec);
+    /// \p reserves: engines are reserved ahead of time for prompts that exceed one engine, which then need not wait for a low load.
+    explicit EngineSelector(const EngineSpec &spec, bool reserves = false);
 
     std::optional<Selection> select(const PlacementRequest &request, const Candidates &candidates, TimePoint now) const override;
+    std::optional<Selection> selectReserved(const PlacementRequest &request, const Candidates &candidates, Duration acceptable, TimePoint now) const override;
     Duration leastServiceTime(const PlacementRequest &request) const override;
     Duration partPrefillTime(const PlacementRequest &request, std::uint32_t parts) const override;
     Duration workOf(const PlacementRequest &request) const override;
@@ -38,22 +40,35 @@
         std::uint64_t freeMemory = 0; ///< Tokens.
         bool hasSlot = false;
         bool canHelp = false; ///< Whether it may prefill a part of a prompt.
+        Duration untilHold = Duration::max(); ///< Until the engine's next reservation for another request.
+        Duration heldPrefill{}; ///< Prefill time of that reservation's part.
+        std::uint64_t heldMemory = 0; ///< Tokens that the reservation needs.
         double cost = 0; ///< The cost of choosing it, without the part that depends on the first event estimate.
     };
     using Engines = std::vector<Engine>;
 
+    /// Bounds on the number of engines that share the prefill of a prompt.
+    struct PartNumbers {
+        std::uint32_t least = 1;
+        std::uint32_t most = 1;
+    };
+
     struct Choice {
         Selection selection;
         double cost = 0;
     };
 
+    Engines describeAll(const PlacementRequest &request, const Candidates &candidates, TimePoint now) const;
+    /// Chooses the number of parts and the engines with the lowest cost. \p engines are sorted by preference.
+    std::optional<Selection>
+    choose(const PlacementRequest &request, const Engines &engines, const PartNumbers &numbers, Duration acceptable, Duration preferred) const;
+    /// The number of engines that one more prompt which exceeds one engine may use.
+    std::uint32_t enginesForLargePrompts(const Engines &engines) const;
     Engine describe(const PlacementRequest &request, UpstreamLoad &load, TimePoint now) const;
     /// Chooses the best engine that prefills the whole prompt.
     std::optional<Choice> chooseOne(const PlacementRequest &request, const Engines &engines, Duration acceptable, Duration preferred) const;
     /// Chooses the best primary engine and, as helpers, the first others that can take an equal part. \p engines are sorted by preference as helpers.
     std::optional<Choice> chooseParts(const PlacementRequest &request, const Engines &engines, std::uint32_t parts, Duration preferred) const;
-    /// The number of parts beyond which a part would be too small to be worth sending to another engine.
-    std::uint32_t maxUsefulParts(const PlacementRequest &request) const;
     /// Returns whether the prompt and its answer exceed the KV memory of one engine, so that helpers must store a part of the prompt.
     bool exceedsOneEngine(const PlacementRequest &request) const;
     bool hasRoom(const Engine &engine, const PlacementRequest &request) const;
@@ -63,12 +78,16 @@
     bool divideMemory(const PlacementRequest &request, const Engine &primary, const std::vector<const Engine *> &helpers, Selection &selection) const;
     /// Returns whether the requests in decode on \p engine keep their pause limits if it takes \p prefill of additional prefill time.
     bool keepsPauseLimits(const Engine &engine, Duration prefill, std::uint64_t promptTokens) const;
+    /// Returns whether the request, with \p prefill here, does not delay the engine's next reservation: it ends before the start, or its answer can go on
+    /// beside the reserved part.
+    bool endsBeforeHold(const Engine &engine, const PlacementRequest &request, Duration prefill) const;
     /// The estimated time from the grant to the first event if \p engine takes \p prefill of additional prefill time.
     Duration timeToFirstEvent(const Engine &engine, Duration prefill) const;
     /// The cost of choosing the upstream, without the part that depends on the first event estimate.
     double baseCost(const PlacementRequest &request, const UpstreamLoad &load, TimePoint now) const;
 
     EngineSpec m_spec;
+    bool m_reserves;
 };
 
 }
--- a/Source/Placement/PlacementTable.cpp
+++ b/Source/Placement/PlacementTable.cpp
@@ -1,6 +1,7 @@
 #include "Placement/PlacementTable.h"
 
 #include "Placement/EngineSelector.h"
+#include "Placement/RetryAfter.h"
 #include "Placement/SlotSelector.h"
 
 #include <algorithm>
@@ -11,38 +12,17 @@
 
 namespace {
 
-constexpr std::chrono::milliseconds shortestRetryAfter{100};
-constexpr std::chrono::milliseconds longestRetryAfter{5000};
-// A caller is told to retry after its remaining time divided by this, so that the retry still comes before its deadline.
-constexpr double retryParts = 3;
-// After a change of owner the new owner receives the waiting placement requests within this time.
-constexpr std::chrono::milliseconds ownerChangeTime{1000};
 // Engines give up the work that depends on a helper that is gone after 1.5 seconds.
 constexpr std::chrono::milliseconds leastStallTime{1000};
-constexpr double retrySpread = 0.25;
-constexpr std::uint64_t retrySteps = 256;
 
 std::unique_ptr<UpstreamSelector> makeSelector(const ServiceSpec &spec)
 {
     if (spec.engine) {
-        return std::make_unique<EngineSelector>(*spec.engine);
+        return std::make_unique<EngineSelector>(*spec.engine, spec.advanceReservation);
     }
     return std::make_unique<SlotSelector>();
 }
 
-// Requests that are refused at the same time get different retry times, so that they do not all retry at once.
-Duration retryAfter(const PlacementRequest &request, TimePoint now)
-{
-    const double spread = 1 - retrySpread * static_cast<double>(request.fingerprint % retrySteps) / retrySteps;
-    const Duration longest = toDuration(Seconds(request.deadline - now) / retryParts * spread);
-    return std::clamp<Duration>(longest, shortestRetryAfter, longestRetryAfter);
-}
-
-}
-
-Duration quarantineRetryAfter(Duration wait)
-{
-    return std::clamp<Duration>(wait, shortestRetryAfter, longestRetryAfter);
 }
 
 PlacementTable::PlacementTable(const PlacementLimits &limits, CrashRecord &crashes)
@@ -61,7 +41,7 @@
         if (known != m_services.end() && known->second.spec == spec) {
             next.emplace(spec.id, std::move(known->second));
         } else {
-            next.emplace(spec.id, Service{spec, makeSelector(spec), {}, {}, {}, {}});
+            next.emplace(spec.id, Service{spec, makeSelector(spec), {}, {}, {}, makeReservations(spec), {}});
         }
     }
     m_services = std::move(next);
@@ -127,13 +107,13 @@
         return;
     }
     if (UpstreamLoad *load = find(grant->second.upstream)) {
-        load->prefillDone(id);
+        load->prefillDone(id, m_servedAt);
         load->failures().responded();
         m_outages.recordAnswer(load->entry().dataCentre);
     }
     for (const UpstreamId &helper : grant->second.helpers) {
         if (UpstreamLoad *load = find(helper)) {
-            load->prefillDone(id);
+            load->prefillDone(id, m_servedAt);
             m_outages.recordAnswer(load->entry().dataCentre);
         }
     }
@@ -238,6 +218,7 @@
     const Duration prefill = service == m_services.end() ? Duration::zero() : service->second.selector->partPrefillTime(grant.placementRequest, parts);
     const std::uint64_t tokens = grant.placementRequest.promptTokens + grant.placementRequest.outputTokens;
     GrantLoad grantLoad{false, grant.reading, grant.placementRequest.promptTokens, tokens, grant.placementRequest.pauseLimit, prefill, {}};
+    grantLoad.outputTokens = grant.placementRequest.outputTokens;
     if (UpstreamLoad *load = find(grant.upstream)) {
         load->add(id, grantLoad, now);
     }
@@ -328,10 +309,13 @@
     if (service == m_services.end() || now < service->second.grantsPausedUntil) {
         return std::nullopt;
     }
-    const std::optional<Selection> selection = service->second.selector->select(request, candidates(service->second, request, now), now);
+    const std::optional<Selection> selection = choose(service->second, request, now);
     if (!selection) {
         return std::nullopt;
     }
+    if (service->second.reservations) {
+        service->second.reservations->started(request.id, now);
+    }
     Grant grant;
     grant.id = request.id;
     grant.assignment.upstream = selection->primary->entry().id;
@@ -344,8 +328,14 @@
     grant.assignment.firstEventEstimate = selection->firstEventEstimate;
     grant.assignment.helperMemory = selection->helperMemory;
     const std::uint64_t elsewhere = std::accumulate(selection->helperMemory.begin(), selection->helperMemory.end(), std::uint64_t{0});
-    GrantLoad grantLoad{
-        false, true, request.promptTokens, request.promptTokens + request.outputTokens - elsewhere, request.pauseLimit, selection->partPrefillTime, {}};
+    GrantLoad grantLoad{false,
+                        true,
+                        request.promptTokens,
+                        request.promptTokens + request.outputTokens - elsewhere,
+                        request.pauseLimit,
+                        selection->partPrefillTime,
+                        {},
+                        request.outputTokens};
     selection->primary->add(request.id, grantLoad, now);
     selection->primary->failures().granted(now);
     grantLoad.helper = true;
@@ -395,13 +385,11 @@
     return now >= m_servedAt + m_limits.serveInterval ? serveWaiting(now) : PlacementActions();
 }
 
-bool PlacementTable::mayStart(const Service &service, const Waiting &waiting, TimePoint now)
-{
-    return !waiting.needsLowLoad || (service.workAhead.empty() && now >= service.grantsPausedUntil + ownerChangeTime);
-}
-
 bool PlacementTable::canMeetDeadline(const Service &service, const Waiting &waiting, TimePoint now)
 {
+    if (waiting.needsLowLoad && service.reservations) {
+        return !service.reservations->tooLateStart(waiting.request.id);
+    }
     const bool late = waiting.latestStart <= now;
     const Duration wait = service.forecast.wait(service.workAhead.ahead(waiting.work), service.upstreams.size(), late, now);
     return wait + service.selector->leastServiceTime(waiting.request) <= waiting.request.deadline - now;
@@ -427,6 +415,7 @@
         }
         return leftLate ? left.request.arrivedAt < right.request.arrivedAt : left.latestStart < right.latestStart;
     });
+    planReservations(now);
     for (auto &[id, service] : m_services) {
         service.workAhead.clear();
     }
@@ -446,7 +435,7 @@
             return true;
         }
         if (!service.upstreams.empty() && now >= service.grantsPausedUntil && !canMeetDeadline(service, waiting, now)) {
-            actions.emplace_back(Refusal{waiting.request.id, ErrorKind::DeadlineUnreachable, retryAfter(waiting.request, now)});
+            actions.emplace_back(Refusal{waiting.request.id, ErrorKind::DeadlineUnreachable, retryAfterForecast(service, waiting, now)});
             return true;
         }
         service.workAhead.add(waiting.work);
@@ -483,6 +472,11 @@
             service->second.upstreams.push_back(&load);
         }
     }
+    for (auto &[id, service] : m_services) {
+        if (service.reservations) {
+            service.reservations->setUpstreams(service.upstreams);
+        }
+    }
 }
 
 void PlacementTable::endOverdueGrants(TimePoint now)
--- a/Source/Placement/PlacementTable.h
+++ b/Source/Placement/PlacementTable.h
@@ -4,6 +4,7 @@
 #include "Placement/DataCentreOutages.h"
 #include "Placement/GrantOutcome.h"
 #include "Placement/PlacementActions.h"
+#include "Placement/ReservationTable.h"
 #include "Placement/ServiceSpec.h"
 #include "Placement/UpstreamLoad.h"
 #include "Placement/UpstreamSelector.h"
@@ -75,6 +76,10 @@
     void hostLost(const HostId &host, TimePoint now);
     PlacementActions tick(TimePoint now);
 
+    /// Returns and clears what has happened to the reservations of engines since the last call.
+    ReservationEvents takeReservationEvents();
+    ReservationCounts reservationCounts() const;
+
     std::size_t waiting() const;
     std::size_t granted() const;
     /// The load of one upstream; null if the upstream is not known.
@@ -87,6 +92,7 @@
         std::vector<UpstreamLoad *> upstreams; ///< The upstreams that accept requests.
         TimePoint grantsPausedUntil; ///< Nothing is granted before this time.
         WaitForecast forecast;
+        std::optional<ReservationTable> reservations; ///< For prompts that exceed one engine; unset if engines are not reserved for them.
         WaitingWork workAhead; ///< Work of the waiting requests that the present pass over the queue has left waiting.
     };
     struct GrantRecord {
@@ -104,6 +110,7 @@
         bool needsLowLoad = false;
     };
 
+    static std::optional<ReservationTable> makeReservations(const ServiceSpec &spec);
     UpstreamLoad *find(const UpstreamId &id);
     /// The upstreams that may run the request. Those of suspected data centres are left out unless there are no others.
     UpstreamSelector::Candidates candidates(const Service &service, const PlacementRequest &request, TimePoint now) const;
@@ -113,14 +120,20 @@
     void recordFaultyHelper(UpstreamLoad &helper, Duration elapsed, TimePoint now);
     /// The refusal of a request that appears to crash upstreams; empty if it may be granted.
     std::optional<Refusal> quarantine(const PlacementRequest &request, TimePoint now) const;
+    /// Chooses among the upstreams that may run the request, or among those that are reserved for it.
+    std::optional<Selection> choose(const Service &service, const PlacementRequest &request, TimePoint now) const;
     /// Grants the request if an upstream is available. quarantine() must have let it pass.
     std::optional<Grant> tryGrant(const PlacementRequest &request, TimePoint now);
     /// The earliest time at which an upstream of the service accepts a request of \p host; unset if there are no upstreams.
     static std::optional<TimePoint> acceptedFrom(const Service &service, const HostId &host);
     std::optional<Refusal> refusal(const Waiting &waiting, TimePoint now) const;
-    /// Returns whether the request may be placed in its turn. One that needs a low load may not while requests before it wait, nor right after a change
-    /// of owner, when more requests are expected.
+    /// Returns whether the request may be placed in its turn. One that needs a low load, or engines reserved for it, may not right after a change of
+    /// owner, when more requests are expected, and without reservations not while requests before it wait.
     static bool mayStart(const Service &service, const Waiting &waiting, TimePoint now);
+    /// Plans the reservations of the services that have them, if that is due.
+    void planReservations(TimePoint now);
+    /// The time after which a refused request may come again, by the forecast that refused it.
+    static Duration retryAfterForecast(const Service &service, const Waiting &waiting, TimePoint now);
     /// Returns whether the request can be answered by its deadline after the work that goes before it.
     static bool canMeetDeadline(const Service &service, const Waiting &waiting, TimePoint now);
     /// Serves the waiting requests unless that was done less than a serveInterval ago; in that case the next tick does it.
--- a/Source/Placement/ServiceSpec.h
+++ b/Source/Placement/ServiceSpec.h
@@ -15,6 +15,7 @@
     ServiceId id;
     double coldRequestsPerSecond = 0; ///< Limit for each cold upstream; 0 means no limit.
     std::optional<EngineSpec> engine; ///< Set for services whose upstreams are model engines.
+    bool advanceReservation = false; ///< Whether engines are reserved ahead of time for prompts that exceed the KV memory of one engine.
 
     friend bool operator==(const ServiceSpec &, const ServiceSpec &) = default;
 };
--- a/Source/Placement/SlotSelector.cpp
+++ b/Source/Placement/SlotSelector.cpp
@@ -44,6 +44,11 @@
     return Selection{best, {}, {}, {}, {}};
 }
 
+std::optional<Selection> SlotSelector::selectReserved(const PlacementRequest &request, const Candidates &candidates, Duration, TimePoint now) const
+{
+    return select(request, candidates, now);
+}
+
 Duration SlotSelector::leastServiceTime(const PlacementRequest &) const
 {
     return leastTime;
--- a/Source/Placement/SlotSelector.h
+++ b/Source/Placement/SlotSelector.h
@@ -12,6 +12,7 @@
 {
 public:
     std::optional<Selection> select(const PlacementRequest &request, const Candidates &candidates, TimePoint now) const override;
+    std::optional<Selection> selectReserved(const PlacementRequest &request, const Candidates &candidates, Duration acceptable, TimePoint now) const override;
     Duration leastServiceTime(const PlacementRequest &request) const override;
     Duration partPrefillTime(const PlacementRequest &request, std::uint32_t parts) const override;
     Duration workOf(const PlacementRequest &request) const override;
--- a/Source/Placement/UpstreamLoad.cpp
+++ b/Source/Placement/UpstreamLoad.cpp
@@ -38,13 +38,14 @@
     updateTotals();
 }
 
-void UpstreamLoad::prefillDone(const PlacementRequestId &id)
+void UpstreamLoad::prefillDone(const PlacementRequestId &id, TimePoint now)
 {
     const auto position = m_grants.find(id);
     if (position == m_grants.end()) {
         return;
     }
     position->second.prefilling = false;
+    position->second.prefillEnd = now;
     if (position->second.helper && position->second.memoryTokens == 0) {
         m_grants.erase(position);
     }
@@ -98,6 +99,21 @@
     return m_grants.empty();
 }
 
+const std::map<PlacementRequestId, GrantLoad> &UpstreamLoad::grants() const
+{
+    return m_grants;
+}
+
+const std::optional<EngineHold> &UpstreamLoad::hold() const
+{
+    return m_hold;
+}
+
+void UpstreamLoad::setHold(const std::optional<EngineHold> &hold)
+{
+    m_hold = hold;
+}
+
 Duration UpstreamLoad::prefillBacklog(TimePoint now, Duration iteration) const
 {
     Duration backlog = Duration::zero();
--- a/Source/Placement/UpstreamLoad.h
+++ b/Source/Placement/UpstreamLoad.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "Placement/EngineHold.h"
 #include "Placement/EngineSpec.h"
 #include "Placement/FailureRecord.h"
 #include "Placement/PlacementRequest.h"
@@ -9,6 +10,7 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <vector>
 
 namespace Mangofall::Placement {
@@ -24,7 +26,8 @@
     std::uint64_t memoryTokens = 0; ///< KV memory in use here at the end of the answer, in tokens.
     Duration pauseLimit{};
     Duration prefillTime{}; ///< Prefill time of this upstream's part of the prompt.
-    TimePoint prefillEnd; ///< Expected end of the prefill; set by UpstreamLoad::add().
+    TimePoint prefillEnd; ///< End of the prefill, expected while it lasts; set by UpstreamLoad.
+    std::uint64_t outputTokens = 0; ///< Longest answer, in tokens.
 };
 
 /**
@@ -40,8 +43,8 @@
     void setEntry(UpstreamEntry entry);
 
     void add(const PlacementRequestId &id, const GrantLoad &grant, TimePoint now);
-    /// The first event of the answer came, so the prefill for \p id is complete.
-    void prefillDone(const PlacementRequestId &id);
+    /// The first event of the answer came, so the prefill for \p id is complete since \p now.
+    void prefillDone(const PlacementRequestId &id, TimePoint now = TimePoint::max());
     void remove(const PlacementRequestId &id);
 
     std::uint32_t requests() const; ///< Whole requests, in prefill or decode.
@@ -53,6 +56,11 @@
     /// The longest prefill of a request that is answered here. Prefills for other engines that come later would go before it.
     Duration longestOwnPrefill() const;
     bool idle() const;
+    const std::map<PlacementRequestId, GrantLoad> &grants() const;
+
+    /// The next reservation of the upstream; work that would delay its start is not placed here.
+    const std::optional<EngineHold> &hold() const;
+    void setHold(const std::optional<EngineHold> &hold);
 
     /// The time to finish all prefills that were granted and are not complete. A prefill shorter than \p iteration counts in full until its end is
     /// reported, because an engine with requests in decode starts it only with its next iteration.
@@ -99,6 +107,7 @@
     Totals m_totals;
     RateWindow m_coldWindow;
     FailureRecord m_failures;
+    std::optional<EngineHold> m_hold;
     bool m_saysLeaving = false;
     std::map<HostId, TimePoint> m_pauses; ///< Until when the upstream wants no request of each host.
 };
--- a/Source/Placement/UpstreamSelector.h
+++ b/Source/Placement/UpstreamSelector.h
@@ -40,6 +40,11 @@
     /// Chooses among the candidates; returns nothing if waiting is better than any of them.
     virtual std::optional<Selection> select(const PlacementRequest &request, const Candidates &candidates, TimePoint now) const = 0;
 
+    /// Chooses all of \p candidates, which are reserved for the request; returns nothing if it cannot start on them yet or if the first event would not
+    /// come within \p acceptable.
+    virtual std::optional<Selection>
+    selectReserved(const PlacementRequest &request, const Candidates &candidates, Duration acceptable, TimePoint now) const = 0;
+
     /// The least time between a grant and the end of the answer. With less time left, the request cannot be served by its deadline.
     virtual Duration leastServiceTime(const PlacementRequest &request) const = 0;
 
