--- a/Tests/Experiment/PlacementUnderLoadTest.cpp
+++ b/Tests/Experiment/PlacementUnderLoadTest.cpp
@@ -91,3 +91,32 @@
                })
           >= 0.97);
 }
+
+// Guards against large prompts that are served seldom in phases of long prompts, and against short prompts that pay for them: with advance reservation at
+// most half as many prompts beyond one engine remain unanswered, the callers' credit rises, and at most 1 in 100 more short prompts are late.
+TEST(PlacementUnderLoadTest, ReservationsServeLargePromptsBesideShortOnes)
+{
+    const ComparisonCell before = runScenario("long-phases", "owner-cost");
+    const ComparisonCell after = runScenario("long-phases", "owner-reservation");
+    const auto unanswered = [](const CreditReport &report) {
+        return 1 - report.beyondOneEngine[Long].served;
+    };
+    const auto credit = [](const CreditReport &report) {
+        return report.all.credit;
+    };
+    const auto shortOnTime = [](const CreditReport &report) {
+        return report.kinds[Short].onTime;
+    };
+    CHECK(mean(after, unanswered) <= mean(before, unanswered) / 2);
+    CHECK(mean(after, credit) >= mean(before, credit) + 0.02);
+    CHECK(mean(after, shortOnTime) >= mean(before, shortOnTime) - 0.01);
+    for (const Kind kind : {Short, Middle}) {
+        CHECK(mean(after,
+                   [kind](const CreditReport &report) {
+                       return report.longestTenths[kind].served;
+                   })
+              >= mean(after, [kind](const CreditReport &report) {
+                     return report.kinds[kind].served - 0.1;
+                 }));
+    }
+}
--- a/Utilities/Experiment/ComparisonTable.cpp
+++ b/Utilities/Experiment/ComparisonTable.cpp
@@ -61,6 +61,34 @@
     out << "\n";
 }
 
+void writeGroup(std::ostream &out, const std::string &name, const ComparisonCell &cell, const std::function<const GroupResult &(const CreditReport &)> &group)
+{
+    const auto mean = [&](const std::function<double(const GroupResult &)> &metric) {
+        writeShare(out,
+                   cell.metricEstimate([&](const CreditReport &report) {
+                           return metric(group(report));
+                       })
+                       .mean);
+    };
+    out << name;
+    mean([](const GroupResult &result) {
+        return static_cast<double>(result.requests);
+    });
+    mean([](const GroupResult &result) {
+        return 1 - result.served;
+    });
+    mean([](const GroupResult &result) {
+        return result.late;
+    });
+    mean([](const GroupResult &result) {
+        return result.firstEventP99;
+    });
+    mean([](const GroupResult &result) {
+        return result.credit;
+    });
+    out << "\n";
+}
+
 }
 
 std::string comparisonTable(const Comparison &comparison)
@@ -77,4 +105,30 @@
     return out.str();
 }
 
+std::string kindTable(const Comparison &comparison)
+{
+    std::ostringstream out;
+    out << std::fixed << std::setprecision(decimals);
+    for (std::size_t scenario = 0; scenario < comparison.scenarios().size(); ++scenario) {
+        const Scenario &current = comparison.scenarios()[scenario];
+        out << "\n| " << current.name << " | requests | not answered | late | first event p99 (s) | credit |\n|---|---|---|---|---|---|\n";
+        for (std::size_t kind = 0; kind < current.kinds.size(); ++kind) {
+            for (std::size_t policy = 0; policy < comparison.policies().size(); ++policy) {
+                const ComparisonCell &cell = comparison.cell(scenario, policy);
+                const std::string name = "| " + current.kinds[kind].name + ", " + comparison.policies()[policy].name;
+                writeGroup(out, name + " |", cell, [kind](const CreditReport &report) -> const GroupResult & {
+                    return report.kinds[kind];
+                });
+                writeGroup(out, name + ", longest tenth |", cell, [kind](const CreditReport &report) -> const GroupResult & {
+                    return report.longestTenths[kind];
+                });
+                writeGroup(out, name + ", beyond one engine |", cell, [kind](const CreditReport &report) -> const GroupResult & {
+                    return report.beyondOneEngine[kind];
+                });
+            }
+        }
+    }
+    return out.str();
+}
+
 }
--- a/Utilities/Experiment/CreditReport.cpp
+++ b/Utilities/Experiment/CreditReport.cpp
@@ -1,10 +1,12 @@
 #include "Experiment/CreditReport.h"
 
 #include "Experiment/Scenario.h"
+#include "Placement/EngineRules.h"
 
 #include <algorithm>
 #include <functional>
 #include <optional>
+#include <utility>
 
 namespace Mangofall::Experiment {
 
@@ -25,6 +27,17 @@
 
 using Filter = std::function<bool(const PromptRequest &)>;
 
+/// The 99th percentile; 0 if there are no \p values.
+double percentile99(std::vector<double> values)
+{
+    if (values.empty()) {
+        return 0;
+    }
+    const auto position = values.begin() + static_cast<std::ptrdiff_t>((values.size() - 1) * 99 / 100);
+    std::nth_element(values.begin(), position, values.end());
+    return *position;
+}
+
 double size(const PromptRequest &request)
 {
     return static_cast<double>(request.promptTokens) + outputTokenWeight * static_cast<double>(request.outputTokens);
@@ -66,6 +79,7 @@
     double lostWaiting = 0;
     std::size_t served = 0;
     std::size_t onTime = 0;
+    std::vector<double> firstEvents;
     for (const PromptRequest &request : requests) {
         if (!inGroup(request)) {
             continue;
@@ -79,6 +93,9 @@
         lostWaiting += lostWaitingShare(request, kind) * factor * kind.credit;
         served += request.completed ? 1 : 0;
         onTime += earnsFullCredit ? 1 : 0;
+        if (request.completed) {
+            firstEvents.push_back(Seconds(request.firstEventDelay).count());
+        }
     }
     if (result.requests > 0) {
         const auto count = static_cast<double>(result.requests);
@@ -86,6 +103,8 @@
         result.creditLostWaiting = lostWaiting / owed;
         result.served = static_cast<double>(served) / count;
         result.onTime = static_cast<double>(onTime) / count;
+        result.late = result.served - result.onTime;
+        result.firstEventP99 = percentile99(std::move(firstEvents));
     }
     return result;
 }
@@ -136,6 +155,9 @@
         report.longestTenths.push_back(resultOf([kind, threshold = longestTenthThreshold(requests, kind)](const PromptRequest &request) {
             return request.kind == kind && request.promptTokens >= threshold;
         }));
+        report.beyondOneEngine.push_back(resultOf([kind, &scenario](const PromptRequest &request) {
+            return request.kind == kind && Placement::exceedsOneEngine(scenario.engine, request.promptTokens + request.outputTokens);
+        }));
     }
     std::optional<GroupResult> worstOrganisation;
     for (std::size_t organisation = 0; organisation < scenario.organisations; ++organisation) {
--- a/Utilities/Experiment/CreditReport.h
+++ b/Utilities/Experiment/CreditReport.h
@@ -17,6 +17,8 @@
     /// Share of the credit owed for requests that were neither answered nor assigned to an engine within their target, weighted by their wait.
     double creditLostWaiting = 0;
     double onTime = 1; ///< Share of the requests whose first event came within the target and whose pauses kept the limit.
+    double late = 0; ///< Share of the requests that were answered, but not on time.
+    double firstEventP99 = 0; ///< 99th percentile of the time until the first event, over the answered requests, in seconds.
 };
 
 /**
@@ -27,6 +29,7 @@
     GroupResult all;
     std::vector<GroupResult> kinds; ///< One for each kind, in the order of the scenario.
     std::vector<GroupResult> longestTenths; ///< One for each kind: its longest tenth of prompts.
+    std::vector<GroupResult> beyondOneEngine; ///< One for each kind: its prompts that exceed the KV memory of one engine.
     GroupResult worstOrganisation; ///< The lowest credit among organisations with at least a twentieth of the mean number of requests.
     GroupResult worstDataCentre; ///< The lowest credit among the data centres of the entry hosts.
 };
--- a/Utilities/Experiment/FleetSimulation.cpp
+++ b/Utilities/Experiment/FleetSimulation.cpp
@@ -138,6 +138,16 @@
     });
 }
 
+bool FleetSimulation::helpersHaveMemory(const Placement::Assignment &assignment) const
+{
+    for (std::size_t index = 0; index < assignment.helperMemory.size(); ++index) {
+        if (!m_engines[engineIndex(assignment.helpers[index])].simulatedEngine.hasMemory(assignment.helperMemory[index])) {
+            return false;
+        }
+    }
+    return true;
+}
+
 void FleetSimulation::startAttempt(AttemptNumber number, const Placement::Assignment &assignment)
 {
     const auto found = m_attempts.find(number);
@@ -159,6 +169,11 @@
         retry(number, GrantOutcome::Unreachable);
         return;
     }
+    if (!helpersHaveMemory(assignment)) {
+        attempt.engines.clear();
+        retry(number, GrantOutcome::Cancelled);
+        return;
+    }
     const auto parts = static_cast<std::uint32_t>(attempt.engines.size());
     attempt.remainingParts = parts;
     attempt.remainingEvents = attempt.placementRequest.outputTokens / tokensPerEvent() + 1;
@@ -264,7 +279,8 @@
         return;
     }
     const std::size_t request = attempt->second.request;
-    const std::uint32_t earlierRuns = attempt->second.earlierRuns + (outcome == GrantOutcome::Unreachable ? 0 : 1);
+    const bool reachedEngines = outcome != GrantOutcome::Unreachable && outcome != GrantOutcome::Cancelled;
+    const std::uint32_t earlierRuns = attempt->second.earlierRuns + (reachedEngines ? 1 : 0);
     std::unordered_set<UpstreamId> excluded = attempt->second.placementRequest.excluded;
     const bool beforeDeadline = attempt->second.placementRequest.deadline > m_events.now();
     endAttempt(attempt, outcome);
--- a/Utilities/Experiment/FleetSimulation.h
+++ b/Utilities/Experiment/FleetSimulation.h
@@ -59,7 +59,9 @@
     void applyActions(const Placement::PlacementActions &actions);
     void handleGrant(const Placement::Grant &grant);
     void handleRefusal(const Placement::Refusal &refusal);
-    /// Sends the attempt to its engines.
+    /// Returns whether each helper has the memory that the assignment wants of it.
+    bool helpersHaveMemory(const Placement::Assignment &assignment) const;
+    /// Sends the attempt to its engines. If a helper lacks memory, the assignment is given back and the request submitted again.
     void startAttempt(AttemptNumber number, const Placement::Assignment &assignment);
     void startIteration(std::size_t engine);
     void finishIteration(std::size_t engine);
--- a/Utilities/Experiment/Main.cpp
+++ b/Utilities/Experiment/Main.cpp
@@ -43,11 +43,15 @@
     TCLAP::ValueArg<std::size_t> seeds("n", "seeds", "Number of runs of each policy in each scenario.", false, defaultSeeds, "count", command);
     TCLAP::ValueArg<std::uint64_t> firstSeed("", "seed", "Seed of the first run; each further run adds 1.", false, defaultSeed, "number", command);
     TCLAP::ValueArg<std::string> plot("", "plot", "SVG file to write with a bar chart of the credit.", false, "", "file", command);
+    TCLAP::SwitchArg kinds("", "kinds", "Also print the results of each kind of prompts.", command);
     try {
         command.parse(argumentCount, arguments);
         Comparison comparison(selectByName(standardScenarios(), scenarios.getValue()), selectByName(standardPolicies(), policies.getValue()));
         comparison.run(firstSeed.getValue(), seeds.getValue());
         std::cout << comparisonTable(comparison);
+        if (kinds.getValue()) {
+            std::cout << kindTable(comparison);
+        }
         if (!plot.getValue().empty()) {
             std::ofstream file(plot.getValue());
             file << comparisonPlot(comparison);
--- a/Utilities/Experiment/PassEngine.cpp
+++ b/Utilities/Experiment/PassEngine.cpp
@@ -107,7 +107,17 @@
     return result;
 }
 
+bool PassEngine::hasMemory(std::uint64_t tokens) const
+{
+    return usedMemory() + tokens <= m_spec.memoryTokens;
+}
+
 bool PassEngine::fits(const EngineTask &task) const
+{
+    return m_running.size() < m_spec.slots && hasMemory(task.memoryTokens);
+}
+
+std::uint64_t PassEngine::usedMemory() const
 {
     std::uint64_t usedTokens = 0;
     for (const auto &[attempt, running] : m_running) {
@@ -116,7 +126,7 @@
     for (const auto &[attempt, tokens] : m_helperMemory) {
         usedTokens += tokens;
     }
-    return m_running.size() < m_spec.slots && usedTokens + task.memoryTokens <= m_spec.memoryTokens;
+    return usedTokens;
 }
 
 void PassEngine::admit(AttemptNumber attempt, const EngineTask &task)
--- a/Utilities/Experiment/PassEngine.h
+++ b/Utilities/Experiment/PassEngine.h
@@ -43,6 +43,8 @@
 
     /// Starts the prefill of the attempt's part on the engine that answers it, or queues it until a slot and memory are free.
     void submit(AttemptNumber attempt, const EngineTask &task);
+    /// Returns whether \p tokens of KV memory are free, so that a part of another engine's prompt can be stored here.
+    bool hasMemory(std::uint64_t tokens) const;
     /// Starts the prefill of a part for an attempt that another engine answers; \p task.memoryTokens stay occupied here until remove().
     void submitHelperPart(AttemptNumber attempt, const EngineTask &task);
     /// All parts of the attempt are prefilled; the next iteration decodes its answer.
@@ -68,6 +70,7 @@
     };
 
     bool fits(const EngineTask &task) const;
+    std::uint64_t usedMemory() const; ///< In tokens.
     void admit(AttemptNumber attempt, const EngineTask &task);
     void admitQueued();
     Prefill makePrefill(AttemptNumber attempt, const EngineTask &task) const;
--- a/Utilities/Experiment/PlacementModel.cpp
+++ b/Utilities/Experiment/PlacementModel.cpp
@@ -22,7 +22,7 @@
     , m_handler(std::move(handler))
 {
     const std::size_t tableCount = policy.perHost ? scenario.hosts : 1;
-    Placement::ServiceSpec spec{service(), scenario.coldRequestsPerSecond / static_cast<double>(tableCount), std::nullopt};
+    Placement::ServiceSpec spec{service(), scenario.coldRequestsPerSecond / static_cast<double>(tableCount), std::nullopt, policy.reserves};
     if (policy.byCost) {
         spec.engine = scenario.engine;
     }
--- a/Utilities/Experiment/Scenario.cpp
+++ b/Utilities/Experiment/Scenario.cpp
@@ -50,6 +50,30 @@
     return scenario;
 }
 
+// Phases of mostly long, mostly short and mostly long prompts on engines with little memory, so that many long prompts exceed the memory of one engine.
+Scenario longPhases()
+{
+    Scenario scenario = baseScenario("long-phases");
+    scenario.engine = {12, 232'000, 48, 2048, 1.02, 0.00226, 0.00431, 206, 0.138};
+    scenario.engines = 60;
+    scenario.hosts = 60;
+    scenario.duration = 32s;
+    scenario.kinds = {
+        {"short", 99.8, 4'960, 0.9, 23'800, 1'488, 300ms, 250ms, 10s, 1.3, 0.33},
+        {"middle", 6.8, 45'000, 0.5, 110'000, 864, 1500ms, 600ms, 10s, 3.3, 0.83},
+        {"long", 3.22, 190'000, 0.55, 900'000, 720, 3s, 1s, 15s, 20, 5.1},
+    };
+    for (const Duration start : {Duration(2s), Duration(21s)}) {
+        scenario.bursts.push_back({Short, 0.31, start, 9500ms});
+        scenario.bursts.push_back({Middle, 1.3, start, 9500ms});
+        scenario.bursts.push_back({Long, 2.9, start, 9500ms});
+    }
+    scenario.bursts.push_back({Short, 2.5, 11500ms, 9500ms});
+    scenario.bursts.push_back({Middle, 0.5, 11500ms, 9500ms});
+    scenario.bursts.push_back({Long, 0.05, 11500ms, 9500ms});
+    return scenario;
+}
+
 Scenario longPromptsDoubled()
 {
     Scenario scenario = baseScenario("long-doubled");
@@ -97,7 +121,7 @@
 
 std::vector<Scenario> standardScenarios()
 {
-    return {baseScenario("steady"), swingingMix(), longPromptsDoubled(), shortBurst(), overload(), fourTimes(), engineLosses()};
+    return {baseScenario("steady"), swingingMix(), longPhases(), longPromptsDoubled(), shortBurst(), overload(), fourTimes(), engineLosses()};
 }
 
 }
