--- a/Source/Forwarding/FleetPlacement.cpp
+++ b/Source/Forwarding/FleetPlacement.cpp
@@ -2,6 +2,7 @@
 
 #include "Base/ErrorAnswer.h"
 #include "Base/ScopeGuard.h"
+#include "Forwarding/PlacementLog.h"
 #include "Forwarding/RelayTargets.h"
 #include "Forwarding/WirePlacement.h"
 #include "Peer/PeerConnection.h"
@@ -321,6 +322,7 @@
 void FleetPlacement::applyActions(const Placement::PlacementActions &actions)
 {
     publishCrashes();
+    writeReservationEvents(m_log, m_table.takeReservationEvents());
     for (const Placement::PlacementAction &action : actions) {
         const Placement::PlacementRequestId id = std::visit(
             [](const auto &concrete) {
@@ -334,8 +336,7 @@
         }
         m_waitingPeerRequests.erase(id);
         if (grant == nullptr) {
-            const std::string kind(errorAnswer(std::get<Placement::Refusal>(action).kind).name);
-            m_log.write("placement_refused", {{"entry", id.host.value()}, {"demand", std::to_string(id.number)}, {"kind", kind}});
+            writeRefusal(m_log, std::get<Placement::Refusal>(action));
         }
         if (const std::shared_ptr<PeerConnection> answerConnection = m_connections.answerConnection(id.host)) {
             answerConnection->send(toPeerMessage(grant != nullptr ? toWire(*grant) : toWire(std::get<Placement::Refusal>(action))));
--- a/Source/Forwarding/FleetPlacement.h
+++ b/Source/Forwarding/FleetPlacement.h
@@ -66,6 +66,11 @@
     std::size_t hosts() const;
     /// The number of placement requests that wait at this host as owner.
     std::size_t waiting() const;
+    /// The reservations of engines that this host made as owner.
+    Placement::ReservationCounts reservationCounts() const
+    {
+        return m_table.reservationCounts();
+    }
 
     Placement::PlacementRequestId nextId() override;
     void submit(const Placement::PlacementRequest &placementRequest, Handler handler) override;
--- a/Source/Placement/PlacementTable.cpp
+++ b/Source/Placement/PlacementTable.cpp
@@ -473,9 +473,7 @@
         }
     }
     for (auto &[id, service] : m_services) {
-        if (service.reservations) {
-            service.reservations->setUpstreams(service.upstreams);
-        }
+        setReservableUpstreams(service);
     }
 }
 
--- a/Source/Placement/PlacementTableReservations.cpp
+++ b/Source/Placement/PlacementTableReservations.cpp
@@ -28,6 +28,17 @@
     return isTurn && now >= service.grantsPausedUntil + ownerChangeTime;
 }
 
+void PlacementTable::setReservableUpstreams(Service &service)
+{
+    if (service.reservations) {
+        service.reservations->setUpstreams(service.upstreams);
+        return;
+    }
+    for (UpstreamLoad *load : service.upstreams) {
+        load->setHold(std::nullopt);
+    }
+}
+
 void PlacementTable::planReservations(TimePoint now)
 {
     for (auto &[id, service] : m_services) {
--- a/Source/Telemetry/ForwardingMetrics.cpp
+++ b/Source/Telemetry/ForwardingMetrics.cpp
@@ -43,6 +43,11 @@
     return prometheus::TextSerializer().Serialize(m_registry->Collect());
 }
 
+prometheus::Registry &ForwardingMetrics::registry()
+{
+    return *m_registry;
+}
+
 void ForwardingMetrics::recordAnswer(const std::string &route, unsigned status, Duration elapsed)
 {
     m_answers.Add({{"route", route}, {"status", std::to_string(status)}}).Increment();
--- a/Source/Telemetry/ForwardingMetrics.h
+++ b/Source/Telemetry/ForwardingMetrics.h
@@ -24,6 +24,8 @@
 
     /// All metrics in the Prometheus text format.
     std::string text() const;
+    /// The registry, for metrics of single parts.
+    prometheus::Registry &registry();
 
     /// Records an upstream's answer that was delivered to the caller \p elapsed after the request arrived.
     void recordAnswer(const std::string &route, unsigned status, Duration elapsed);
--- a/Tests/Placement/ReservationTableTest.cpp
+++ b/Tests/Placement/ReservationTableTest.cpp
@@ -270,6 +270,7 @@
     TimePoint now{std::chrono::hours(1)};
     table.setServices({{engines, 0, engineSpec(), advanceReservation}});
     std::vector<UpstreamEntry> entries;
+    entries.reserve(40);
     for (int index = 0; index < 40; ++index) {
         entries.push_back(upstream("e" + std::to_string(index), engines));
     }
--- a/Tests/PlatformAdapter/PlatformSettingsTest.cpp
+++ b/Tests/PlatformAdapter/PlatformSettingsTest.cpp
@@ -1,4 +1,5 @@
 #include "PlatformSettings.h"
+#include "PlacementServices.h"
 
 #include "Property.h"
 
@@ -40,6 +41,21 @@
     LONGS_EQUAL(7, settings->feed.readers.minHosts);
 }
 
+// Guards against reservations in a deployment that does not enable them, and for services without engines.
+TEST(PlatformSettingsTest, AdvanceReservationIsOffUnlessEnabled)
+{
+    std::string problem;
+    CHECK_FALSE(parseSettings(valid, problem)->placement.advanceReservation);
+    std::string text = valid;
+    text.insert(text.rfind('}'), R"(, "placement": { "advanceReservation": true })");
+    const auto settings = parseSettings(text, problem);
+    CHECK(settings.has_value());
+    const Placement::ServiceSpec model{ServiceId("model"), 0, Placement::EngineSpec()};
+    const auto services = placementServices({model, {ServiceId("plain"), 0, std::nullopt}}, settings->placement);
+    CHECK(services[0].advanceReservation);
+    CHECK_FALSE(services[1].advanceReservation);
+}
+
 // Guards against a host whose feed and placement calls share a port, and against limits that no feed can keep.
 TEST(PlatformSettingsTest, InvalidFeedSettingsAreReported)
 {
