--- a/Source/Placement/PlacementTableReservations.cpp
+++ b/Source/Placement/PlacementTableReservations.cpp
@@ -58,13 +58,18 @@
 // A request with a reservation starts on the reserved engines if all of them are available, and on any others that are available earlier.
 std::optional<Selection> PlacementTable::choose(const Service &service, const PlacementRequest &request, TimePoint now) const
 {
-    if (const Reservation *reservation = service.reservations ? service.reservations->find(request.id) : nullptr) {
+    const UpstreamSelector::Candidates available = candidates(service, request, now);
+    const Reservation *reservation = service.reservations ? service.reservations->find(request.id) : nullptr;
+    const auto isAvailable = [&available](const UpstreamLoad *engine) {
+        return std::find(available.begin(), available.end(), engine) != available.end();
+    };
+    if (reservation != nullptr && std::all_of(reservation->engines.begin(), reservation->engines.end(), isAvailable)) {
         const TimePoint limit = reservation->plan.onTime ? request.arrivedAt + request.target : request.deadline;
         if (std::optional<Selection> reserved = service.selector->selectReserved(request, reservation->engines, limit - now, now)) {
             return reserved;
         }
     }
-    return service.selector->select(request, candidates(service, request, now), now);
+    return service.selector->select(request, available, now);
 }
 
 Duration PlacementTable::retryAfterForecast(const Service &service, const Waiting &waiting, TimePoint now)
--- a/Source/Placement/ReservationTable.cpp
+++ b/Source/Placement/ReservationTable.cpp
@@ -118,7 +118,7 @@
         return false;
     }
     Reservation &reservation = known->second;
-    const std::optional<std::vector<std::size_t>> places = placesOf(reservation, forecasts);
+    const std::optional<std::vector<std::size_t>> places = placesOf(request, reservation, forecasts);
     if (!places) {
         drop(request.id, ReservationDropCause::EngineUnavailable);
         return false;
@@ -140,14 +140,14 @@
     return true;
 }
 
-std::optional<std::vector<std::size_t>> ReservationTable::placesOf(const Reservation &reservation, const Forecasts &forecasts)
+std::optional<std::vector<std::size_t>> ReservationTable::placesOf(const PlacementRequest &request, const Reservation &reservation, const Forecasts &forecasts)
 {
     std::vector<std::size_t> places;
     for (const UpstreamLoad *engine : reservation.engines) {
         const auto forecast = std::find_if(forecasts.begin(), forecasts.end(), [engine](const EngineForecast &candidate) {
             return &candidate.load() == engine;
         });
-        if (forecast == forecasts.end()) {
+        if (forecast == forecasts.end() || !forecast->accepts(request)) {
             return std::nullopt;
         }
         places.push_back(static_cast<std::size_t>(forecast - forecasts.begin()));
--- a/Source/Placement/ReservationTable.h
+++ b/Source/Placement/ReservationTable.h
@@ -93,8 +93,8 @@
     void planAll(const Requests &requests, Forecasts &forecasts, TimePoint now);
     /// Keeps or gives up the reservation of a request. Returns whether it still has one.
     bool refresh(const PlacementRequest &request, Forecasts &forecasts, bool late, TimePoint now);
-    /// The places of the reserved engines among the forecasts; nothing if one of them may not be reserved.
-    static std::optional<std::vector<std::size_t>> placesOf(const Reservation &reservation, const Forecasts &forecasts);
+    /// The places of the reserved engines among the forecasts; nothing if one of them may not be reserved for the request any more.
+    static std::optional<std::vector<std::size_t>> placesOf(const PlacementRequest &request, const Reservation &reservation, const Forecasts &forecasts);
     void reserve(const PlacementRequest &request, Forecasts &forecasts, bool late, TimePoint now);
     std::optional<ReservationPlan> planFor(const PlacementRequest &request, const Forecasts &forecasts, bool late) const;
     void store(const PlacementRequest &request, ReservationPlan plan, Forecasts &forecasts, TimePoint now);
--- a/Tests/Placement/ReservationTableTest.cpp
+++ b/Tests/Placement/ReservationTableTest.cpp
@@ -54,6 +54,14 @@
         upstreams[engine]->prefillDone(request.id, now);
     }
 
+    /// Stores \p tokens of another engine's prompt on the engine.
+    void storeHere(std::size_t engine, std::uint64_t number, std::uint64_t tokens)
+    {
+        GrantLoad grant{true, false, 500'000, tokens, milliseconds(1000), milliseconds(500), {}, 10'000};
+        upstreams[engine]->add({HostId("entry"), number}, grant, now);
+        upstreams[engine]->prefillDone({HostId("entry"), number}, now);
+    }
+
     void plan(const std::vector<PlacementRequest> &requests)
     {
         ReservationTable::Requests waiting;
@@ -98,6 +106,7 @@
         limits.lateShare = limits.engineShare / 2;
         Fleet fleet(*rc::gen::inRange(4, 61), limits);
         for (std::size_t engine = 0; engine < fleet.upstreams.size(); ++engine) {
+            fleet.storeHere(engine, 9'000 + engine, *rc::gen::inRange<std::uint64_t>(1, 390'000));
             for (int answers = *rc::gen::inRange(0, 3); answers > 0; --answers) {
                 fleet.decode(engine, 1000 + engine * 10 + static_cast<std::uint64_t>(answers));
             }
