--- a/Source/Placement/PlacementTable.h
+++ b/Source/Placement/PlacementTable.h
@@ -129,7 +129,7 @@
     std::optional<Refusal> refusal(const Waiting &waiting, TimePoint now) const;
     /// Returns whether the request may be placed in its turn. One that needs a low load, or engines reserved for it, may not right after a change of
     /// owner, when more requests are expected, and without reservations not while requests before it wait.
-    static bool mayStart(const Service &service, const Waiting &waiting, TimePoint now);
+    static bool mayStart(Service &service, const Waiting &waiting, TimePoint now);
     /// Tells the reservations of the service its upstreams. Without reservations, ends the holds that a former configuration has left.
     static void setReservableUpstreams(Service &service);
     /// Plans the reservations of the services that have them, if that is due.
--- a/Source/Placement/PlacementTableReservations.cpp
+++ b/Source/Placement/PlacementTableReservations.cpp
@@ -19,12 +19,12 @@
     return spec.engine && spec.advanceReservation ? std::optional<ReservationTable>(*spec.engine) : std::nullopt;
 }
 
-bool PlacementTable::mayStart(const Service &service, const Waiting &waiting, TimePoint now)
+bool PlacementTable::mayStart(Service &service, const Waiting &waiting, TimePoint now)
 {
     if (!waiting.needsLowLoad) {
         return true;
     }
-    const bool isTurn = service.reservations ? service.reservations->plannedAt(now) : service.workAhead.empty();
+    const bool isTurn = service.reservations ? service.reservations->mayTry(now) : service.workAhead.empty();
     return isTurn && now >= service.grantsPausedUntil + ownerChangeTime;
 }
 
--- a/Source/Placement/ReservationTable.cpp
+++ b/Source/Placement/ReservationTable.cpp
@@ -54,14 +54,15 @@
     return !m_plannedAt || now >= *m_plannedAt + m_limits.planInterval;
 }
 
-bool ReservationTable::plannedAt(TimePoint now) const
+bool ReservationTable::mayTry(TimePoint now)
 {
-    return m_plannedAt == now;
+    return m_plannedAt == now && m_tries++ < m_limits.triesPerPlan;
 }
 
 void ReservationTable::plan(const Requests &waiting, TimePoint now)
 {
     m_plannedAt = now;
+    m_tries = 0;
     std::erase_if(m_started, [now](const auto &started) {
         return started.first <= now;
     });
@@ -79,10 +80,11 @@
 ReservationTable::Requests ReservationTable::checkDeadlines(const Requests &waiting, const Forecasts &forecasts, TimePoint now)
 {
     Requests inTime;
+    std::size_t checks = 0;
     for (const PlacementRequest *request : waiting) {
-        const auto [known, isNew] = m_deadlineChecks.try_emplace(request->id);
-        DeadlineCheck &check = known->second;
-        if (isNew || now >= check.checkedAt + m_limits.forecastInterval) {
+        DeadlineCheck &check = m_deadlineChecks[request->id];
+        const bool isDue = !check.checkedAt || now >= *check.checkedAt + m_limits.forecastInterval;
+        if (isDue && checks++ < m_limits.checksPerPlan) {
             const std::optional<ReservationPlan> alone = m_planner.plan(*request, forecasts, {forecasts.size(), true});
             check.checkedAt = now;
             check.tooLateStart = alone && alone->firstEvent > request->deadline ? std::optional(alone->start) : std::nullopt;
@@ -105,6 +107,7 @@
                 unreserved.push_back(request);
             }
         }
+        unreserved.resize(std::min(unreserved.size(), m_limits.newPlansPerPlan));
         for (const PlacementRequest *request : unreserved) {
             reserve(*request, forecasts, late, now);
         }
--- a/Source/Placement/ReservationTable.h
+++ b/Source/Placement/ReservationTable.h
@@ -26,6 +26,9 @@
     Duration longestLead = std::chrono::milliseconds(200); ///< A prompt that can be on time gets a reservation that starts within this.
     Duration planInterval = std::chrono::milliseconds(20); ///< Least time between two plans.
     Duration forecastInterval = std::chrono::milliseconds(200); ///< Time between two checks whether a prompt can be answered by its deadline.
+    std::size_t checksPerPlan = 4; ///< Such checks in one plan. The bounds on checks, plans and tries bound the processor time with many waiting prompts.
+    std::size_t newPlansPerPlan = 8; ///< Requests without reservation that one plan tries to reserve for, among those on time and among the late ones.
+    std::size_t triesPerPlan = 24; ///< Requests that are tried to start after one plan.
     Duration slipTolerance = std::chrono::milliseconds(300); ///< A reservation whose start is put off by more than this is planned again.
     Duration leastGain = std::chrono::milliseconds(150); ///< A reservation is moved to engines that start it earlier by at least this.
 };
@@ -60,8 +63,8 @@
 
     /// Returns whether the next plan is due at \p now.
     bool isDue(TimePoint now) const;
-    /// Returns whether the last plan was made at \p now. Prompts are started only then, which bounds the processor time for them.
-    bool plannedAt(TimePoint now) const;
+    /// Returns whether one more request may be tried to start at \p now. That is so a limited number of times after each plan.
+    bool mayTry(TimePoint now);
     /// Plans for the requests in \p waiting and gives up the reservations of others.
     void plan(const Requests &waiting, TimePoint now);
 
@@ -81,7 +84,7 @@
 
     /// The last check whether a request can be answered by its deadline.
     struct DeadlineCheck {
-        TimePoint checkedAt;
+        std::optional<TimePoint> checkedAt;
         std::optional<TimePoint> tooLateStart;
     };
 
@@ -116,6 +119,7 @@
     std::map<PlacementRequestId, DeadlineCheck> m_deadlineChecks;
     std::vector<std::pair<TimePoint, std::size_t>> m_started; ///< End of the prefill and number of engines of started reservations.
     std::optional<TimePoint> m_plannedAt;
+    std::size_t m_tries = 0; ///< Since the last plan.
     ReservationEvents m_events;
     ReservationCounts m_totals;
 };
