--- a/Tests/Placement/ReservationTableTest.cpp
+++ b/Tests/Placement/ReservationTableTest.cpp
@@ -11,6 +11,9 @@
 #include <algorithm>
 #include <list>
 #include <map>
+#include <set>
+#include <string>
+#include <vector>
 
 using namespace Mangofall;
 using namespace Mangofall::Placement;
@@ -307,3 +310,64 @@
     CHECK(startsBesideOtherWork(true));
     CHECK(!startsBesideOtherWork(false));
 }
+
+// Guards against orders of arrivals, ends and losses of engines in which a request gets no answer or two, an engine more memory than it has, or a hold
+// outlasts the requests.
+TEST(ReservationTableTest, EveryRequestIsAnsweredOnceAndMemoryIsKept)
+{
+    Mangofall::Testing::checkProperty("requests with reservations are answered once", [] {
+        const auto steps = *rc::gen::container<std::vector<std::uint8_t>>(200, rc::gen::arbitrary<std::uint8_t>());
+        CrashRecord crashes;
+        PlacementTable table(PlacementLimits(), crashes);
+        TimePoint now{std::chrono::hours(1)};
+        table.setServices({{engines, 0, engineSpec(), true}});
+        std::vector<UpstreamEntry> entries;
+        entries.reserve(48);
+        for (int index = 0; index < 48; ++index) {
+            entries.push_back(upstream("e" + std::to_string(index), engines));
+        }
+        std::uint64_t number = 0;
+        std::set<std::uint64_t> answered;
+        std::set<std::uint64_t> running;
+        const auto take = [&](const PlacementActions &actions) {
+            for (const PlacementAction &action : actions) {
+                const auto *grant = std::get_if<Grant>(&action);
+                const std::uint64_t id = grant != nullptr ? grant->id.number : std::get<Refusal>(action).id.number;
+                RC_ASSERT(answered.insert(id).second);
+                if (grant != nullptr) {
+                    running.insert(id);
+                }
+            }
+            for (const UpstreamEntry &entry : entries) {
+                RC_ASSERT(table.load(entry.id)->memoryTokens() <= usableMemory(engineSpec()));
+            }
+        };
+        take(table.setUpstreams(entries, now));
+        for (const std::uint8_t step : steps) {
+            now += milliseconds(step);
+            if (step % 8 == 0 && !running.empty()) {
+                const std::uint64_t ended = *running.begin();
+                running.erase(ended);
+                take(table.ended({HostId("entry"), ended}, GrantOutcome::Completed, std::nullopt, now));
+            } else if (step % 8 == 1 && !running.empty()) {
+                table.firstEventReceived({HostId("entry"), *running.rbegin()});
+            } else if (step % 32 == 2 && entries.size() > 40) {
+                entries.erase(entries.begin() + step % 40);
+                take(table.setUpstreams(entries, now));
+            } else if (step % 8 < 5) {
+                take(table.submit(largePrompt(++number, now, 410'000 + std::uint64_t{step} * 2'000), now));
+            } else {
+                take(table.submit(step % 2 == 0 ? longPrompt(++number, now) : shortPrompt(++number, now), now));
+            }
+            take(table.tick(now));
+        }
+        now += milliseconds(60'000);
+        take(table.tick(now));
+        take(table.tick(now + milliseconds(20)));
+        RC_ASSERT(answered.size() == number);
+        RC_ASSERT(table.reservationCounts().reservations == 0U);
+        for (const UpstreamEntry &entry : entries) {
+            RC_ASSERT(!table.load(entry.id)->hold());
+        }
+    });
+}
