--- a/Tests/Soak/SoakHost.cpp
+++ b/Tests/Soak/SoakHost.cpp
@@ -196,6 +196,7 @@
     settings["stopSeconds"] = Seconds(stopLimit).count();
     settings["silenceLimitMs"] = stabilisationTime.count();
     settings["logLinesPerSecond"] = 1000;
+    settings["placement"] = {{"advanceReservation", true}};
     settings["machine"] = {{"linkMbps", 100}, {"processorShare", 1.0}, {"cores", 1}};
     // One of the two data centres has three hosts, of which one follows the others.
     settings["feed"] = {{"port", feedPort},
