Refuse a large prompt only if no likely end of the answers leaves it time

Forecasts reckon with the longest answers, so the check whether a prompt can be answered by its deadline expects the engines after half of the predicted wait.

--- a/Source/Placement/PlacementTable.cpp
+++ b/Source/Placement/PlacementTable.cpp
@@ -100,6 +100,7 @@
     return {};
 }
 
+// The time of the last pass over the queue, at most a few milliseconds ago, stands for the time of the event.
 void PlacementTable::firstEventReceived(const PlacementRequestId &id)
 {
     const auto grant = m_grants.find(id);
--- a/Source/Placement/ReservationTable.cpp
+++ b/Source/Placement/ReservationTable.cpp
@@ -12,6 +12,16 @@
 
 namespace {
 
+// Forecasts reckon with the longest answers, so engines may be free after this share of the predicted time.
+constexpr double leastWaitShare = 0.5;
+
+// Returns whether the first event misses the deadline even if the engines are free as early as can be expected.
+bool isTooLate(const ReservationPlan &alone, const PlacementRequest &request, TimePoint now)
+{
+    const Duration leastWait = toDuration(Seconds(alone.start - now) * leastWaitShare);
+    return now + leastWait + (alone.firstEvent - alone.start) > request.deadline;
+}
+
 // Requests are planned in the order of their arrival, so that none waits behind later ones for ever.
 bool arrivedBefore(const PlacementRequest *left, const PlacementRequest *right)
 {
@@ -87,7 +97,7 @@
         if (isDue && checks++ < m_limits.checksPerPlan) {
             const std::optional<ReservationPlan> alone = m_planner.plan(*request, forecasts, {forecasts.size(), true});
             check.checkedAt = now;
-            check.tooLateStart = alone && alone->firstEvent > request->deadline ? std::optional(alone->start) : std::nullopt;
+            check.tooLateStart = alone && isTooLate(*alone, *request, now) ? std::optional(alone->start) : std::nullopt;
         }
         if (!check.tooLateStart) {
             inTime.push_back(request);
--- a/Source/Placement/UpstreamLoad.h
+++ b/Source/Placement/UpstreamLoad.h
@@ -44,7 +44,7 @@
 
     void add(const PlacementRequestId &id, const GrantLoad &grant, TimePoint now);
     /// The first event of the answer came, so the prefill for \p id is complete since \p now.
-    void prefillDone(const PlacementRequestId &id, TimePoint now = TimePoint::max());
+    void prefillDone(const PlacementRequestId &id, TimePoint now);
     void remove(const PlacementRequestId &id);
 
     std::uint32_t requests() const; ///< Whole requests, in prefill or decode.
--- a/Source/Placement/UpstreamSelector.h
+++ b/Source/Placement/UpstreamSelector.h
@@ -54,7 +54,8 @@
     /// The work of the request: the upstream time that it takes altogether. Zero if unknown.
     virtual Duration workOf(const PlacementRequest &request) const = 0;
 
-    /// Returns whether the request occupies so many upstreams for so long that it is placed only at low load, when nothing else waits.
+    /// Returns whether the request occupies so many upstreams for so long that it is placed only at low load, when nothing else waits, or on upstreams that
+    /// are reserved for such requests.
     virtual bool needsLowLoad(const PlacementRequest &request) const = 0;
 
     /// The latest time of a grant that can still bring the first event within the target.
--- a/Tests/Placement/EngineSelectorTest.cpp
+++ b/Tests/Placement/EngineSelectorTest.cpp
@@ -99,7 +99,7 @@
         const auto selection = selector.select(placementRequest, fleet.candidates, now);
         CHECK(selection.has_value());
         fleet.grant(*selection, placementRequest, now);
-        selection->primary->prefillDone(placementRequest.id);
+        selection->primary->prefillDone(placementRequest.id, now);
         now += milliseconds(200);
     }
     int used = 0;
