--- a/Source/Forwarding/FleetPlacement.h
+++ b/Source/Forwarding/FleetPlacement.h
@@ -79,6 +79,11 @@
     Placement::LoadFindings loadFindings() const;
     /// The shares of requests that leave their data centres, for the services that this host owns.
     std::vector<Placement::LeavingReport> leavingReports() const;
+    /// The reservations of engines that this host made as owner.
+    Placement::ReservationCounts reservationCounts() const
+    {
+        return m_table.reservationCounts();
+    }
 
     Placement::PlacementRequestId nextId() override;
     void submit(const Placement::PlacementRequest &placementRequest, Handler handler) override;
--- a/Utilities/Experiment/PlacementModel.cpp
+++ b/Utilities/Experiment/PlacementModel.cpp
@@ -23,6 +23,7 @@
 {
     const std::size_t tableCount = policy.perHost ? scenario.hosts : 1;
     Placement::ServiceSpec spec{service(), scenario.coldRequestsPerSecond / static_cast<double>(tableCount), std::nullopt};
+    spec.advanceReservation = policy.options.advanceReservation;
     if (policy.byCost) {
         spec.engine = scenario.engine;
     }
