--- a/Source/Feed/MirrorState.cpp
+++ b/Source/Feed/MirrorState.cpp
@@ -201,6 +201,9 @@
     // The store's answers to this host without the header give no information, but the view of a peer that knows no era may be one of an older era.
     const bool unknownAtPeer = page.era == 0 && m_era != 0 && hasContent && !call.source.isStore();
     if (unknownAtPeer || (page.era != 0 && page.era < m_era)) {
+        if (call.source.isStore() && call.era < m_era) {
+            return false; // The store answered before it was restored, so that it has not failed.
+        }
         m_log.write("feed_source_behind", {{"source", describe(call.source)}, {"era", std::to_string(page.era)}, {"known", std::to_string(m_era)}});
         handleFailure(call.source, now);
         return false;
--- a/Tests/Feed/EraMirrorTest.cpp
+++ b/Tests/Feed/EraMirrorTest.cpp
@@ -73,6 +73,7 @@
 public:
     std::map<std::string, std::string> values;
     bool wentBack = false;
+    int failures = 0;
 
     void itemChanged(const StoreItem &item) override
     {
@@ -84,6 +85,7 @@
     }
     void storeCallFailed() override
     {
+        ++failures;
     }
     void storeRecovered() override
     {
@@ -251,6 +253,25 @@
     CHECK_FALSE(state.next(fleet.now).source == call.source && state.next(fleet.now).at <= fleet.now);
 }
 
+// Guards against upstreams that are kept after their removal because an answer from before the restore counts as an outage of the store.
+TEST(EraMirrorTest, AnAnswerFromBeforeTheRestoreIsNoFailure)
+{
+    Fleet fleet;
+    fleet.store.write("u", "r");
+    fleet.run(milliseconds(2000));
+    Host &reader = fleet.host(selectReaders(feedHosts(fleetSize), ReaderLimits()).front().id);
+    const MirrorCall call = reader.state.next(fleet.now);
+    CHECK(call.source.isStore());
+    const ItemPage late = fleet.store.answer(call);
+    reader.state.eraSeen(2, SourceId(), fleet.now);
+    reader.state.handleAnswer(call, late, fleet.now);
+    LONGS_EQUAL(0, reader.observer.failures);
+    const MirrorCall next = reader.state.next(fleet.now);
+    CHECK(next.page && next.source.isStore());
+    reader.state.handleAnswer(next, late, fleet.now);
+    LONGS_EQUAL(1, reader.observer.failures);
+}
+
 // Guards against a store without the header: a host would read all keys again, or refuse its peers.
 TEST(EraMirrorTest, WithoutTheHeaderNothingChanges)
 {
