Pass on from which revision of an era items are newer than the copy

Cause: a host that read the keys long after a restore took what was written meanwhile for values of the copy: it held them until their next write, and a configuration of a lower version for ever. Change: hosts keep the smallest revision that was seen in an era and pass it on (FeedAnswer.era_revision, the last field). The log lines of held items are in a module of their own.

--- a/Source/Feed/FeedAnswer.cpp
+++ b/Source/Feed/FeedAnswer.cpp
@@ -35,6 +35,7 @@
     if (state.synchronised() && !state.readsNewEra() && view.consistent()) {
         page = answerFromView(view, request, page.era);
         page.era = state.era();
+        page.eraRevision = state.eraRevision();
         page.age = state.age(now).value_or(Duration::zero());
         page.failureAge = state.failureAge(now);
         if (request.page || !page.items.empty() || page.status == SourceStatus::HistoryGone) {
--- a/Source/Feed/ItemPage.h
+++ b/Source/Feed/ItemPage.h
@@ -25,6 +25,7 @@
     SourceStatus status = SourceStatus::Failed;
     std::vector<StoreItem> items;
     std::uint64_t era = 0; ///< The store's era, which increases when the store is restored from a copy; 0 if the answer does not tell it.
+    std::uint64_t eraRevision = 0; ///< The smallest revision of the era that a peer has seen: what is newer was written after the copy. 0 if it is not known.
     std::uint64_t revision = 0; ///< The source knows all changes up to this revision of the store.
     bool more = false; ///< Whether further keys follow the last item.
     Duration age{0}; ///< Time since the store last answered, directly or through other hosts.
--- a/Source/Feed/MirrorState.cpp
+++ b/Source/Feed/MirrorState.cpp
@@ -1,5 +1,6 @@
 #include "Feed/MirrorState.h"
 
+#include "Feed/EraLog.h"
 #include "Feed/StoreObserver.h"
 #include "Telemetry/EventLog.h"
 
@@ -27,8 +28,6 @@
 constexpr std::chrono::milliseconds listRetryInterval{150};
 // If another host has read the store within this time, a failed call means that this host is cut off, not that the store is down.
 constexpr std::chrono::milliseconds storeAnswersOthersTime{1500};
-// Bounds the lines that one answer adds to the log; store_era_read has the numbers.
-constexpr std::size_t maxLoggedItems = 20;
 
 std::string describe(const SourceId &source)
 {
@@ -120,6 +119,7 @@
         m_eraChangedAt = now;
         m_log.write("store_era_changed", {{"from", std::to_string(former)}, {"to", std::to_string(era)}, {"source", describe(source)}});
     }
+    m_eraRevision = 0;
     if (m_transition.hasTold()) {
         m_replacement.emplace();
     } else {
@@ -163,6 +163,11 @@
     return m_era;
 }
 
+std::uint64_t MirrorState::eraRevision() const
+{
+    return m_eraRevision;
+}
+
 std::optional<Duration> MirrorState::eraAge(TimePoint now) const
 {
     return m_eraChangedAt ? std::optional<Duration>(now - *m_eraChangedAt) : std::nullopt;
@@ -219,7 +224,7 @@
         m_read->present.insert(item.key);
         applyItem(item, now);
     }
-    m_read->firstRevision = m_read->after.empty() ? page.revision : m_read->firstRevision;
+    recordEraRevision(page);
     m_read->revision = m_read->revision == 0 ? page.revision : std::min(m_read->revision, page.revision);
     const bool complete = !page.more || page.items.empty() || page.items.back().key == m_read->after;
     if (complete) {
@@ -229,6 +234,16 @@
     }
 }
 
+// The revision of the copy is not known, but it is not greater than any that was seen since.
+void MirrorState::recordEraRevision(const ItemPage &page)
+{
+    for (const std::uint64_t revision : {page.eraRevision, page.revision}) {
+        if (revision != 0) {
+            m_eraRevision = m_eraRevision == 0 ? revision : std::min(m_eraRevision, revision);
+        }
+    }
+}
+
 void MirrorState::handleChanges(const SourceId &source, const ItemPage &page, TimePoint now)
 {
     for (const StoreItem &item : page.items) {
@@ -267,7 +282,7 @@
 {
     m_view = std::move(*m_replacement);
     m_replacement.reset();
-    const EraChanges changes = m_transition.restored({m_view.items(), m_read->firstRevision, m_read->revision}, now);
+    const EraChanges changes = m_transition.restored({m_view.items(), m_eraRevision, m_read->revision}, now);
     m_log.write("store_era_read",
                 {{"era", std::to_string(m_era)}, {"applied", std::to_string(changes.reported.size())}, {"held", std::to_string(m_transition.held())}});
     deliver(changes);
@@ -359,23 +374,12 @@
 
 void MirrorState::deliver(const EraChanges &changes)
 {
-    logHeld(changes);
+    logEraChanges(m_log, changes, m_era);
     for (const StoreItem &item : changes.reported) {
         notify(item);
     }
 }
 
-void MirrorState::logHeld(const EraChanges &changes)
-{
-    for (std::size_t index = 0; index < std::min(maxLoggedItems, changes.held.size()); ++index) {
-        m_log.write("store_item_held", {{"key", changes.held[index]}, {"era", std::to_string(m_era)}});
-    }
-    for (std::size_t index = 0; index < std::min(maxLoggedItems, changes.released.size()); ++index) {
-        const ReleasedItem &item = changes.released[index];
-        m_log.write("store_item_released", {{"key", item.key}, {"cause", name(item.cause)}, {"era", std::to_string(m_era)}});
-    }
-}
-
 void MirrorState::notify(const StoreItem &item)
 {
     try {
--- a/Source/Feed/MirrorState.h
+++ b/Source/Feed/MirrorState.h
@@ -74,6 +74,8 @@
     std::optional<Duration> failureAge(TimePoint now) const;
     /// The newest era that is known; 0 if none is.
     std::uint64_t era() const;
+    /// The smallest revision of the era that this host or those that it reads from have seen; 0 if none is known.
+    std::uint64_t eraRevision() const;
     /// Time since the era changed; empty if it did not since the start of the process.
     std::optional<Duration> eraAge(TimePoint now) const;
     /// Whether the view is of an older era than era(), because the keys of the newer one are still being read.
@@ -89,7 +91,6 @@
         TimePoint startedAt;
         std::string after; ///< The next page begins after this key.
         std::uint64_t revision = 0; ///< Smallest revision of the pages.
-        std::uint64_t firstRevision = 0; ///< Revision of the first page.
         std::set<std::string> present; ///< The keys that were read.
     };
 
@@ -97,6 +98,7 @@
     /// Whether the content of an answer may be used, as far as its era tells.
     bool checkEra(const MirrorCall &call, const ItemPage &page, TimePoint now);
     void handlePage(const ItemPage &page, TimePoint now);
+    void recordEraRevision(const ItemPage &page);
     void handleChanges(const SourceId &source, const ItemPage &page, TimePoint now);
     void handleFailure(const SourceId &source, TimePoint now);
     void handleHistoryGone(const SourceId &source, TimePoint now);
@@ -112,7 +114,6 @@
     void replaceView(TimePoint now);
     void applyItem(const StoreItem &item, TimePoint now);
     void deliver(const EraChanges &changes);
-    void logHeld(const EraChanges &changes);
     /// Tells the observer of a change. An item that it cannot handle must not keep it from the others.
     void notify(const StoreItem &item);
     Duration batchDelay(TimePoint now) const;
@@ -125,6 +126,7 @@
     StoreView m_view;
     std::optional<StoreView> m_replacement; ///< The view of a newer era while its keys are being read.
     std::uint64_t m_era = 0; ///< The newest era that is known.
+    std::uint64_t m_eraRevision = 0; ///< The smallest known revision of the newest era; 0 if there is none.
     std::optional<TimePoint> m_eraChangedAt;
     std::optional<FullRead> m_read; ///< Set while all keys are being read.
     SourceId m_source; ///< The source of the last answer.
--- a/Source/Feed/WireFeed.cpp
+++ b/Source/Feed/WireFeed.cpp
@@ -59,6 +59,7 @@
         answer.items.push_back(std::move(entry));
     }
     answer.era = page.era;
+    answer.era_revision = page.eraRevision;
     answer.revision = page.revision;
     answer.more = page.more;
     answer.age_ms = wireMilliseconds(page.age);
@@ -76,6 +77,7 @@
     ItemPage page;
     page.status = *status;
     page.era = answer.era;
+    page.eraRevision = answer.era_revision;
     page.revision = answer.revision;
     page.more = answer.more;
     page.age = std::chrono::milliseconds(answer.age_ms);
--- a/Source/Peer/PeerMessages_generated.h
+++ b/Source/Peer/PeerMessages_generated.h
@@ -6071,6 +6071,7 @@
   bool store_failed = false;
   uint32_t failure_age_ms = 0;
   uint64_t era = 0;
+  uint64_t era_revision = 0;
   FeedAnswerT() = default;
   FeedAnswerT(const FeedAnswerT &o);
   FeedAnswerT(FeedAnswerT&&) FLATBUFFERS_NOEXCEPT = default;
@@ -6089,7 +6090,8 @@
     VT_AGE_MS = 14,
     VT_STORE_FAILED = 16,
     VT_FAILURE_AGE_MS = 18,
-    VT_ERA = 20
+    VT_ERA = 20,
+    VT_ERA_REVISION = 22
   };
   uint64_t call() const {
     return GetField<uint64_t>(VT_CALL, 0);
@@ -6123,6 +6125,10 @@
   uint64_t era() const {
     return GetField<uint64_t>(VT_ERA, 0);
   }
+  /// The smallest revision that a host has seen in this era; items of greater revisions were written after the copy that the store was restored from.
+  uint64_t era_revision() const {
+    return GetField<uint64_t>(VT_ERA_REVISION, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_CALL, 8) &&
@@ -6136,6 +6142,7 @@
            VerifyField<uint8_t>(verifier, VT_STORE_FAILED, 1) &&
            VerifyField<uint32_t>(verifier, VT_FAILURE_AGE_MS, 4) &&
            VerifyField<uint64_t>(verifier, VT_ERA, 8) &&
+           VerifyField<uint64_t>(verifier, VT_ERA_REVISION, 8) &&
            verifier.EndTable();
   }
   FeedAnswerT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -6174,6 +6181,9 @@
   void add_era(uint64_t era) {
     fbb_.AddElement<uint64_t>(FeedAnswer::VT_ERA, era, 0);
   }
+  void add_era_revision(uint64_t era_revision) {
+    fbb_.AddElement<uint64_t>(FeedAnswer::VT_ERA_REVISION, era_revision, 0);
+  }
   explicit FeedAnswerBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -6195,8 +6205,10 @@
     uint32_t age_ms = 0,
     bool store_failed = false,
     uint32_t failure_age_ms = 0,
-    uint64_t era = 0) {
+    uint64_t era = 0,
+    uint64_t era_revision = 0) {
   FeedAnswerBuilder builder_(_fbb);
+  builder_.add_era_revision(era_revision);
   builder_.add_era(era);
   builder_.add_revision(revision);
   builder_.add_call(call);
@@ -6219,7 +6231,8 @@
     uint32_t age_ms = 0,
     bool store_failed = false,
     uint32_t failure_age_ms = 0,
-    uint64_t era = 0) {
+    uint64_t era = 0,
+    uint64_t era_revision = 0) {
   auto items__ = items ? _fbb.CreateVector<flatbuffers::Offset<Mangofall::Wire::FeedItem>>(*items) : 0;
   return Mangofall::Wire::CreateFeedAnswer(
       _fbb,
@@ -6231,7 +6244,8 @@
       age_ms,
       store_failed,
       failure_age_ms,
-      era);
+      era,
+      era_revision);
 }
 
 flatbuffers::Offset<FeedAnswer> CreateFeedAnswer(flatbuffers::FlatBufferBuilder &_fbb, const FeedAnswerT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -8486,7 +8500,8 @@
         age_ms(o.age_ms),
         store_failed(o.store_failed),
         failure_age_ms(o.failure_age_ms),
-        era(o.era) {
+        era(o.era),
+        era_revision(o.era_revision) {
   items.reserve(o.items.size());
   for (const auto &items_ : o.items) { items.emplace_back((items_) ? new Mangofall::Wire::FeedItemT(*items_) : nullptr); }
 }
@@ -8501,6 +8516,7 @@
   std::swap(store_failed, o.store_failed);
   std::swap(failure_age_ms, o.failure_age_ms);
   std::swap(era, o.era);
+  std::swap(era_revision, o.era_revision);
   return *this;
 }
 
@@ -8522,6 +8538,7 @@
   { auto _e = store_failed(); _o->store_failed = _e; }
   { auto _e = failure_age_ms(); _o->failure_age_ms = _e; }
   { auto _e = era(); _o->era = _e; }
+  { auto _e = era_revision(); _o->era_revision = _e; }
 }
 
 inline flatbuffers::Offset<FeedAnswer> FeedAnswer::Pack(flatbuffers::FlatBufferBuilder &_fbb, const FeedAnswerT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -8541,6 +8558,7 @@
   auto _store_failed = _o->store_failed;
   auto _failure_age_ms = _o->failure_age_ms;
   auto _era = _o->era;
+  auto _era_revision = _o->era_revision;
   return Mangofall::Wire::CreateFeedAnswer(
       _fbb,
       _call,
@@ -8551,7 +8569,8 @@
       _age_ms,
       _store_failed,
       _failure_age_ms,
-      _era);
+      _era,
+      _era_revision);
 }
 
 inline PeerMessageT *PeerMessage::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
--- a/Tests/Feed/EraMirrorTest.cpp
+++ b/Tests/Feed/EraMirrorTest.cpp
@@ -121,6 +121,7 @@
 public:
     StoreModel store;
     TimePoint now = TimePoint(std::chrono::seconds(100));
+    std::set<HostId> paused; ///< Hosts that make no calls.
     std::set<HostId> cutOff; ///< Hosts whose calls to the store fail.
 
     Fleet()
@@ -165,7 +166,9 @@
     {
         for (const TimePoint end = now + time; now < end; now += milliseconds(50)) {
             for (const HostId &id : m_ids) {
-                step(id);
+                if (!paused.contains(id)) {
+                    step(id);
+                }
             }
         }
     }
@@ -253,6 +256,30 @@
     CHECK_FALSE(state.next(fleet.now).source == call.source && state.next(fleet.now).at <= fleet.now);
 }
 
+// Guards against a host that takes an operator's write for a value of the copy, because it reads the keys long after the restore, and so ignores it for ever.
+TEST(EraMirrorTest, ALateHostLearnsFromItsReaderWhatWasWrittenAfterTheCopy)
+{
+    Fleet fleet;
+    fleet.store.write("config", "5");
+    fleet.store.copy = fleet.store.content;
+    fleet.store.write("config", "7");
+    fleet.run(milliseconds(2000));
+    HostId follower;
+    for (const HostId &id : fleet.ids()) {
+        follower = fleet.host(id).selector.role() == FeedRole::Follower ? id : follower;
+    }
+    fleet.paused = {follower};
+    fleet.store.restore();
+    fleet.run(milliseconds(2000));
+    fleet.store.write("config", "6");
+    fleet.run(milliseconds(2000));
+    fleet.paused.clear();
+    fleet.run(milliseconds(2000));
+    STRCMP_EQUAL("7", fleet.host(follower).observer.values["config"].c_str());
+    fleet.run(std::chrono::seconds(10));
+    STRCMP_EQUAL("6", fleet.host(follower).observer.values["config"].c_str());
+}
+
 // Guards against upstreams that are kept after their removal because an answer from before the restore counts as an outage of the store.
 TEST(EraMirrorTest, AnAnswerFromBeforeTheRestoreIsNoFailure)
 {
--- a/Tests/Feed/WireFeedTest.cpp
+++ b/Tests/Feed/WireFeedTest.cpp
@@ -17,6 +17,7 @@
     result.status = SourceStatus::Ok;
     result.items = {written("a", 5, std::string("x\0y", 3)), removal("b", 7)};
     result.era = 0x100000000;
+    result.eraRevision = 3;
     result.revision = 9;
     result.more = true;
     result.age = milliseconds(120);
@@ -37,6 +38,7 @@
     LONGS_EQUAL(3, decoded->items[0].value.size());
     CHECK(decoded->items[1].removed);
     CHECK(decoded->era == 0x100000000);
+    LONGS_EQUAL(3, decoded->eraRevision);
     LONGS_EQUAL(9, decoded->revision);
     CHECK(decoded->more);
     CHECK(decoded->age == milliseconds(120));
