Shorten the waits of a host that starts

Change: an owner without a first read lets requests wait for 0.15 s instead of 1 s and then declines for 0.5 s; callers skip an owner that does not answer for as long. A follower whose readers all fail at its start tries them again after 36 to 60 ms and reads the store within 0.2 s.

--- a/Source/Feed/SourceSelector.cpp
+++ b/Source/Feed/SourceSelector.cpp
@@ -18,9 +18,9 @@
 constexpr std::chrono::milliseconds basePeerBackoff{400};
 constexpr std::chrono::milliseconds maxPeerBackoff{1600};
 // While a fleet starts, hosts appear within about a quarter of a second of each other.
-constexpr std::chrono::milliseconds basePeerBackoffAtStart{120};
-// The readers have started after this time if they start at all, and most followers read from them.
-constexpr std::chrono::milliseconds storeReadSpread{400};
+constexpr std::chrono::milliseconds basePeerBackoffAtStart{60};
+// Most readers have started within this time if they start at all, so that most followers read from them.
+constexpr std::chrono::milliseconds storeReadSpread{200};
 constexpr unsigned maxDoublings = 4;
 // Backoff times are spread from this fraction of their length to their full length.
 constexpr double minSpread = 0.6;
--- a/Source/Forwarding/OwnershipGate.cpp
+++ b/Source/Forwarding/OwnershipGate.cpp
@@ -33,7 +33,10 @@
 
 Duration OwnershipGate::declineTime() const
 {
-    return m_leaving ? m_limits.leavingDeclineTime : m_limits.declineTime;
+    if (m_leaving) {
+        return m_limits.leavingDeclineTime;
+    }
+    return m_unread ? m_limits.unreadDeclineTime : m_limits.declineTime;
 }
 
 std::vector<std::pair<Placement::PlacementRequest, OwnershipDecision>> OwnershipGate::takeDecided(const StoreViewStatus &own, TimePoint now)
@@ -71,6 +74,7 @@
 
 OwnershipDecision OwnershipGate::judge(const Placement::PlacementRequest &request, const StoreViewStatus &own, TimePoint now)
 {
+    m_unread = !own.known();
     if (m_leaving || isStale(own, now)) {
         return OwnershipDecision::Decline;
     }
--- a/Source/Forwarding/OwnershipGate.h
+++ b/Source/Forwarding/OwnershipGate.h
@@ -22,8 +22,11 @@
 struct OwnershipLimits {
     /// A view that is this much older than that of another host is stale. Has to be above the difference that hosts in touch with the store may have.
     Duration staleAfter = std::chrono::seconds(3);
-    /// For how long from the first request on requests wait for the first complete read, which takes a fraction of it; callers allow seconds for an answer.
-    Duration firstReadWait = std::chrono::seconds(1);
+    /// For how long from the first request on requests wait for the first complete read, which takes a fraction of it. Callers skip an owner that does not
+    /// answer for as long, and one that cannot place requests is of no more use to them.
+    Duration firstReadWait = std::chrono::milliseconds(150);
+    /// For how long callers pass over a host that has declined because it has not read the store.
+    Duration unreadDeclineTime = std::chrono::milliseconds(500);
     /// For how long after their arrival requests of a service wait that callers know of from a newer configuration.
     Duration unknownServiceWait = std::chrono::milliseconds(1500);
     /// For how long callers pass over a host that has declined. They then ask again, which costs each of them a round trip.
@@ -88,6 +91,7 @@
     std::vector<Placement::PlacementRequest> m_kept; ///< The deferred requests.
     std::optional<NewerView> m_newest; ///< The newest view that a caller had.
     std::optional<TimePoint> m_askedUnreadAt; ///< When the first request came before the first complete read.
+    bool m_unread = true; ///< Whether this host had not read the store at the last decision.
     bool m_leaving = false;
 };
 
--- a/Tests/Forwarding/FleetPlacementTest.cpp
+++ b/Tests/Forwarding/FleetPlacementTest.cpp
@@ -362,7 +362,7 @@
     fleet.submit(fleet.nonOwner(), [&](PlacementGateway::Answer received) {
         answer = std::move(received);
     });
-    fleet.io.run_for(milliseconds(200));
+    fleet.io.run_for(milliseconds(80));
     CHECK_FALSE(answer.has_value());
     fleet.hosts[owner]->setServices({{service, 0, std::nullopt}});
     fleet.views[owner].revision = 10;
