--- a/Source/Forwarding/OwnerSelector.cpp
+++ b/Source/Forwarding/OwnerSelector.cpp
@@ -48,11 +48,6 @@
     });
 }
 
-std::size_t OwnerSelector::hostCount() const
-{
-    return m_hosts.size();
-}
-
 void OwnerSelector::markUnresponsive(const HostId &host, TimePoint now)
 {
     if (host != m_self) {
--- a/Source/Forwarding/OwnerSelector.h
+++ b/Source/Forwarding/OwnerSelector.h
@@ -25,8 +25,6 @@
     /// Sets the live hosts; this host counts as live even if it is not among them. Those that leave are no candidates. A host that has restarted is no longer
     /// skipped.
     void setHosts(const std::vector<FleetHost> &hosts);
-    /// The number of candidates.
-    std::size_t hostCount() const;
 
     /// Skips a host, because it did not answer.
     void markUnresponsive(const HostId &host, TimePoint now);
