--- a/Source/Forwarding/OwnershipGate.h
+++ b/Source/Forwarding/OwnershipGate.h
@@ -25,8 +25,11 @@
     /// How long a host may take to catch up before it declines. After an outage of the store all hosts catch up within this time, one after the other, and a
     /// change of owner in between would cost more than it gains.
     Duration catchUpTime = std::chrono::milliseconds(1500);
-    /// For how long from the first request on requests wait for the first complete read, which takes a fraction of it; callers allow seconds for an answer.
-    Duration firstReadWait = std::chrono::seconds(1);
+    /// For how long from the first request on requests wait for the first complete read, which takes a fraction of it. Callers skip an owner that does not
+    /// answer for as long, and one that cannot place requests is of no more use to them.
+    Duration firstReadWait = std::chrono::milliseconds(150);
+    /// For how long callers pass over a host that has declined because it has not read the store.
+    Duration unreadDeclineTime = std::chrono::milliseconds(500);
     /// For how long after their arrival requests of a service wait that callers know of from a newer configuration.
     Duration unknownServiceWait = std::chrono::milliseconds(1500);
     /// For how long callers pass over a host that has declined. They then ask again, which costs each of them a round trip.
@@ -94,6 +97,7 @@
     std::optional<NewerView> m_newest; ///< The newest view that a caller had.
     std::optional<TimePoint> m_behindSince; ///< Since when isBehind() holds.
     std::optional<TimePoint> m_askedUnreadAt; ///< When the first request came before the first complete read.
+    bool m_unread = true; ///< Whether this host had not read the store at the last decision.
     bool m_leaving = false;
 };
 
