Pass on only the begin and the end of an outage of the store

Cause: readers that had lost the store reported each of their failed calls to their followers, also through each other. Change: an answer with an old view passes on no failure; of an outage only the begin and, if the store did not answer others meanwhile, the end count.

--- a/Source/Feed/MirrorState.cpp
+++ b/Source/Feed/MirrorState.cpp
@@ -192,7 +192,7 @@
 std::chrono::milliseconds MirrorState::watchWait(const SourceChoice &choice) const
 {
     if (!choice.preferred) {
-        return choice.source.isStore() && m_storeFailing ? recoveryWatchWait : fallbackWatchWait;
+        return choice.source.isStore() && m_storeFailingSince ? recoveryWatchWait : fallbackWatchWait;
     }
     if (!choice.source.isStore()) {
         return m_waits.follower;
@@ -293,11 +293,13 @@
 {
     m_selector.failed(source, now);
     if (source.isStore()) {
-        m_storeFailing = true;
+        const bool first = !m_storeFailingSince;
+        m_storeFailingSince = m_storeFailingSince.value_or(now);
         if (storeAnswersOthers(now)) {
             return;
         }
-        m_storeFailedAt = now;
+        // Entries lapse at the begin of an outage or after its end. Each further failure in between may be that of a host which has lost the store alone.
+        m_storeFailedAt = first ? now : m_storeFailedAt;
         m_observer.storeCallFailed();
         return;
     }
@@ -326,22 +328,34 @@
 void MirrorState::recordAnswer(const SourceId &source, const ItemPage &page, TimePoint now)
 {
     m_historyGoneAtPeer = false;
+    if (source.isStore() && m_storeFailingSince) {
+        recordRecovery(now);
+    }
     m_currentAt = std::max(m_currentAt.value_or(now - page.age), now - page.age);
     if (source != m_source) {
         m_log.write("feed_source", {{"source", describe(source)}, {"revision", std::to_string(page.revision)}, {"age_ms", describe(page.age)}});
         m_source = source;
     }
-    if (!m_selector.answered(source, page.age, now)) {
+    const bool usable = m_selector.answered(source, page.age, now);
+    if (!usable) {
         m_log.write("feed_source_old", {{"source", describe(source)}, {"revision", std::to_string(page.revision)}, {"age_ms", describe(page.age)}});
     }
-    if (!source.isStore()) {
+    // A peer with an old view may have lost the store alone. This host then asks the store itself, and learns of an outage in that way.
+    if (!source.isStore() && usable) {
         recordFailuresOfPeer(page, now);
-    } else if (m_storeFailing) {
-        m_storeFailing = false;
-        m_observer.storeRecovered();
     }
 }
 
+void MirrorState::recordRecovery(TimePoint now)
+{
+    const bool answeredOthers = m_currentAt && *m_currentAt > *m_storeFailingSince;
+    if (!answeredOthers) {
+        m_storeFailedAt = now;
+    }
+    m_storeFailingSince.reset();
+    m_observer.storeRecovered();
+}
+
 // This host passes on what it reads from the peer, and so the failures that tell how far removals can be trusted.
 void MirrorState::recordFailuresOfPeer(const ItemPage &page, TimePoint now)
 {
--- a/Source/Feed/MirrorState.h
+++ b/Source/Feed/MirrorState.h
@@ -70,7 +70,8 @@
     const StoreView &view() const;
     /// Time since the store last answered, directly or through other hosts; empty if it has not answered yet.
     std::optional<Duration> age(TimePoint now) const;
-    /// Time since the last failure of the store, here or at a host that this one reads from; empty if there was none or the store has answered others since.
+    /// Time since the last outage of the store began or ended, here or at a host that this one reads from; empty if there was none or the store has answered
+    /// others since.
     std::optional<Duration> failureAge(TimePoint now) const;
     /// The newest era that is known; 0 if none is.
     std::uint64_t era() const;
@@ -105,6 +106,8 @@
     void completeRead(TimePoint now);
     void startRead(TimePoint now);
     void recordAnswer(const SourceId &source, const ItemPage &page, TimePoint now);
+    /// Records that the store answers this host again.
+    void recordRecovery(TimePoint now);
     void recordFailuresOfPeer(const ItemPage &page, TimePoint now);
     /// Whether another host has read the store a short time ago.
     bool storeAnswersOthers(TimePoint now) const;
@@ -130,10 +133,11 @@
     std::optional<TimePoint> m_eraChangedAt;
     std::optional<FullRead> m_read; ///< Set while all keys are being read.
     SourceId m_source; ///< The source of the last answer.
-    bool m_storeFailing = false; ///< Whether the last call to the store failed.
+    std::optional<TimePoint> m_storeFailingSince; ///< The first failed call to the store since it last answered this host; empty if the last call succeeded.
     bool m_historyGoneAtPeer = false; ///< Whether the last answer of a peer was HistoryGone.
     TimePoint m_nextStoreCall; ///< No call is made to the store before this time.
-    std::optional<TimePoint> m_storeFailedAt; ///< The last failure of the store, as far as this host or those that it reads from know.
+    /// The begin or the end of the last outage of the store, as far as this host or those that it reads from know.
+    std::optional<TimePoint> m_storeFailedAt;
     std::optional<TimePoint> m_currentAt; ///< The view holds all changes that the store acknowledged before this time.
     std::optional<TimePoint> m_synchronisedAt; ///< When all keys were read for the first time.
     TimePoint m_nextListing;
--- a/Tests/Feed/MirrorStateTest.cpp
+++ b/Tests/Feed/MirrorStateTest.cpp
@@ -173,6 +173,39 @@
     LONGS_EQUAL(0, mirror.observer.failures);
 }
 
+// Guards against hosts that keep upstreams which have left because a reader that is cut off goes on to report its own failures. On a deployment of 65 hosts,
+// hosts sent requests to an upstream 3.28 and 3.34 s after its removal.
+TEST(MirrorStateTest, FailuresOfAReaderWithAnOldViewAreIgnored)
+{
+    const std::vector<FeedHost> hosts = feedHosts(20);
+    Mirror mirror(followerOf(hosts), hosts);
+    mirror.answerNext(answer({written("a", 1)}, 10));
+    ItemPage old = answer({}, 10);
+    old.age = std::chrono::seconds(5);
+    old.failureAge = milliseconds(300);
+    mirror.answerNext(old);
+    CHECK_FALSE(mirror.observer.readerFailure.has_value());
+}
+
+// Guards against a reader that passes on each of its own failures while its view is old: through another reader they restart the time for which followers keep
+// removed upstreams. On a deployment of 65 hosts, hosts sent requests to an upstream 3.25 s after its removal.
+TEST(MirrorStateTest, OnlyTheBeginAndTheEndOfAnOutageArePassedOn)
+{
+    Mirror mirror;
+    mirror.answerNext(answer({written("a", 1)}, 10));
+    mirror.now += milliseconds(100);
+    mirror.answerNext(status(SourceStatus::Failed));
+    const TimePoint begin = mirror.now;
+    for (int failure = 0; failure < 20; ++failure) {
+        mirror.now += milliseconds(500);
+        mirror.answerNext(status(SourceStatus::Failed));
+        CHECK(mirror.state.failureAge(mirror.now) == std::optional<Duration>(mirror.now - begin));
+    }
+    mirror.now += milliseconds(500);
+    mirror.answerNext(answer({}, 10));
+    CHECK(mirror.state.failureAge(mirror.now) == std::optional<Duration>(Duration::zero()));
+}
+
 // Guards against a watch of the store for each single change while many keys change at once.
 TEST(MirrorStateTest, ChangesOfAnIntervalAreFetchedTogether)
 {
