--- a/review/standins-2/Caller.cpp
+++ b/review/standins-2/Caller.cpp
@@ -14,33 +14,41 @@
 
 }
 
-CallerAnswer call(const Address &host, const CallerRequest &request)
+CallerConnection::CallerConnection(const Address &host)
+    : m_connection(Socket::connectTo(host, connectTimeout))
+{
+}
+
+CallerAnswer CallerConnection::call(const CallerRequest &request)
 {
     CallerAnswer answer;
-    Socket socket = Socket::connectTo(host, connectTimeout);
-    if (!socket.valid()) {
+    if (!m_connection.socket().valid()) {
         return answer;
     }
-    socket.setReceiveTimeout(request.deadline + patience);
-    HttpConnection connection(std::move(socket));
+    m_connection.socket().setReceiveTimeout(request.deadline + patience);
     std::string bytes = request.method + " " + request.path + " HTTP/1.1\r\nHost: " + request.hostName + "\r\nAttempt-Id: " + request.id
         + "\r\nDeadline-Ms: " + std::to_string(request.deadline.count()) + "\r\nAuthorization: Token " + request.key + "\r\n" + request.extraFields
         + "Content-Length: " + std::to_string(request.body.size()) + "\r\n\r\n";
     bytes += request.body;
-    if (!connection.socket().sendAll(bytes)) {
+    if (!m_connection.socket().sendAll(bytes)) {
         return answer;
     }
-    const std::optional<HttpHead> head = connection.readHead();
+    const std::optional<HttpHead> head = m_connection.readHead();
     if (!head) {
         return answer;
     }
     answer.status = head->status();
     answer.signedByRunner = !head->field("response-signature").empty();
     answer.answersRequest = head->field("attempt-id") == request.id;
-    answer.end = connection.readBody(*head, answer.body);
+    answer.end = m_connection.readBody(*head, answer.body);
     return answer;
 }
 
+CallerAnswer call(const Address &host, const CallerRequest &request)
+{
+    return CallerConnection(host).call(request);
+}
+
 std::vector<std::uint64_t> eventIds(const std::string &stream)
 {
     std::vector<std::uint64_t> ids;
--- a/review/standins-2/Caller.h
+++ b/review/standins-2/Caller.h
@@ -27,6 +27,22 @@
     std::string body;
 };
 
+/**
+ * \class CallerConnection
+ * \brief A connection of a caller, kept for several requests.
+ */
+class CallerConnection
+{
+public:
+    explicit CallerConnection(const Address &host);
+
+    /// Sends a request and reads its answer.
+    CallerAnswer call(const CallerRequest &request);
+
+private:
+    HttpConnection m_connection;
+};
+
 /// Sends one request on a new connection and reads its answer.
 CallerAnswer call(const Address &host, const CallerRequest &request);
 
--- a/review/standins-2/Fleet.cpp
+++ b/review/standins-2/Fleet.cpp
@@ -33,17 +33,26 @@
         + std::to_string(index + 1);
 }
 
-Fleet::Fleet(const std::vector<std::string> &zones, const Address &store, int memoryMb, const std::string &folder, Record &record)
+std::vector<HostPlan> oneHostInEach(const std::vector<std::string> &zones, const Address &store)
+{
+    std::vector<HostPlan> hosts;
+    for (const std::string &zone : zones) {
+        hosts.push_back({zone, store});
+    }
+    return hosts;
+}
+
+Fleet::Fleet(const std::vector<HostPlan> &hosts, int memoryMb, const std::string &folder, Record &record)
     : m_memoryLimit(static_cast<std::size_t>(memoryMb) * bytesPerMegabyte)
     , m_record(record)
 {
-    for (const std::string &zone : zones) {
+    for (const HostPlan &plan : hosts) {
         auto host = std::make_unique<Host>();
         EdgeSetup setup;
-        setup.name = "front-" + zone + "-1";
-        setup.zone = zone;
+        setup.name = "front-" + plan.zone + "-" + std::to_string(m_hosts.size() + 1);
+        setup.zone = plan.zone;
         setup.ip = loopbackAddress(static_cast<int>(m_hosts.size()));
-        setup.store = store;
+        setup.store = plan.store;
         setup.memoryMb = memoryMb;
         setup.folder = folder;
         host->edge = std::make_unique<EdgeHost>(setup);
@@ -99,6 +108,20 @@
     return candidates[std::uniform_int_distribution<std::size_t>(0, candidates.size() - 1)(m_random)]->edge->callerAddress();
 }
 
+void Fleet::signalHost(std::size_t index, int number)
+{
+    m_hosts.at(index)->edge->signal(number);
+}
+
+std::vector<Address> Fleet::callerAddresses() const
+{
+    std::vector<Address> addresses;
+    for (const auto &host : m_hosts) {
+        addresses.push_back(host->edge->callerAddress());
+    }
+    return addresses;
+}
+
 std::vector<int> Fleet::ends() const
 {
     std::vector<int> result;
--- a/review/standins-2/Fleet.h
+++ b/review/standins-2/Fleet.h
@@ -20,16 +20,25 @@
 /// Loopback addresses of this run alone, so that the ports are free on each of them.
 std::string loopbackAddress(int index);
 
+/// Where a host stands, and at which address it reaches the store.
+struct HostPlan {
+    std::string zone;
+    Address store;
+};
+
+/// One host in each zone, all with the same address of the store.
+std::vector<HostPlan> oneHostInEach(const std::vector<std::string> &zones, const Address &store);
+
 /**
  * \class Fleet
- * \brief The hosts of a small deployment, one in each zone, with the part of the platform that starts them, watches their memory and chooses those that callers
+ * \brief The hosts of a small deployment, with the part of the platform that starts them, watches their memory and chooses those that callers
  * reach.
  */
 class Fleet
 {
 public:
     /// \p folder is for settings and logs.
-    Fleet(const std::vector<std::string> &zones, const Address &store, int memoryMb, const std::string &folder, Record &record);
+    Fleet(const std::vector<HostPlan> &hosts, int memoryMb, const std::string &folder, Record &record);
     ~Fleet();
 
     Fleet(const Fleet &) = delete;
@@ -39,6 +48,10 @@
     bool start();
     /// The address of a host in rotation, chosen at random; of any host if none is.
     Address callerAddress();
+    /// Sends a signal to the process of one host.
+    void signalHost(std::size_t index, int number);
+    /// The addresses of all hosts for callers.
+    std::vector<Address> callerAddresses() const;
     /// How often the processes of each host have ended by themselves or for too much memory.
     std::vector<int> ends() const;
     /// The largest memory of any process so far, in bytes.
--- a/review/standins-2/Runner.cpp
+++ b/review/standins-2/Runner.cpp
@@ -62,6 +62,11 @@
     return 0;
 }
 
+void Runner::received(const HttpHead &head)
+{
+    static_cast<void>(head);
+}
+
 const std::string &Runner::id() const
 {
     return m_place.id;
@@ -84,6 +89,9 @@
 {
     while (const std::optional<HttpHead> head = connection.readHead()) {
         const std::string target = head->field("target-instance");
+        if (target == m_place.id) {
+            received(*head);
+        }
         if (connection.skipBody(*head, readingRate()) != BodyEnd::Complete) {
             return;
         }
--- a/review/standins-2/Runner.h
+++ b/review/standins-2/Runner.h
@@ -43,6 +43,8 @@
 protected:
     /// The number of bytes a second that the runner reads of a body; 0 for no limit.
     virtual std::size_t readingRate() const;
+    /// A request for this runner has begun to arrive.
+    virtual void received(const HttpHead &head);
     /// Runs and answers one request; false if the connection must be closed.
     virtual bool answer(HttpConnection &connection, const HttpHead &head) = 0;
 
--- a/review/standins-2/SpoiledStreams.cpp
+++ b/review/standins-2/SpoiledStreams.cpp
@@ -194,7 +194,7 @@
             "i-" + std::to_string(7000 + index), Names::modelService, zones[static_cast<std::size_t>(index) % zones.size()], "127.0.0.1", slots};
         runners.push_back(std::make_unique<StreamRunner>(place, store, record, trouble && index < spoilingRunners));
     }
-    Fleet fleet(zones, store.address(), memoryMb, argv[2], record);
+    Fleet fleet(oneHostInEach(zones, store.address()), memoryMb, argv[2], record);
     if (!fleet.start()) {
         std::cerr << "the hosts did not become ready\n";
         return exitCouldNotRun;
