--- a/review/standins-2/SpoiledStreams.cpp
+++ b/review/standins-2/SpoiledStreams.cpp
@@ -21,7 +21,7 @@
 constexpr int memoryMb = 260;
 constexpr int runnersPerZone = 2;
 constexpr int slots = 16;
-constexpr int callers = 60;
+constexpr int callers = 84;
 constexpr std::uint64_t eventsPerStream = 8;
 constexpr std::uint64_t tokensPerEvent = 34;
 constexpr Milliseconds firstEventTime{20};
