--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -9,6 +9,6 @@
     g++ -std=c++20 -O1 -Wall -Wextra -pthread -c "review/standins-2/$name.cpp" -o "$out/$name.o" || exit 1
     common+=("$out/$name.o")
 done
-for case in SpoiledStreams LargeRequests SilentStoreConnections; do
+for case in SpoiledStreams LargeRequests SilentThenGone ColdRunners SilentStoreConnections; do
     g++ -std=c++20 -O1 -Wall -Wextra -pthread "review/standins-2/$case.cpp" "${common[@]}" -o "$out/$case" || exit 1
 done
--- a/review/standins-2/Runner.cpp
+++ b/review/standins-2/Runner.cpp
@@ -44,7 +44,19 @@
     });
 }
 
+void Runner::removeEntry()
+{
+    endHeartbeats();
+    m_store.remove("servers/" + m_place.id);
+}
+
 void Runner::stop()
+{
+    endHeartbeats();
+    m_server.reset();
+}
+
+void Runner::endHeartbeats()
 {
     {
         const std::scoped_lock lock(m_mutex);
@@ -54,7 +66,6 @@
     if (m_heartbeats.joinable()) {
         m_heartbeats.join();
     }
-    m_server.reset();
 }
 
 std::size_t Runner::readingRate() const
@@ -62,6 +73,20 @@
     return 0;
 }
 
+Milliseconds Runner::coldRemaining() const
+{
+    return {};
+}
+
+void Runner::publish()
+{
+    {
+        const std::scoped_lock lock(m_mutex);
+        m_publishNow = true;
+    }
+    m_stopped.notify_all();
+}
+
 void Runner::received(const HttpHead &head)
 {
     static_cast<void>(head);
@@ -119,13 +144,14 @@
         entry["version"] = "v1";
         entry["slots"] = m_place.slots;
         entry["state"] = "ready";
-        entry["cold_remaining_ms"] = 0;
+        entry["cold_remaining_ms"] = coldRemaining().count();
         entry["born"] = m_born;
         entry["sequence"] = sequence;
         m_store.put("servers/" + m_place.id, entry.dump());
         m_stopped.wait_for(lock, heartbeatInterval, [this]() {
-            return m_stopping;
+            return m_stopping || m_publishNow;
         });
+        m_publishNow = false;
     }
 }
 
--- a/review/standins-2/Runner.h
+++ b/review/standins-2/Runner.h
@@ -37,12 +37,18 @@
 
     /// Begins to accept connections and lists itself.
     void start();
+    /// Removes the entry, as a runner that leaves without saying that it drains, and goes on serving until stop().
+    void removeEntry();
     /// Must be called by the destructor of a subclass.
     void stop();
 
 protected:
     /// The number of bytes a second that the runner reads of a body; 0 for no limit.
     virtual std::size_t readingRate() const;
+    /// How much longer the runner is cold.
+    virtual Milliseconds coldRemaining() const;
+    /// Writes the entry in the store before the next heartbeat.
+    void publish();
     /// A request for this runner has begun to arrive.
     virtual void received(const HttpHead &head);
     /// Runs and answers one request; false if the connection must be closed.
@@ -56,6 +62,7 @@
 private:
     void serve(HttpConnection &connection);
     void sendHeartbeats();
+    void endHeartbeats();
 
     RunnerPlace m_place;
     PlatformStore &m_store;
@@ -66,6 +73,7 @@
     std::mutex m_mutex;
     std::condition_variable m_stopped;
     bool m_stopping = false;
+    bool m_publishNow = false;
     std::unique_ptr<Server> m_server;
     std::thread m_heartbeats;
 };
--- a/review/standins-2/SilentStoreConnections.cpp
+++ b/review/standins-2/SilentStoreConnections.cpp
@@ -1,4 +1,4 @@
-// Case 8: the open connections to the store go silent while new ones work; a configuration must still be in force in time.
+// Case 10: the open connections to the store go silent while new ones work; a configuration must still be in force in time.
 
 #include "Caller.h"
 #include "Configuration.h"
