Review case 8: a runner that has left is used for too long

After the open connections to the store went silent, hosts take the late watch for an outage of the store and keep a runner that removes its entry for up to 2.5 s.

--- a/review/8/run.sh
+++ b/review/8/run.sh
@@ -1,8 +1,8 @@
 #!/usr/bin/env bash
-# Plays case 8: changes of the configuration while the open connections of six hosts to the store have gone silent.
+# Plays case 8: a runner leaves after the open connections of three hosts to the store have gone silent.
 set -u
 cd "$(dirname "$0")/../.." || exit 2
-[ -x target/bin/mangofall-edge ] && [ -x target/review-2/SilentStoreConnections ] || exit 2
+[ -x target/bin/mangofall-edge ] && [ -x target/review-2/SilentThenGone ] || exit 2
 folder=$(mktemp -d) || exit 2
 trap 'rm -rf "$folder"' EXIT
-target/review-2/SilentStoreConnections review/8/record.txt "$folder"
+target/review-2/SilentThenGone review/8/record.txt "$folder"
