Review case 12: resets in place of ends when a runner crashes, four runners

The stand-in ended the connections of a runner that crashes; a crash resets them. With four runners the share of sound requests is well below the bound.

--- a/review/12/Case.cpp
+++ b/review/12/Case.cpp
@@ -30,7 +30,7 @@
 constexpr std::size_t toleratedCrashes = 5;
 constexpr std::size_t toleratedRuns = 3;
 constexpr unsigned leastSample = 20;
-constexpr unsigned runnerCount = 6;
+constexpr unsigned runnerCount = 4;
 constexpr const char *harmfulPart = "dead0001";
 
 const char *const configuration = R"({"version":7,
--- a/review/stand-ins-3/Runner.cpp
+++ b/review/stand-ins-3/Runner.cpp
@@ -102,8 +102,7 @@
     m_listener.reset();
     for (const auto &weak : m_connections) {
         if (const auto connection = weak.lock()) {
-            connection->resetOnClose();
-            connection->shutDown();
+            connection->reset();
         }
     }
     m_connections.clear();
--- a/review/stand-ins-3/Wire.cpp
+++ b/review/stand-ins-3/Wire.cpp
@@ -187,10 +187,12 @@
     ::shutdown(m_socket.number(), SHUT_RDWR);
 }
 
-void Connection::resetOnClose()
+// Linux resets a connection that is connected to no address.
+void Connection::reset()
 {
-    const linger value{1, 0};
-    ::setsockopt(m_socket.number(), SOL_SOCKET, SO_LINGER, &value, sizeof(value));
+    sockaddr none{};
+    none.sa_family = AF_UNSPEC;
+    ::connect(m_socket.number(), &none, sizeof(none));
 }
 
 bool Connection::peerHasClosed() const
--- a/review/stand-ins-3/Wire.h
+++ b/review/stand-ins-3/Wire.h
@@ -71,8 +71,8 @@
     void setReadTimeout(Milliseconds time);
     /// Ends the connection; a blocked read or write returns.
     void shutDown();
-    /// Makes the peer see a reset when the connection is closed.
-    void resetOnClose();
+    /// Resets the connection at once; a blocked read or write returns.
+    void reset();
     /// Whether the peer has closed the connection.
     bool peerHasClosed() const;
 
