--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -4,8 +4,15 @@
 cd "$(dirname "$0")/.." || exit 2
 out=target/review-3
 mkdir -p "$out" || exit 2
+compile() {
+    g++ -std=c++20 -O1 -Wall -Wextra "$@"
+}
+objects=()
+for source in review/stand-ins-3/*.cpp; do
+    object=$out/$(basename "$source" .cpp).o
+    compile -c -o "$object" "$source" || exit 1
+    objects+=("$object")
+done
 for case in review/1[1-5]/Case.cpp; do
-    [ -e "$case" ] || continue
-    number=$(basename "$(dirname "$case")")
-    g++ -std=c++20 -O1 -Wall -Wextra -o "$out/case-$number" "$case" review/stand-ins-3/*.cpp -pthread || exit 1
+    compile -o "$out/case-$(basename "$(dirname "$case")")" "$case" "${objects[@]}" -pthread || exit 1
 done
--- a/review/stand-ins-3/PlatformStore.cpp
+++ b/review/stand-ins-3/PlatformStore.cpp
@@ -66,14 +66,14 @@
     {
         const std::lock_guard lock(m_mutex);
         m_stopping = true;
-        for (const auto &connection : m_connections) {
-            connection->shutDown();
+        for (const auto &weak : m_connections) {
+            if (const auto connection = weak.lock()) {
+                connection->shutDown();
+            }
         }
     }
     m_changed.notify_all();
-    for (std::thread &thread : m_threads) {
-        thread.join();
-    }
+    m_threads.joinAll();
 }
 
 std::string PlatformStore::address() const
@@ -83,18 +83,42 @@
 
 std::string PlatformStore::addDoor()
 {
-    Door &door = *m_doors.emplace_back(new Door{Listener(storeAddress)});
+    Door &door = *m_doors.emplace_back(new Door{Listener(storeAddress), {}, {}});
     m_acceptors.emplace_back([this, &door]() {
         accept(door);
     });
     return storeAddress + ":" + std::to_string(door.listener.port());
 }
 
+void PlatformStore::setView(const std::string &door, View view)
+{
+    if (Door *known = findDoor(door)) {
+        known->view = std::move(view);
+    }
+}
+
 void PlatformStore::setTurningAway(const std::string &door, bool turningAway)
+{
+    if (Door *known = findDoor(door)) {
+        known->turningAway = turningAway;
+    }
+}
+
+PlatformStore::Door *PlatformStore::findDoor(const std::string &address)
 {
     for (const auto &known : m_doors) {
-        if (door.ends_with(":" + std::to_string(known->listener.port()))) {
-            known->turningAway = turningAway;
+        if (address.ends_with(":" + std::to_string(known->listener.port()))) {
+            return known.get();
+        }
+    }
+    return nullptr;
+}
+
+void PlatformStore::applyView(const View &view, json &items)
+{
+    for (json &item : items) {
+        if (item.contains("value")) {
+            item["value"] = encodeBase64(view(item["key"].get<std::string>(), decodeBase64(item["value"].get<std::string>())));
         }
     }
 }
@@ -140,8 +164,11 @@
 {
     while (std::shared_ptr<Connection> connection = door.listener.accept()) {
         const std::lock_guard lock(m_mutex);
+        std::erase_if(m_connections, [](const auto &weak) {
+            return weak.expired();
+        });
         m_connections.push_back(connection);
-        m_threads.emplace_back([this, &door, connection]() {
+        m_threads.run([this, &door, connection]() {
             serve(door, *connection);
         });
     }
@@ -154,6 +181,11 @@
         if (door.turningAway) {
             result = {503};
         }
+        for (const char *list : {"items", "events"}) {
+            if (door.view && result.body.contains(list)) {
+                applyView(door.view, result.body[list]);
+            }
+        }
         const std::string body = result.body.dump();
         if (request->startLine.find("/v1/kv-watch") != std::string::npos) {
             const std::lock_guard lock(m_mutex);
--- a/review/stand-ins-3/PlatformStore.h
+++ b/review/stand-ins-3/PlatformStore.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "Threads.h"
 #include "Wire.h"
 
 #include <nlohmann/json.hpp>
@@ -36,6 +37,9 @@
     std::string address() const;
     /// A further address of the store for one host, so that the store can turn this host away.
     std::string addDoor();
+    /// What the host at that address reads instead of the value of a key, so that it reaches other hosts through proxies.
+    using View = std::function<std::string(const std::string &key, const std::string &value)>;
+    void setView(const std::string &door, View view);
     /// While it is set, all calls at that address are answered with 503.
     void setTurningAway(const std::string &door, bool turningAway);
 
@@ -74,11 +78,14 @@
     struct Door {
         Listener listener;
         std::atomic<bool> turningAway{false};
+        View view;
     };
 
     void accept(Door &door);
     void serve(Door &door, Connection &connection);
+    Door *findDoor(const std::string &address);
     Answer answer(const Message &request);
+    static void applyView(const View &view, nlohmann::json &items);
     Answer range(const std::string &query);
     Answer watch(const std::string &query);
     Answer transact(const std::string &text);
@@ -102,8 +109,8 @@
     std::size_t m_largestWatchAnswer = 0;
     std::size_t m_goneAnswers = 0;
     bool m_stopping = false;
-    std::vector<std::shared_ptr<Connection>> m_connections;
-    std::vector<std::thread> m_threads;
+    std::vector<std::weak_ptr<Connection>> m_connections;
+    Threads m_threads;
     std::vector<std::thread> m_acceptors;
 };
 
--- a/review/stand-ins-3/Runner.cpp
+++ b/review/stand-ins-3/Runner.cpp
@@ -2,6 +2,8 @@
 
 #include <nlohmann/json.hpp>
 
+#include <thread>
+
 namespace Review {
 
 namespace {
@@ -25,7 +27,7 @@
 {
     m_port = m_listener->port();
     m_address = runnerAddress + ":" + std::to_string(m_port);
-    m_threads.emplace_back([this, listener = m_listener]() {
+    m_threads.run([this, listener = m_listener]() {
         accept(listener);
     });
     publish("ready");
@@ -45,18 +47,7 @@
             }
         }
     }
-    // The list may still grow while a thread ends.
-    for (std::size_t index = 0; true; ++index) {
-        std::thread thread;
-        {
-            const std::lock_guard lock(m_mutex);
-            if (index >= m_threads.size()) {
-                break;
-            }
-            thread = std::move(m_threads[index]);
-        }
-        thread.join();
-    }
+    m_threads.joinAll();
 }
 
 const std::string &Runner::id() const
@@ -80,13 +71,22 @@
                  {"version", "v1"},
                  {"slots", m_setup.slots},
                  {"state", state},
-                 {"cold_remaining_ms", 0},
+                 {"cold_remaining_ms", m_coldTime.count()},
                  {"sequence", ++m_sequence},
                  {"born", m_born}};
     }
     m_store.put("servers/" + m_setup.id, entry.dump());
 }
 
+void Runner::becomeCold(Milliseconds time)
+{
+    {
+        const std::lock_guard lock(m_mutex);
+        m_coldTime = time;
+    }
+    publish("ready");
+}
+
 void Runner::unlist()
 {
     m_store.remove("servers/" + m_setup.id);
@@ -106,7 +106,7 @@
         }
     }
     m_connections.clear();
-    m_threads.emplace_back([this, time]() {
+    m_threads.run([this, time]() {
         const TimePoint back = Clock::now() + time;
         while (Clock::now() < back && !m_stopping) {
             std::this_thread::sleep_for(Milliseconds(20));
@@ -122,7 +122,7 @@
             m_born = unixMilliseconds();
             m_sequence = 0;
             m_listener = std::make_shared<Listener>(runnerAddress, m_port);
-            m_threads.emplace_back([this, listener = m_listener]() {
+            m_threads.run([this, listener = m_listener]() {
                 accept(listener);
             });
         }
@@ -146,8 +146,11 @@
 {
     while (std::shared_ptr<Connection> connection = listener->accept()) {
         const std::lock_guard lock(m_mutex);
+        std::erase_if(m_connections, [](const auto &weak) {
+            return weak.expired();
+        });
         m_connections.push_back(connection);
-        m_threads.emplace_back([this, connection]() {
+        m_threads.run([this, connection]() {
             serve(connection);
         });
     }
--- a/review/stand-ins-3/Runner.h
+++ b/review/stand-ins-3/Runner.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "PlatformStore.h"
+#include "Threads.h"
 #include "Wire.h"
 
 #include <atomic>
@@ -8,7 +9,6 @@
 #include <memory>
 #include <mutex>
 #include <string>
-#include <thread>
 #include <vector>
 
 namespace Review {
@@ -41,6 +41,8 @@
 
     /// Writes the entry of the runner with that state, ready or draining.
     void publish(const std::string &state);
+    /// Becomes cold for that time, and says so in its entry.
+    void becomeCold(Milliseconds time);
     void unlist();
 
     /// Ends all connections with a reset and refuses new ones for \p time; then starts again under its id.
@@ -65,9 +67,10 @@
     mutable std::mutex m_mutex;
     std::uint64_t m_born = 0;
     std::uint64_t m_sequence = 0;
+    Milliseconds m_coldTime{0};
     std::shared_ptr<Listener> m_listener;
     std::vector<std::weak_ptr<Connection>> m_connections;
-    std::vector<std::thread> m_threads;
+    Threads m_threads;
 };
 
 }
--- a/review/stand-ins-3/Wire.cpp
+++ b/review/stand-ins-3/Wire.cpp
@@ -164,6 +164,14 @@
     return data && end ? data : std::nullopt;
 }
 
+std::string Connection::readSome()
+{
+    if (m_buffer.empty() && !fill()) {
+        return {};
+    }
+    return std::exchange(m_buffer, {});
+}
+
 bool Connection::write(std::string_view bytes)
 {
     while (!bytes.empty()) {
--- a/review/stand-ins-3/Wire.h
+++ b/review/stand-ins-3/Wire.h
@@ -68,6 +68,8 @@
     std::optional<std::string> readChunk();
 
     bool write(std::string_view bytes);
+    /// The next bytes as they come; empty if the connection has ended.
+    std::string readSome();
     void setReadTimeout(Milliseconds time);
     /// Ends the connection; a blocked read or write returns.
     void shutDown();
