Review case 14: two owners for good after a freeze with silent connections

The probes of an owner that is skipped go over one connection, and nobody notices when it goes silent: 10 s and 23 s after all trouble two hosts grant cold runners their whole rate.

--- a/review/stand-ins-3/Proxy.cpp
+++ b/review/stand-ins-3/Proxy.cpp
@@ -5,6 +5,7 @@
 namespace {
 
 const std::string proxyAddress = "127.0.0.1";
+constexpr Milliseconds pollInterval{5};
 
 }
 
@@ -20,6 +21,7 @@
 
 Proxy::~Proxy()
 {
+    m_stopping = true;
     m_listener.close();
     m_acceptor.join();
     {
@@ -41,43 +43,57 @@
     m_cut = cut;
 }
 
+void Proxy::silenceOpen()
+{
+    ++m_generation;
+}
+
 void Proxy::accept()
 {
     while (std::shared_ptr<Connection> near = m_listener.accept()) {
         keep(near);
-        if (m_cut) {
-            continue;
-        }
-        const std::shared_ptr<Connection> far = Connection::open(m_address, m_port);
-        if (!far) {
-            near->shutDown();
-            continue;
-        }
-        keep(far);
-        m_threads.run([this, near, far]() {
-            pass(near, far);
-        });
-        m_threads.run([this, near, far]() {
-            pass(far, near);
+        m_threads.run([this, near, generation = m_generation.load()]() {
+            connect(near, generation);
         });
     }
 }
 
-// What comes during a cut is lost, and with it the connection: it stays silent from then on.
-void Proxy::pass(const std::shared_ptr<Connection> &from, const std::shared_ptr<Connection> &to)
+void Proxy::connect(const std::shared_ptr<Connection> &near, unsigned generation)
+{
+    waitForPassage();
+    const std::shared_ptr<Connection> far = Connection::open(m_address, m_port);
+    if (!far) {
+        near->shutDown();
+        return;
+    }
+    keep(far);
+    m_threads.run([this, near, far, generation]() {
+        pass(near, far, generation);
+    });
+    pass(far, near, generation);
+}
+
+void Proxy::pass(const std::shared_ptr<Connection> &from, const std::shared_ptr<Connection> &to, unsigned generation)
 {
-    bool silent = false;
     for (std::string bytes = from->readSome(); !bytes.empty(); bytes = from->readSome()) {
-        silent = silent || m_cut;
-        if (!silent && !to->write(bytes)) {
+        waitForPassage();
+        if (generation == m_generation && !to->write(bytes)) {
             break;
         }
     }
-    if (!silent && !m_cut) {
+    waitForPassage();
+    if (generation == m_generation) {
         to->shutDown();
     }
 }
 
+void Proxy::waitForPassage() const
+{
+    while (m_cut && !m_stopping) {
+        std::this_thread::sleep_for(pollInterval);
+    }
+}
+
 void Proxy::keep(const std::shared_ptr<Connection> &connection)
 {
     const std::lock_guard lock(m_mutex);
