--- a/review/stand-ins-3/run-case.sh
+++ b/review/stand-ins-3/run-case.sh
@@ -8,9 +8,12 @@
     echo "build first: the line 'build' of deploy/system.toml, then review/build-3.sh" >&2
     exit 2
 fi
-# The case ends its processes itself. A case that takes too long is ended with all processes of its group, which are those that it started.
-timeout -k 4 112 "$program" "$folder/record.txt"
+# The case ends its processes itself. They are in the process group of 'timeout', which is ended here, in case the program was ended before.
+timeout -k 4 112 "$program" "$folder/record.txt" &
+group=$!
+wait "$group"
 result=$?
+kill -KILL -- "-$group" 2> /dev/null
 case $result in
     0 | 1) exit $result ;;
     *) exit 2 ;;
