--- a/review/12/Case.cpp
+++ b/review/12/Case.cpp
@@ -59,15 +59,24 @@
     return value == nullptr ? 66 : static_cast<unsigned>(std::strtoul(value, nullptr, 10));
 }
 
+constexpr unsigned earlyPartTokens = 40;
+constexpr unsigned lastSharedPartTokens = 200;
+constexpr unsigned ownPartTokens = 400;
+
 // A session of many turns: its earlier parts are shared, the last one is the request's own.
 std::string promptPrefix(const std::string &attempt, bool harmful)
 {
     std::string text;
     for (unsigned part = 0; part < partsBefore(); ++part) {
-        text += "c0ffee" + std::to_string(100 + part) + ":40,";
+        text += "c0ffee" + std::to_string(100 + part) + ":" + std::to_string(earlyPartTokens) + ",";
     }
-    text += harmful ? std::string(harmfulPart) + ":200," : "50d0001:200,";
-    return text + "f" + std::to_string(std::hash<std::string>()(attempt) % 100'000'000) + ":400";
+    text += std::string(harmful ? harmfulPart : "50d0001") + ":" + std::to_string(lastSharedPartTokens) + ",";
+    return text + "f" + std::to_string(std::hash<std::string>()(attempt) % 100'000'000) + ":" + std::to_string(ownPartTokens);
+}
+
+unsigned promptTokens()
+{
+    return partsBefore() * earlyPartTokens + lastSharedPartTokens + ownPartTokens;
 }
 
 bool isHarmful(const Message &request)
@@ -133,7 +142,7 @@
     connection->setReadTimeout(Milliseconds(11'000));
     const std::string body = "turn of " + attempt;
     connection->write("POST /chat/1 HTTP/1.1\r\nHost: shop.example\r\nAttempt-Id: " + attempt
-                      + "\r\nModel: m\r\nToken-Counts: 3300,400\r\nPrompt-Prefix: " + promptPrefix(attempt, harmful)
+                      + "\r\nModel: m\r\nToken-Counts: " + std::to_string(promptTokens()) + ",400\r\nPrompt-Prefix: " + promptPrefix(attempt, harmful)
                       + "\r\nDeadline-Ms: 10000\r\nAuthorization: Token key-of-the-shop\r\nConnection: close\r\nContent-Length: " + std::to_string(body.size())
                       + "\r\n\r\n" + body);
     const std::optional<Message> head = connection->readHead();
