All shared parts of a prompt are suspects of crashes

What callers saw: a part of prompts that crashes runners, behind 66 other shared parts, was never held back.

Cause: the translator read 64 parts of the header and dropped the others.

A session keeps hashes and one text of the parts.

Every second caller of the soak has 300 parts now.

--- a/Source/Forwarding/CrashReplica.cpp
+++ b/Source/Forwarding/CrashReplica.cpp
@@ -4,6 +4,8 @@
 #include "Forwarding/WirePlacement.h"
 #include "Telemetry/EventLog.h"
 
+#include <algorithm>
+
 namespace Mangofall::Forwarding {
 
 using Placement::CrashStanding;
@@ -11,12 +13,12 @@
 
 namespace {
 
-void append(std::optional<Wire::CrashUpdateT> &update, const Placement::SuspectState &state)
+// A crash changes each part of the prompts that it breaks off, which may be thousands.
+constexpr std::size_t maxLoggedSuspects = 64;
+
+std::optional<Wire::CrashUpdateT> toUpdate(const std::vector<Placement::SuspectState> &states)
 {
-    if (!update) {
-        update.emplace();
-    }
-    update->suspects.push_back(std::make_unique<Wire::CrashSuspectT>(toWire(state)));
+    return states.empty() ? std::nullopt : std::optional(toWire(states));
 }
 
 }
@@ -77,47 +79,55 @@
 
 std::optional<Wire::CrashUpdateT> CrashReplica::apply(const Wire::CrashUpdateT &update, TimePoint now)
 {
-    std::optional<Wire::CrashUpdateT> reply;
-    for (const std::unique_ptr<Wire::CrashSuspectT> &suspect : update.suspects) {
-        if (!suspect) {
-            continue;
-        }
-        const Placement::SuspectState received = fromWire(*suspect);
+    std::vector<Placement::SuspectState> refuting;
+    for (const Placement::SuspectState &received : fromWire(update)) {
         const Placement::SuspectState known = m_record.merge(received, now);
         if (known.refutes(received)) {
-            append(reply, known);
+            refuting.push_back(known);
         }
     }
-    return reply;
+    return toUpdate(refuting);
 }
 
 CrashReplica::Update CrashReplica::takeUpdate()
 {
-    Update update;
+    std::vector<Placement::SuspectState> forOwners;
+    std::vector<Placement::SuspectState> forAll;
+    std::vector<Placement::SuspectState> local;
     for (const Placement::CrashRecord::Change &change : m_record.takeChanges()) {
         if (change.concernsAll) {
-            append(update.forAll, change.state);
+            forAll.push_back(change.state);
         } else if (change.local) {
-            append(update.forOwners, change.state);
+            forOwners.push_back(change.state);
         }
         if (change.local) {
-            log(change.state);
+            local.push_back(change.state);
         }
         if (change.local && m_observer != nullptr) {
             m_observer->suspectChanged(change.state);
         }
     }
-    return update;
+    log(std::move(local));
+    return {toUpdate(forOwners), toUpdate(forAll)};
 }
 
 std::optional<Wire::CrashUpdateT> CrashReplica::snapshot(TimePoint now) const
 {
-    const std::vector<Placement::SuspectState> states = m_record.states(now);
-    std::optional<Wire::CrashUpdateT> update;
+    return toUpdate(m_record.states(now));
+}
+
+void CrashReplica::log(std::vector<Placement::SuspectState> states) const
+{
+    if (states.size() > maxLoggedSuspects) {
+        std::stable_sort(states.begin(), states.end(), [](const Placement::SuspectState &left, const Placement::SuspectState &right) {
+            return left.crashes.size() > right.crashes.size();
+        });
+        m_log.write("crash_suspects_not_logged", {{"count", std::to_string(states.size() - maxLoggedSuspects)}});
+        states.resize(maxLoggedSuspects);
+    }
     for (const Placement::SuspectState &state : states) {
-        append(update, state);
+        log(state);
     }
-    return update;
 }
 
 void CrashReplica::log(const Placement::SuspectState &state) const
--- a/Source/Forwarding/CrashReplica.h
+++ b/Source/Forwarding/CrashReplica.h
@@ -61,6 +61,8 @@
     std::optional<Wire::CrashUpdateT> snapshot(TimePoint now) const;
 
 private:
+    /// Logs the changes of this host; of many, those with the most crashes.
+    void log(std::vector<Placement::SuspectState> states) const;
     void log(const Placement::SuspectState &state) const;
 
     EventLog &m_log;
--- a/Source/Forwarding/ForwardingSession.cpp
+++ b/Source/Forwarding/ForwardingSession.cpp
@@ -115,6 +115,15 @@
     return hashes;
 }
 
+std::string joinedNames(const std::vector<std::string> &parts)
+{
+    std::string names;
+    for (const std::string &part : parts) {
+        names += (names.empty() ? "" : ",") + part;
+    }
+    return names;
+}
+
 bool isRepeatable(const RouteRule &route)
 {
     return route.kind == RequestKind::Idempotent || (route.kind == RequestKind::Stream && route.resumable);
@@ -141,7 +150,10 @@
     , m_fingerprint(fingerprint(m_request, organisation, exchange.request().body()))
     , m_waitTimer(context.io)
     , m_silenceTimer(context.io)
+    , m_sharedParts(partHashes(m_request.sharedPromptParts))
+    , m_sharedPartNames(joinedNames(m_request.sharedPromptParts))
 {
+    m_request.sharedPromptParts = {};
 }
 
 Asio::awaitable<void> ForwardingSession::run()
@@ -301,7 +313,7 @@
     placementRequest.deadline = m_deadline;
     placementRequest.priority = m_organisation != nullptr ? m_organisation->priority.value_or(m_route.priority) : m_route.priority;
     placementRequest.fingerprint = m_fingerprint;
-    placementRequest.sharedParts = partHashes(m_request.sharedPromptParts);
+    placementRequest.sharedParts = m_sharedParts;
     placementRequest.excluded = m_excluded;
     placementRequest.firstAttempt = !std::exchange(m_placementRequested, true);
     placementRequest.borrowsRetry = std::exchange(m_borrowsRetry, false);
@@ -718,16 +730,13 @@
 
 void ForwardingSession::logSuspects(std::string_view event, const UpstreamId &upstream) const
 {
-    std::string parts;
-    for (const std::string &part : m_request.sharedPromptParts) {
-        parts += (parts.empty() ? "" : ",") + part;
-    }
     m_context.log.write(event,
                         {{"request", m_request.id.value()},
                          {"upstream", upstream.value()},
                          {"answer_began", m_answerBegan ? "true" : "false"},
                          {"fingerprint", Placement::suspectName(m_fingerprint)},
-                         {"parts", parts}});
+                         {"part_count", std::to_string(m_sharedParts.size())},
+                         {"parts", m_sharedPartNames}});
 }
 
 void ForwardingSession::logDecision(std::string_view event, std::string_view detail) const
--- a/Source/Forwarding/ForwardingSession.h
+++ b/Source/Forwarding/ForwardingSession.h
@@ -124,6 +124,8 @@
 
     boost::asio::steady_timer m_waitTimer; ///< Ends a wait for a grant or a backoff.
     boost::asio::steady_timer m_silenceTimer; ///< Expires when the upstream has sent nothing for too long.
+    std::vector<Placement::SuspectId> m_sharedParts; ///< Hashes of the shared parts of the prompt.
+    std::string m_sharedPartNames; ///< Their ids, for log lines.
     std::optional<PlacementGateway::Answer> m_answer; ///< To the current placement request.
     Placement::PlacementRequestId m_placementRequestId;
     std::weak_ptr<MemoryReservationSet> m_reservations; ///< Of the attempt in progress.
--- a/Source/Forwarding/WirePlacement.cpp
+++ b/Source/Forwarding/WirePlacement.cpp
@@ -1,6 +1,8 @@
 #include "Forwarding/WirePlacement.h"
 
 #include <algorithm>
+#include <map>
+#include <tuple>
 
 namespace Mangofall::Forwarding {
 
@@ -215,6 +217,39 @@
     return state;
 }
 
+Wire::CrashUpdateT toWire(const std::vector<Placement::SuspectState> &states)
+{
+    Wire::CrashUpdateT update;
+    std::map<std::tuple<std::vector<Placement::CrashId>, std::vector<Placement::CrashId>, std::uint32_t, std::uint32_t>, Wire::CrashSuspectT *> groups;
+    for (const Placement::SuspectState &state : states) {
+        Wire::CrashSuspectT *&group = groups[{state.crashes, state.cleared, state.trials, state.clearedTrials}];
+        if (group != nullptr) {
+            group->also.push_back(state.suspect);
+            continue;
+        }
+        update.suspects.push_back(std::make_unique<Wire::CrashSuspectT>(toWire(state)));
+        group = update.suspects.back().get();
+    }
+    return update;
+}
+
+std::vector<Placement::SuspectState> fromWire(const Wire::CrashUpdateT &update)
+{
+    std::vector<Placement::SuspectState> states;
+    for (const std::unique_ptr<Wire::CrashSuspectT> &suspect : update.suspects) {
+        if (!suspect) {
+            continue;
+        }
+        states.push_back(fromWire(*suspect));
+        for (const Placement::SuspectId other : suspect->also) {
+            Placement::SuspectState state = states.back();
+            state.suspect = other;
+            states.push_back(std::move(state));
+        }
+    }
+    return states;
+}
+
 Wire::PlacementAdoptionT toWire(const Placement::ReportedGrant &grant, TimePoint now)
 {
     Wire::PlacementAdoptionT adoption;
--- a/Source/Forwarding/WirePlacement.h
+++ b/Source/Forwarding/WirePlacement.h
@@ -9,6 +9,7 @@
 #include "Placement/UpstreamNotice.h"
 
 #include <optional>
+#include <vector>
 
 namespace Mangofall::Forwarding {
 
@@ -42,6 +43,9 @@
 
 Wire::CrashSuspectT toWire(const Placement::SuspectState &state);
 Placement::SuspectState fromWire(const Wire::CrashSuspectT &suspect);
+/// The states as one message, in which suspects of which the same is known share an entry.
+Wire::CrashUpdateT toWire(const std::vector<Placement::SuspectState> &states);
+std::vector<Placement::SuspectState> fromWire(const Wire::CrashUpdateT &update);
 
 /// The outcome that a peer reports; a value that this version does not know says nothing about the upstream.
 Placement::GrantOutcome outcomeFromWire(std::uint8_t value);
--- a/Source/Peer/PeerMessages_generated.h
+++ b/Source/Peer/PeerMessages_generated.h
@@ -5772,6 +5772,7 @@
   std::vector<uint64_t> cleared{};
   uint32_t trials = 0;
   uint32_t cleared_trials = 0;
+  std::vector<uint64_t> also{};
 };
 
 /// What a host knows of what may crash upstreams; see SuspectState.
@@ -5783,7 +5784,8 @@
     VT_CRASHES = 6,
     VT_CLEARED = 8,
     VT_TRIALS = 10,
-    VT_CLEARED_TRIALS = 12
+    VT_CLEARED_TRIALS = 12,
+    VT_ALSO = 14
   };
   uint64_t suspect() const {
     return GetField<uint64_t>(VT_SUSPECT, 0);
@@ -5800,6 +5802,10 @@
   uint32_t cleared_trials() const {
     return GetField<uint32_t>(VT_CLEARED_TRIALS, 0);
   }
+  /// Further suspects of which the same is known. Of a request with thousands of parts most states are equal.
+  const flatbuffers::Vector<uint64_t> *also() const {
+    return GetPointer<const flatbuffers::Vector<uint64_t> *>(VT_ALSO);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_SUSPECT, 8) &&
@@ -5809,6 +5815,8 @@
            verifier.VerifyVector(cleared()) &&
            VerifyField<uint32_t>(verifier, VT_TRIALS, 4) &&
            VerifyField<uint32_t>(verifier, VT_CLEARED_TRIALS, 4) &&
+           VerifyOffset(verifier, VT_ALSO) &&
+           verifier.VerifyVector(also()) &&
            verifier.EndTable();
   }
   CrashSuspectT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -5835,6 +5843,9 @@
   void add_cleared_trials(uint32_t cleared_trials) {
     fbb_.AddElement<uint32_t>(CrashSuspect::VT_CLEARED_TRIALS, cleared_trials, 0);
   }
+  void add_also(flatbuffers::Offset<flatbuffers::Vector<uint64_t>> also) {
+    fbb_.AddOffset(CrashSuspect::VT_ALSO, also);
+  }
   explicit CrashSuspectBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -5852,9 +5863,11 @@
     flatbuffers::Offset<flatbuffers::Vector<uint64_t>> crashes = 0,
     flatbuffers::Offset<flatbuffers::Vector<uint64_t>> cleared = 0,
     uint32_t trials = 0,
-    uint32_t cleared_trials = 0) {
+    uint32_t cleared_trials = 0,
+    flatbuffers::Offset<flatbuffers::Vector<uint64_t>> also = 0) {
   CrashSuspectBuilder builder_(_fbb);
   builder_.add_suspect(suspect);
+  builder_.add_also(also);
   builder_.add_cleared_trials(cleared_trials);
   builder_.add_trials(trials);
   builder_.add_cleared(cleared);
@@ -5868,16 +5881,19 @@
     const std::vector<uint64_t> *crashes = nullptr,
     const std::vector<uint64_t> *cleared = nullptr,
     uint32_t trials = 0,
-    uint32_t cleared_trials = 0) {
+    uint32_t cleared_trials = 0,
+    const std::vector<uint64_t> *also = nullptr) {
   auto crashes__ = crashes ? _fbb.CreateVector<uint64_t>(*crashes) : 0;
   auto cleared__ = cleared ? _fbb.CreateVector<uint64_t>(*cleared) : 0;
+  auto also__ = also ? _fbb.CreateVector<uint64_t>(*also) : 0;
   return Mangofall::Wire::CreateCrashSuspect(
       _fbb,
       suspect,
       crashes__,
       cleared__,
       trials,
-      cleared_trials);
+      cleared_trials,
+      also__);
 }
 
 flatbuffers::Offset<CrashSuspect> CreateCrashSuspect(flatbuffers::FlatBufferBuilder &_fbb, const CrashSuspectT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -8508,6 +8524,7 @@
   { auto _e = cleared(); if (_e) { _o->cleared.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->cleared[_i] = _e->Get(_i); } } }
   { auto _e = trials(); _o->trials = _e; }
   { auto _e = cleared_trials(); _o->cleared_trials = _e; }
+  { auto _e = also(); if (_e) { _o->also.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->also[_i] = _e->Get(_i); } } }
 }
 
 inline flatbuffers::Offset<CrashSuspect> CrashSuspect::Pack(flatbuffers::FlatBufferBuilder &_fbb, const CrashSuspectT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -8523,13 +8540,15 @@
   auto _cleared = _o->cleared.size() ? _fbb.CreateVector(_o->cleared) : 0;
   auto _trials = _o->trials;
   auto _cleared_trials = _o->cleared_trials;
+  auto _also = _o->also.size() ? _fbb.CreateVector(_o->also) : 0;
   return Mangofall::Wire::CreateCrashSuspect(
       _fbb,
       _suspect,
       _crashes,
       _cleared,
       _trials,
-      _cleared_trials);
+      _cleared_trials,
+      _also);
 }
 
 inline CrashUpdateT::CrashUpdateT(const CrashUpdateT &o) {
--- a/Source/Placement/CrashRecord.cpp
+++ b/Source/Placement/CrashRecord.cpp
@@ -3,7 +3,9 @@
 #include "Base/Hash.h"
 
 #include <algorithm>
+#include <iterator>
 #include <string>
+#include <utility>
 
 namespace Mangofall::Placement {
 
@@ -13,7 +15,7 @@
 constexpr std::size_t heldCrashes = 3;
 constexpr std::size_t maxEntries = 10'000;
 constexpr std::size_t evictionDivisor = 10;
-// Bounds what each host sends to each new owner.
+// Bounds what each host sends to each new owner beside the suspects that are held.
 constexpr std::size_t maxStates = 1000;
 constexpr std::chrono::minutes expiryInterval{1};
 // An upstream that crashed has restarted after this time, even if its list entry does not tell.
@@ -47,11 +49,6 @@
     return std::min<Duration>(pause, longestTrialPause);
 }
 
-bool contains(const std::vector<std::uint64_t> &ids, std::uint64_t id)
-{
-    return std::find(ids.begin(), ids.end(), id) != ids.end();
-}
-
 CrashId nextCrash(CrashId crash)
 {
     return hash64("crash after " + std::to_string(crash));
@@ -104,6 +101,8 @@
     const auto position = m_entries.find(fingerprint);
     if (position != m_entries.end()) {
         clear(position->second, now);
+    } else {
+        m_evicted.take(fingerprint);
     }
 }
 
@@ -112,9 +111,10 @@
     if (m_held.empty()) {
         return;
     }
+    const CrashExplanation others = crashesOfOthers(suspects);
     for (const SuspectId suspect : suspects) {
         const auto position = m_entries.find(suspect);
-        if (position != m_entries.end() && isExplained(position->second, suspects, Explanation::SameCrash)) {
+        if (position != m_entries.end() && isExplained(position->second, others, Explanation::SameCrash)) {
             clear(position->second, now);
         }
     }
@@ -216,10 +216,13 @@
         }
     }
     if (result.size() > maxStates) {
-        std::stable_sort(result.begin(), result.end(), [](const SuspectState &left, const SuspectState &right) {
+        const auto firstOther = std::stable_partition(result.begin(), result.end(), [&](const SuspectState &state) {
+            return m_held.contains(state.suspect);
+        });
+        std::stable_sort(firstOther, result.end(), [](const SuspectState &left, const SuspectState &right) {
             return left.crashes.size() > right.crashes.size();
         });
-        result.resize(maxStates);
+        result.resize(std::max(maxStates, static_cast<std::size_t>(firstOther - result.begin())));
     }
     return result;
 }
@@ -266,48 +269,69 @@
     if (m_held.empty()) {
         return held;
     }
-    for (const SuspectId suspect : suspects) {
-        if (m_held.contains(suspect)) {
-            held.push_back(&m_entries.at(suspect));
-        }
+    std::vector<SuspectId> common;
+    if (m_held.size() < suspects.size()) {
+        std::copy_if(m_held.begin(), m_held.end(), std::back_inserter(common), [&](SuspectId suspect) {
+            return std::binary_search(suspects.begin(), suspects.end(), suspect);
+        });
+    } else {
+        std::copy_if(suspects.begin(), suspects.end(), std::back_inserter(common), [&](SuspectId suspect) {
+            return m_held.contains(suspect);
+        });
     }
+    std::transform(common.begin(), common.end(), std::back_inserter(held), [&](SuspectId suspect) {
+        return &m_entries.at(suspect);
+    });
     return held;
 }
 
+CrashExplanation CrashRecord::crashesOfOthers(const Suspects &suspects) const
+{
+    std::vector<CrashId> crashes;
+    for (const SuspectId held : m_held) {
+        if (!std::binary_search(suspects.begin(), suspects.end(), held)) {
+            const std::vector<CrashId> &added = m_entries.at(held).state.crashes;
+            crashes.insert(crashes.end(), added.begin(), added.end());
+        }
+    }
+    std::sort(crashes.begin(), crashes.end());
+    crashes.erase(std::unique(crashes.begin(), crashes.end()), crashes.end());
+    std::vector<TimePoint> times;
+    for (const CrashId crash : crashes) {
+        if (const std::optional<TimePoint> time = timeOf(crash)) {
+            times.push_back(*time);
+        }
+    }
+    return {std::move(crashes), std::move(times)};
+}
+
 bool CrashRecord::explainedByOthers(const std::vector<const Entry *> &held, const Suspects &suspects) const
 {
+    const CrashExplanation others = crashesOfOthers(suspects);
     return std::all_of(held.begin(), held.end(), [&](const Entry *entry) {
         const bool byMoment = entry->exonerations < maxMomentExonerations && !entry->crashedSinceTest;
         const Explanation explanation = byMoment ? Explanation::SameMoment : Explanation::SameCrash;
-        return entry->exonerations < maxExonerations && isExplained(*entry, suspects, explanation);
+        return entry->exonerations < maxExonerations && isExplained(*entry, others, explanation);
     });
 }
 
-bool CrashRecord::isExplained(const Entry &entry, const Suspects &suspects, Explanation explanation) const
+// Of the crashes that a host sees at one moment only the first counts against a part, so that of two parts of one request each may have another one counted.
+bool CrashRecord::isExplained(const Entry &entry, const CrashExplanation &others, Explanation explanation) const
 {
     const std::vector<CrashId> &crashes = entry.state.crashes;
     return std::all_of(crashes.begin(), crashes.end(), [&](CrashId crash) {
-        return std::any_of(m_held.begin(), m_held.end(), [&](SuspectId other) {
-            if (contains(suspects, other)) {
-                return false;
-            }
-            const std::vector<CrashId> &others = m_entries.at(other).state.crashes;
-            return contains(others, crash) || (explanation == Explanation::SameMoment && isAtMomentOfAny(crash, others));
-        });
+        if (others.includes(crash)) {
+            return true;
+        }
+        const std::optional<TimePoint> time = explanation == Explanation::SameMoment ? timeOf(crash) : std::nullopt;
+        return time && others.includesMoment(*time, crashMoment);
     });
 }
 
-// Of the crashes that a host sees at one moment only the first counts against a part, so that of two parts of one request each may have another one counted.
-bool CrashRecord::isAtMomentOfAny(CrashId crash, const std::vector<CrashId> &others) const
+std::optional<TimePoint> CrashRecord::timeOf(CrashId crash) const
 {
     const auto known = m_crashes.find(crash);
-    if (known == m_crashes.end() || !known->second.timeKnown) {
-        return false;
-    }
-    return std::any_of(others.begin(), others.end(), [&](CrashId other) {
-        const auto otherKnown = m_crashes.find(other);
-        return otherKnown != m_crashes.end() && otherKnown->second.timeKnown && std::chrono::abs(otherKnown->second.at - known->second.at) < crashMoment;
-    });
+    return known != m_crashes.end() && known->second.timeKnown ? std::optional(known->second.at) : std::nullopt;
 }
 
 std::size_t CrashRecord::countedCrashes(const SuspectState &state, TimePoint now) const
@@ -344,13 +368,16 @@
 {
     expire(now);
     if (!m_entries.contains(suspect) && m_entries.size() >= maxEntries) {
-        removeLeastSuspicious();
+        evictLeastSuspicious();
     }
     const auto [position, isNew] = m_entries.try_emplace(suspect);
     Entry &entry = position->second;
     if (isNew) {
         entry.state.suspect = suspect;
         entry.lastChange = now;
+        if (const std::optional<CrashId> crash = m_evicted.take(suspect)) {
+            entry.state.addCrash(*crash);
+        }
     }
     return entry;
 }
@@ -375,7 +402,7 @@
     flags.concernsAll = flags.concernsAll || wasHeld || m_held.contains(suspect);
 }
 
-void CrashRecord::removeLeastSuspicious()
+void CrashRecord::evictLeastSuspicious()
 {
     std::vector<const Entry *> order;
     order.reserve(m_entries.size());
@@ -391,6 +418,10 @@
         return entry->state.suspect;
     });
     for (const SuspectId suspect : removed) {
+        const std::vector<CrashId> &crashes = m_entries.at(suspect).state.crashes;
+        if (crashes.size() == 1) {
+            m_evicted.add(suspect, crashes.front());
+        }
         m_held.erase(suspect);
         m_entries.erase(suspect);
     }
--- a/Source/Placement/CrashRecord.h
+++ b/Source/Placement/CrashRecord.h
@@ -2,6 +2,8 @@
 
 #include "Base/Ids.h"
 #include "Base/Time.h"
+#include "Placement/CrashExplanation.h"
+#include "Placement/EvictedSuspects.h"
 #include "Placement/RecentSuspects.h"
 #include "Placement/SuspectState.h"
 
@@ -45,6 +47,7 @@
 class CrashRecord
 {
 public:
+    /// In ascending order, without repetitions.
     using Suspects = std::vector<SuspectId>;
 
     /// A state that has changed since the last call of takeChanges().
@@ -82,7 +85,7 @@
     SuspectState merge(const SuspectState &other, TimePoint now);
     /// The states that were changed since the last call.
     std::vector<Change> takeChanges();
-    /// The states with crashes that are not cleared; of many, those with the most crashes.
+    /// The states with crashes that are not cleared: those that are held and, of many others, those with the most crashes.
     std::vector<SuspectState> states(TimePoint now) const;
     /// Forgets what has not changed for long. Cheap to call often.
     void expire(TimePoint now);
@@ -124,23 +127,27 @@
     TimePoint earliestTest(bool explained) const;
     /// The held ones of the suspects.
     std::vector<const Entry *> heldEntries(const Suspects &suspects) const;
+    /// The crashes of the held suspects that are not among \p suspects.
+    CrashExplanation crashesOfOthers(const Suspects &suspects) const;
     /// Returns whether each crash of the held entries is explained by a held suspect that is not among \p suspects. False after too many tests on that ground.
     bool explainedByOthers(const std::vector<const Entry *> &held, const Suspects &suspects) const;
-    /// Returns whether each crash of the entry is explained by one of a held suspect that is not among \p suspects.
-    bool isExplained(const Entry &entry, const Suspects &suspects, Explanation explanation) const;
-    bool isAtMomentOfAny(CrashId crash, const std::vector<CrashId> &others) const;
+    /// Returns whether each crash of the entry is explained by \p others.
+    bool isExplained(const Entry &entry, const CrashExplanation &others, Explanation explanation) const;
+    /// When the crash happened; empty if this host does not know.
+    std::optional<TimePoint> timeOf(CrashId crash) const;
     /// The crashes that count against the suspect, those at one moment as one if it was sound lately.
     std::size_t countedCrashes(const SuspectState &state, TimePoint now) const;
     void clear(Entry &entry, TimePoint now);
     Entry &entryFor(SuspectId suspect, TimePoint now);
     /// Updates what depends on the state after a change.
     void changed(Entry &entry, bool local, TimePoint now);
-    /// Makes room for new entries by removing those with the fewest crashes.
-    void removeLeastSuspicious();
+    /// Makes room for new entries by evicting those with the fewest crashes.
+    void evictLeastSuspicious();
     static bool isRecent(const Entry &entry, TimePoint now);
 
     std::map<SuspectId, Entry> m_entries;
     std::set<SuspectId> m_held;
+    EvictedSuspects m_evicted;
     RecentSuspects m_sound; ///< Parts with which requests have ended well lately.
     std::map<CrashId, KnownCrash> m_crashes;
     TimePoint m_lastTrial; ///< When a suspect was last tested that others do not explain, here or at another host.
--- a/Source/Placement/PlacementRequest.h
+++ b/Source/Placement/PlacementRequest.h
@@ -4,6 +4,7 @@
 #include "Base/Time.h"
 #include "Placement/SuspectState.h"
 
+#include <algorithm>
 #include <cstdint>
 #include <functional>
 #include <tuple>
@@ -52,11 +53,15 @@
     bool borrowsRetry = false; ///< Whether the entry host has no retry left and asks the owner for one.
 };
 
-/// What may be the cause if an upstream crashes while it runs the request: a part of the prompt, or the request as a whole.
+/// What may be the cause if an upstream crashes while it runs the request: a part of the prompt, or the request as a whole. In ascending order.
 inline std::vector<SuspectId> suspectsOf(std::vector<SuspectId> sharedParts, SuspectId fingerprint)
 {
+    // A peer of another version might send the parts in another order.
+    if (!std::is_sorted(sharedParts.begin(), sharedParts.end())) {
+        std::sort(sharedParts.begin(), sharedParts.end());
+    }
     if (fingerprint != 0) {
-        sharedParts.push_back(fingerprint);
+        sharedParts.insert(std::lower_bound(sharedParts.begin(), sharedParts.end(), fingerprint), fingerprint);
     }
     return sharedParts;
 }
--- a/Tests/Forwarding/WirePlacementTest.cpp
+++ b/Tests/Forwarding/WirePlacementTest.cpp
@@ -104,3 +104,16 @@
     const Placement::SuspectState state{7, {1, 2}, {3, 4}, 5, 2};
     CHECK(fromWire(toWire(state)) == state);
 }
+
+// Guards against a message of thousands of equal states after each crash, and against one that loses some of them.
+TEST(WirePlacementTest, SuspectsOfWhichTheSameIsKnownShareAnEntry)
+{
+    std::vector<Placement::SuspectState> states;
+    for (Placement::SuspectId suspect = 1; suspect <= 1'000; ++suspect) {
+        states.push_back({suspect, {11, 12}, {}, 0, 0});
+    }
+    states.push_back({2'000, {11, 12, 13}, {5}, 2, 1});
+    const Wire::CrashUpdateT update = toWire(states);
+    LONGS_EQUAL(2, update.suspects.size());
+    CHECK(states == fromWire(update));
+}
--- a/Tests/Placement/CrashRecordTest.cpp
+++ b/Tests/Placement/CrashRecordTest.cpp
@@ -3,7 +3,9 @@
 #include "Property.h"
 
 #include <algorithm>
+#include <ctime>
 #include <deque>
+#include <numeric>
 #include <random>
 
 using namespace Mangofall;
@@ -277,6 +279,75 @@
     LONGS_EQUAL(harmful, states.front().suspect);
 }
 
+// Guards against a new owner that grants requests with a held part because more than a limit of others are held.
+TEST(CrashRecordTest, AllHeldStatesAreSent)
+{
+    Crashes crashes;
+    CrashRecord::Suspects parts(3'000);
+    std::iota(parts.begin(), parts.end(), 1'000);
+    for (int breaks = 0; breaks < 3; ++breaks) {
+        crashes.crashOfParts(parts, milliseconds(200));
+    }
+    LONGS_EQUAL(parts.size(), crashes.record.states(crashes.now).size());
+}
+
+// Guards against a host that stands still, and so against requests that it answers too late, while thousands of parts of one prompt are held. The loops over
+// held parts took time with the square of their number.
+TEST(CrashRecordTest, ThousandsOfPartsAreCheckedInAShortTime)
+{
+    Crashes crashes;
+    CrashRecord::Suspects sound(2'500);
+    std::iota(sound.begin(), sound.end(), 1'000);
+    CrashRecord::Suspects broken = sound;
+    broken.push_back(1'000'000);
+    const std::clock_t begin = std::clock();
+    for (int breaks = 0; breaks < 3; ++breaks) {
+        crashes.crashOfParts(broken, milliseconds(200));
+    }
+    CHECK_FALSE(crashes.admit(broken));
+    CHECK(crashes.admit(sound));
+    crashes.record.recordBegin(sound, crashes.now);
+    crashes.record.recordSuccess(sound, crashes.now);
+    CHECK(crashes.record.check(sound, crashes.now).standing == CrashStanding::Free);
+    CHECK_FALSE(crashes.admit(broken));
+    CHECK((std::clock() - begin) / CLOCKS_PER_SEC < 2);
+}
+
+// Guards against a harmful part that is never held, because the parts of the other requests that each crash breaks off push its earlier crash out.
+TEST(CrashRecordTest, FloodsOfPartsOfBrokenRequestsDoNotHideAHarmfulOne)
+{
+    Crashes crashes;
+    SuspectId own = 1'000'000;
+    for (int breaks = 0; breaks < 3; ++breaks) {
+        crashes.crashOfParts({harmful}, milliseconds(200));
+        const TimePoint sentAt = crashes.now;
+        for (int request = 0; request < 16; ++request) {
+            crashes.now += milliseconds(1);
+            CrashRecord::Suspects parts(2'500);
+            std::iota(parts.begin(), parts.end(), own);
+            own += parts.size();
+            crashes.record.recordCrashOfParts(parts, UpstreamId("u"), crashes.start, sentAt, crashes.now);
+        }
+    }
+    CHECK_FALSE(crashes.admit({harmful}));
+}
+
+// Guards against a part whose earlier crash counts again after a request with it has ended well.
+TEST(CrashRecordTest, ASuccessClearsACrashThatWasPushedOut)
+{
+    Crashes crashes;
+    crashes.crashOfParts({harmful}, milliseconds(200));
+    CrashRecord::Suspects parts(20'000);
+    std::iota(parts.begin(), parts.end(), 1'000'000);
+    crashes.crashOfParts(parts, milliseconds(200));
+    crashes.record.recordSuccess({harmful}, crashes.now);
+    crashes.crashOfParts({harmful}, milliseconds(1000));
+    crashes.crashOfParts({harmful}, milliseconds(1000));
+    CHECK(crashes.admit({harmful}));
+    crashes.crashOfParts({harmful}, milliseconds(1000));
+    CHECK_FALSE(crashes.admit({harmful}));
+}
+
 // Guards against a part of sound prompts that waits for a test of the harmful part beside it, and against a harmful part that is tested as if it were sound.
 TEST(CrashRecordTest, ARequestWhoseCrashesOthersExplainIsTestedAtOnce)
 {
--- a/Tests/PlatformAdapter/PlatformTranslatorTest.cpp
+++ b/Tests/PlatformAdapter/PlatformTranslatorTest.cpp
@@ -80,6 +80,22 @@
     CHECK(std::get<CallerRequest>(PlatformTranslator().decodeRequest(single.exchange)).sharedPromptParts.empty());
 }
 
+// Guards against a harmful part of a long prompt that is never held back, because parts beyond a number were not read.
+TEST(PlatformTranslatorTest, NoSharedPartOfALongPromptIsLeftOut)
+{
+    std::string parts;
+    for (int part = 0; part < 2000; ++part) {
+        parts += "p" + std::to_string(part) + ":1,";
+    }
+    HttpExchange::Request text = callerMessage();
+    text.set("Prompt-Prefix", parts + "dead:1,own:1");
+    const Message message(text);
+    const auto decoded = PlatformTranslator().decodeRequest(message.exchange);
+    const std::vector<std::string> &shared = std::get<CallerRequest>(decoded).sharedPromptParts;
+    LONGS_EQUAL(2001, shared.size());
+    STRCMP_EQUAL("dead", shared.back().c_str());
+}
+
 // Guards against requests without an attempt id, or with two of them, reaching an upstream.
 TEST(PlatformTranslatorTest, RequestsWithoutOneAttemptIdAreRefused)
 {
--- a/Tests/PlatformAdapter/SuspectQueueTest.cpp
+++ b/Tests/PlatformAdapter/SuspectQueueTest.cpp
@@ -95,3 +95,37 @@
     queue.written(threeCrashes);
     CHECK_FALSE(queue.next().has_value());
 }
+
+// Guards against a held part that is not stored for long, because the other parts of long prompts are written first.
+TEST(SuspectQueueTest, TheSuspectWithTheMostCrashesIsWrittenFirst)
+{
+    SuspectQueue queue;
+    for (Placement::SuspectId suspect = 1; suspect < 1'000; ++suspect) {
+        queue.changed({suspect, {11, 12}, {}, 0, 0});
+    }
+    const SuspectState held{2'000, {11, 12, 13}, {}, 0, 0};
+    queue.changed(held);
+    CHECK(queue.next() == held);
+}
+
+// Guards against two writes for each part of a long prompt that a crash broke off and the next request has cleared.
+TEST(SuspectQueueTest, ASuspectThatIsClearedBeforeItsTurnIsNotWritten)
+{
+    SuspectQueue queue;
+    queue.changed(twoCrashes);
+    queue.changed({7, {}, {11, 12}, 0, 0});
+    CHECK_FALSE(queue.next().has_value());
+    CHECK(queue.empty());
+}
+
+// Guards against a sound part that is held back after a restart of all hosts, because it was cleared while its crashes were being written.
+TEST(SuspectQueueTest, AClearanceDuringAWriteIsWrittenNext)
+{
+    SuspectQueue queue;
+    queue.changed(twoCrashes);
+    CHECK(queue.next() == twoCrashes);
+    const SuspectState cleared{7, {}, {11, 12}, 0, 0};
+    queue.changed(cleared);
+    queue.written(twoCrashes);
+    CHECK(queue.next() == cleared);
+}
--- a/Tests/Soak/SoakCaller.cpp
+++ b/Tests/Soak/SoakCaller.cpp
@@ -42,6 +42,8 @@
 constexpr std::uint64_t harmfulInterval = 12;
 // Prompts share their first part with those of other callers.
 constexpr std::size_t sharedParts = 4;
+// Every second caller has as many parts before the others, as in prompts of long conversations.
+constexpr std::size_t longPromptParts = 300;
 
 bool statesNotRun(unsigned status)
 {
@@ -149,7 +151,11 @@
     if (plan.kind == SoakRequestKind::Stream) {
         request.set(toBeast(Header::tokenCounts), "2000," + std::to_string(plan.events));
         const std::string harmful = plan.harmful ? std::string(Names::harmfulPart) + ":100," : std::string();
-        request.set(toBeast(Header::promptPrefix), "a" + std::to_string(m_index % sharedParts) + ":900," + harmful + plan.attempt + ":1000");
+        std::string earlier;
+        for (std::size_t part = 0; part < longPromptParts && m_index % 2 == 1; ++part) {
+            earlier += "c" + std::to_string(part) + ":1,";
+        }
+        request.set(toBeast(Header::promptPrefix), earlier + "a" + std::to_string(m_index % sharedParts) + ":900," + harmful + plan.attempt + ":1000");
     }
     if (request.method() == Http::verb::post) {
         request.body() = "prompt of " + plan.attempt;
