Members lend their shares of the rates of cold upstreams to the owner

Cause: the owner of a service keeps the rate for all hosts, but who owns it is what each host believes. The line cold_share shows the part of the rate that a host uses now.

Change: each member has an equal share of the rate and lends it to the host that it takes for the owner. The owner uses a loan for 0.6 s from its call; the member keeps the share from others, itself included, for 1.6 s from its answer, so that the last use has left the rate's window of a second. This needs no common clock, and holds whatever the hosts believe: owner or not, one or several cut off, just cut or just back. Calls are made only while a service has cold upstreams, to an eighth of the members at first and to more while that is not enough.

--- a/Source/Forwarding/FleetPeers.cpp
+++ b/Source/Forwarding/FleetPeers.cpp
@@ -116,17 +116,27 @@
 }
 
 void FleetPeers::connectRelays()
+{
+    for (const HostId &target : relayTargets(memberIds(), m_self)) {
+        if (!m_owners.isSkipped(target) && !m_connections.answerConnection(target)) {
+            link(target);
+        }
+    }
+}
+
+std::vector<HostId> FleetPeers::memberIds() const
 {
     std::vector<HostId> hosts;
     hosts.reserve(m_members.size());
     for (const auto &[id, host] : m_members) {
         hosts.push_back(id);
     }
-    for (const HostId &target : relayTargets(hosts, m_self)) {
-        if (!m_owners.isSkipped(target) && !m_connections.answerConnection(target)) {
-            link(target);
-        }
-    }
+    return hosts;
+}
+
+bool FleetPeers::isMember(const HostId &host) const
+{
+    return m_members.contains(host);
 }
 
 bool FleetPeers::alone() const
--- a/Source/Forwarding/FleetPeers.h
+++ b/Source/Forwarding/FleetPeers.h
@@ -53,6 +53,8 @@
     /// Makes links to the hosts that pass on what all hosts must learn.
     void connectRelays();
 
+    std::vector<HostId> memberIds() const;
+    bool isMember(const HostId &host) const;
     /// Whether this host knows no other one.
     bool alone() const;
     /// The number of hosts that have an entry and do not leave, this one included.
--- a/Source/Forwarding/FleetPlacement.cpp
+++ b/Source/Forwarding/FleetPlacement.cpp
@@ -44,6 +44,7 @@
     , m_crashes(log)
     , m_table(Placement::PlacementLimits(), m_crashes.record())
     , m_owned(m_table, log, options)
+    , m_shares(m_self)
     , m_connections(io, m_self, m_dataCentre, *this)
     , m_peers(std::move(self),
               options.keepUnlisted,
@@ -71,6 +72,7 @@
     const TimePoint now = Clock::now();
     hostsLost(m_peers.setListed(hosts, now), now);
     expireOwnerships(now);
+    updateColdShares(now);
     checkOwners(now);
 }
 
@@ -114,6 +116,7 @@
     checkForPause(now);
     m_crashes.record().expire(now);
     applyActions(m_table.setUpstreams(upstreams, now));
+    updateColdShares(now);
     scheduleTick();
 }
 
@@ -288,6 +291,8 @@
         onUpstreamNotice(from, *notice);
     } else if (const Wire::MembershipProbeT *probe = message.body.AsMembershipProbe()) {
         onProbe(connection, *probe);
+    } else if (const Wire::ColdShareCallT *shareCall = message.body.AsColdShareCall()) {
+        onColdShareCall(connection, from, *shareCall);
     }
 }
 
@@ -306,6 +311,8 @@
         onAnswer(from, *answer);
     } else if (message.body.AsMembershipProbeAnswer() != nullptr) {
         m_peers.probeAnswered(from, Clock::now());
+    } else if (const Wire::ColdShareAnswerT *shares = message.body.AsColdShareAnswer()) {
+        onColdShareAnswer(from, *shares);
     }
 }
 
@@ -396,10 +403,19 @@
 
 void FleetPlacement::place(const Placement::PlacementRequest &request, TimePoint now)
 {
-    m_owned.record(request.service, m_peers.alone(), now);
+    recordOwnership(request.service, now);
     applyActions(m_owned.place(request, now));
 }
 
+void FleetPlacement::recordOwnership(const ServiceId &service, TimePoint now)
+{
+    const bool isNew = !m_owned.owns(service);
+    m_owned.record(service, m_peers.alone(), now);
+    if (isNew) {
+        updateColdShares(now);
+    }
+}
+
 void FleetPlacement::applyActions(const Placement::PlacementActions &actions)
 {
     publishCrashes();
@@ -498,7 +514,7 @@
         return;
     }
     if (decision == OwnershipDecision::Place) {
-        m_owned.record(placementRequest.service, m_peers.alone(), now);
+        recordOwnership(placementRequest.service, now);
     }
     if (m_waitingPeerRequests.insert(placementRequest.id).second && decision == OwnershipDecision::Place) {
         place(placementRequest, now);
@@ -577,6 +593,8 @@
     }
     m_log.write("placement_paused", {{"ms", std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(pause).count())}});
     m_table.assumeAllColdRatesUsed(now);
+    m_shares.forgetLoans();
+    updateColdShares(now);
     if (pause >= longPause) {
         m_table.pauseAllGrantsUntil(now + renewalTime);
         if (m_pauseHandler) {
@@ -618,12 +636,14 @@
 {
     const TimePoint now = Clock::now();
     checkForPause(now);
+    updateColdShares(now);
     applyActions(m_table.tick(now));
     hostsLost(m_peers.expire(now), now);
     serveDeferred(now);
     m_loadFindingsLog.update(m_table.findings(now), m_log);
     m_leavingLog.update(m_table.leavingReports(now), m_log);
     expireOwnerships(now);
+    passOverSilentMembers(now);
     checkOwners(now);
     m_peers.sendProbes(now);
 }
--- a/Source/Forwarding/FleetPlacement.h
+++ b/Source/Forwarding/FleetPlacement.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "Forwarding/ColdRateShares.h"
+#include "Forwarding/ColdShareLog.h"
 #include "Forwarding/CrashReplica.h"
 #include "Forwarding/FleetHost.h"
 #include "Forwarding/FleetPeers.h"
@@ -29,6 +31,8 @@
 
 namespace Mangofall::Wire {
 struct PlacementAnswerT;
+struct ColdShareAnswerT;
+struct ColdShareCallT;
 struct PlacementCallT;
 struct PlacementReportT;
 struct PlacementAdoptionT;
@@ -129,6 +133,8 @@
     void forgetOwner(const HostId &host);
     /// Places a request of any host as the owner of its service.
     void place(const Placement::PlacementRequest &request, TimePoint now);
+    /// Notes that this host places requests of the service.
+    void recordOwnership(const ServiceId &service, TimePoint now);
     void applyActions(const Placement::PlacementActions &actions);
     /// Delivers the answer to the handler of the placement request with this number.
     void deliver(std::uint64_t number, Answer answer);
@@ -148,6 +154,13 @@
     void checkForPause(TimePoint now);
     /// Another host probes this one because it has found it silent: it gets its grants from another owner, at least until it has the answer.
     void onProbe(const std::shared_ptr<PeerConnection> &connection, const Wire::MembershipProbeT &probe);
+    /// Tells the table which parts of the rates of cold upstreams it may use, and asks the members for their shares if that is due.
+    void updateColdShares(TimePoint now);
+    void callForShares(const HostId &member, const std::vector<ServiceId> &services, TimePoint now);
+    void onColdShareCall(const std::shared_ptr<PeerConnection> &connection, const HostId &from, const Wire::ColdShareCallT &call);
+    void onColdShareAnswer(const HostId &from, const Wire::ColdShareAnswerT &answer);
+    /// Treats members that do not answer calls for their shares as those that do not answer placement requests.
+    void passOverSilentMembers(TimePoint now);
     /// Moves a request of this host that waits in its own table to the present owner.
     void handOver(LocalPlacement &placement, TimePoint now);
     void scheduleTick();
@@ -165,6 +178,8 @@
     CrashReplica m_crashes;
     Placement::PlacementTable m_table;
     OwnedServices m_owned;
+    ColdRateShares m_shares;
+    ColdShareLog m_coldShareLog;
     std::map<std::uint64_t, LocalPlacement> m_localPlacements;
     std::set<Placement::PlacementRequestId> m_waitingPeerRequests; ///< Placement requests of other hosts that wait in the table.
     PeerConnections m_connections;
--- a/Source/Forwarding/OwnedServices.cpp
+++ b/Source/Forwarding/OwnedServices.cpp
@@ -112,6 +112,11 @@
     m_ownerships[service] = Ownership{now, false};
 }
 
+bool OwnedServices::owns(const ServiceId &service) const
+{
+    return m_ownerships.contains(service);
+}
+
 Placement::PlacementActions OwnedServices::place(const Placement::PlacementRequest &request, TimePoint now)
 {
     if (request.firstAttempt) {
--- a/Source/Forwarding/OwnedServices.h
+++ b/Source/Forwarding/OwnedServices.h
@@ -59,6 +59,8 @@
     Placement::PlacementActions place(const Placement::PlacementRequest &request, TimePoint now);
     /// Notes the services that another host owns, and removes those that it has owned for some time.
     void expire(TimePoint now, const std::function<bool(const ServiceId &)> &isOwner);
+    /// Whether this host has placed requests of the service lately.
+    bool owns(const ServiceId &service) const;
 
 private:
     Placement::PlacementTable &m_table;
--- a/Source/Forwarding/OwnerSelector.cpp
+++ b/Source/Forwarding/OwnerSelector.cpp
@@ -80,6 +80,12 @@
     return m_skipped.contains(host);
 }
 
+bool OwnerSelector::isUnresponsive(const HostId &host) const
+{
+    const auto skipped = m_skipped.find(host);
+    return skipped != m_skipped.end() && !skipped->second.declinedUntil;
+}
+
 bool OwnerSelector::skipsAny() const
 {
     return !m_skipped.empty();
--- a/Source/Forwarding/OwnerSelector.h
+++ b/Source/Forwarding/OwnerSelector.h
@@ -35,6 +35,8 @@
     /// Stops skipping the hosts whose time after a decline has passed.
     void expireDeclines(TimePoint now);
     bool isSkipped(const HostId &host) const;
+    /// Whether the host is skipped because it did not answer.
+    bool isUnresponsive(const HostId &host) const;
     bool skipsAny() const;
 
     /// The skipped hosts that are to be probed at \p now. Each is returned again after an interval.
--- a/Source/Peer/PeerMessages_generated.h
+++ b/Source/Peer/PeerMessages_generated.h
@@ -174,6 +174,14 @@
 struct CrashUpdateBuilder;
 struct CrashUpdateT;
 
+struct ColdShareCall;
+struct ColdShareCallBuilder;
+struct ColdShareCallT;
+
+struct ColdShareAnswer;
+struct ColdShareAnswerBuilder;
+struct ColdShareAnswerT;
+
 struct FeedCall;
 struct FeedCallBuilder;
 struct FeedCallT;
@@ -427,11 +435,13 @@
   FeedAnswer = 31,
   CrashUpdate = 32,
   UpstreamNotice = 33,
+  ColdShareCall = 34,
+  ColdShareAnswer = 35,
   MIN = NONE,
-  MAX = UpstreamNotice
+  MAX = ColdShareAnswer
 };
 
-inline const Body (&EnumValuesBody())[34] {
+inline const Body (&EnumValuesBody())[36] {
   static const Body values[] = {
     Body::NONE,
     Body::Hello,
@@ -466,13 +476,15 @@
     Body::FeedCall,
     Body::FeedAnswer,
     Body::CrashUpdate,
-    Body::UpstreamNotice
+    Body::UpstreamNotice,
+    Body::ColdShareCall,
+    Body::ColdShareAnswer
   };
   return values;
 }
 
 inline const char * const *EnumNamesBody() {
-  static const char * const names[35] = {
+  static const char * const names[37] = {
     "NONE",
     "Hello",
     "Heartbeat",
@@ -507,13 +519,15 @@
     "FeedAnswer",
     "CrashUpdate",
     "UpstreamNotice",
+    "ColdShareCall",
+    "ColdShareAnswer",
     nullptr
   };
   return names;
 }
 
 inline const char *EnumNameBody(Body e) {
-  if (flatbuffers::IsOutRange(e, Body::NONE, Body::UpstreamNotice)) return "";
+  if (flatbuffers::IsOutRange(e, Body::NONE, Body::ColdShareAnswer)) return "";
   const size_t index = static_cast<size_t>(e);
   return EnumNamesBody()[index];
 }
@@ -654,6 +668,14 @@
   static const Body enum_value = Body::UpstreamNotice;
 };
 
+template<> struct BodyTraits<Mangofall::Wire::ColdShareCall> {
+  static const Body enum_value = Body::ColdShareCall;
+};
+
+template<> struct BodyTraits<Mangofall::Wire::ColdShareAnswer> {
+  static const Body enum_value = Body::ColdShareAnswer;
+};
+
 template<typename T> struct BodyUnionTraits {
   static const Body enum_value = Body::NONE;
 };
@@ -790,6 +812,14 @@
   static const Body enum_value = Body::UpstreamNotice;
 };
 
+template<> struct BodyUnionTraits<Mangofall::Wire::ColdShareCallT> {
+  static const Body enum_value = Body::ColdShareCall;
+};
+
+template<> struct BodyUnionTraits<Mangofall::Wire::ColdShareAnswerT> {
+  static const Body enum_value = Body::ColdShareAnswer;
+};
+
 struct BodyUnion {
   Body type;
   void *value;
@@ -1084,6 +1114,22 @@
     return type == Body::UpstreamNotice ?
       reinterpret_cast<const Mangofall::Wire::UpstreamNoticeT *>(value) : nullptr;
   }
+  Mangofall::Wire::ColdShareCallT *AsColdShareCall() {
+    return type == Body::ColdShareCall ?
+      reinterpret_cast<Mangofall::Wire::ColdShareCallT *>(value) : nullptr;
+  }
+  const Mangofall::Wire::ColdShareCallT *AsColdShareCall() const {
+    return type == Body::ColdShareCall ?
+      reinterpret_cast<const Mangofall::Wire::ColdShareCallT *>(value) : nullptr;
+  }
+  Mangofall::Wire::ColdShareAnswerT *AsColdShareAnswer() {
+    return type == Body::ColdShareAnswer ?
+      reinterpret_cast<Mangofall::Wire::ColdShareAnswerT *>(value) : nullptr;
+  }
+  const Mangofall::Wire::ColdShareAnswerT *AsColdShareAnswer() const {
+    return type == Body::ColdShareAnswer ?
+      reinterpret_cast<const Mangofall::Wire::ColdShareAnswerT *>(value) : nullptr;
+  }
 };
 
 bool VerifyBody(flatbuffers::Verifier &verifier, const void *obj, Body type);
@@ -5966,6 +6012,162 @@
 
 flatbuffers::Offset<CrashUpdate> CreateCrashUpdate(flatbuffers::FlatBufferBuilder &_fbb, const CrashUpdateT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
 
+struct ColdShareCallT : public flatbuffers::NativeTable {
+  typedef ColdShareCall TableType;
+  uint64_t sent_us = 0;
+  std::vector<std::string> services{};
+};
+
+/// Asks a member of the fleet for its shares of the rates of the cold upstreams of these services; see ColdRateShares.
+struct ColdShareCall FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef ColdShareCallT NativeTableType;
+  typedef ColdShareCallBuilder Builder;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_SENT_US = 4,
+    VT_SERVICES = 6
+  };
+  /// When the call was sent, by the steady clock of its sender.
+  uint64_t sent_us() const {
+    return GetField<uint64_t>(VT_SENT_US, 0);
+  }
+  const flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>> *services() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>> *>(VT_SERVICES);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyField<uint64_t>(verifier, VT_SENT_US, 8) &&
+           VerifyOffset(verifier, VT_SERVICES) &&
+           verifier.VerifyVector(services()) &&
+           verifier.VerifyVectorOfStrings(services()) &&
+           verifier.EndTable();
+  }
+  ColdShareCallT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(ColdShareCallT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<ColdShareCall> Pack(flatbuffers::FlatBufferBuilder &_fbb, const ColdShareCallT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct ColdShareCallBuilder {
+  typedef ColdShareCall Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_sent_us(uint64_t sent_us) {
+    fbb_.AddElement<uint64_t>(ColdShareCall::VT_SENT_US, sent_us, 0);
+  }
+  void add_services(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> services) {
+    fbb_.AddOffset(ColdShareCall::VT_SERVICES, services);
+  }
+  explicit ColdShareCallBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<ColdShareCall> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<ColdShareCall>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<ColdShareCall> CreateColdShareCall(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t sent_us = 0,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> services = 0) {
+  ColdShareCallBuilder builder_(_fbb);
+  builder_.add_sent_us(sent_us);
+  builder_.add_services(services);
+  return builder_.Finish();
+}
+
+inline flatbuffers::Offset<ColdShareCall> CreateColdShareCallDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t sent_us = 0,
+    const std::vector<flatbuffers::Offset<flatbuffers::String>> *services = nullptr) {
+  auto services__ = services ? _fbb.CreateVector<flatbuffers::Offset<flatbuffers::String>>(*services) : 0;
+  return Mangofall::Wire::CreateColdShareCall(
+      _fbb,
+      sent_us,
+      services__);
+}
+
+flatbuffers::Offset<ColdShareCall> CreateColdShareCall(flatbuffers::FlatBufferBuilder &_fbb, const ColdShareCallT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
+struct ColdShareAnswerT : public flatbuffers::NativeTable {
+  typedef ColdShareAnswer TableType;
+  uint64_t sent_us = 0;
+  std::vector<std::string> services{};
+};
+
+/// The services whose shares are lent to the caller.
+struct ColdShareAnswer FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef ColdShareAnswerT NativeTableType;
+  typedef ColdShareAnswerBuilder Builder;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_SENT_US = 4,
+    VT_SERVICES = 6
+  };
+  /// Copied from the call.
+  uint64_t sent_us() const {
+    return GetField<uint64_t>(VT_SENT_US, 0);
+  }
+  const flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>> *services() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>> *>(VT_SERVICES);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyField<uint64_t>(verifier, VT_SENT_US, 8) &&
+           VerifyOffset(verifier, VT_SERVICES) &&
+           verifier.VerifyVector(services()) &&
+           verifier.VerifyVectorOfStrings(services()) &&
+           verifier.EndTable();
+  }
+  ColdShareAnswerT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(ColdShareAnswerT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<ColdShareAnswer> Pack(flatbuffers::FlatBufferBuilder &_fbb, const ColdShareAnswerT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct ColdShareAnswerBuilder {
+  typedef ColdShareAnswer Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_sent_us(uint64_t sent_us) {
+    fbb_.AddElement<uint64_t>(ColdShareAnswer::VT_SENT_US, sent_us, 0);
+  }
+  void add_services(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> services) {
+    fbb_.AddOffset(ColdShareAnswer::VT_SERVICES, services);
+  }
+  explicit ColdShareAnswerBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<ColdShareAnswer> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<ColdShareAnswer>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<ColdShareAnswer> CreateColdShareAnswer(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t sent_us = 0,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> services = 0) {
+  ColdShareAnswerBuilder builder_(_fbb);
+  builder_.add_sent_us(sent_us);
+  builder_.add_services(services);
+  return builder_.Finish();
+}
+
+inline flatbuffers::Offset<ColdShareAnswer> CreateColdShareAnswerDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t sent_us = 0,
+    const std::vector<flatbuffers::Offset<flatbuffers::String>> *services = nullptr) {
+  auto services__ = services ? _fbb.CreateVector<flatbuffers::Offset<flatbuffers::String>>(*services) : 0;
+  return Mangofall::Wire::CreateColdShareAnswer(
+      _fbb,
+      sent_us,
+      services__);
+}
+
+flatbuffers::Offset<ColdShareAnswer> CreateColdShareAnswer(flatbuffers::FlatBufferBuilder &_fbb, const ColdShareAnswerT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
 struct FeedCallT : public flatbuffers::NativeTable {
   typedef FeedCall TableType;
   uint64_t call = 0;
@@ -6509,6 +6711,12 @@
   const Mangofall::Wire::UpstreamNotice *body_as_UpstreamNotice() const {
     return body_type() == Mangofall::Wire::Body::UpstreamNotice ? static_cast<const Mangofall::Wire::UpstreamNotice *>(body()) : nullptr;
   }
+  const Mangofall::Wire::ColdShareCall *body_as_ColdShareCall() const {
+    return body_type() == Mangofall::Wire::Body::ColdShareCall ? static_cast<const Mangofall::Wire::ColdShareCall *>(body()) : nullptr;
+  }
+  const Mangofall::Wire::ColdShareAnswer *body_as_ColdShareAnswer() const {
+    return body_type() == Mangofall::Wire::Body::ColdShareAnswer ? static_cast<const Mangofall::Wire::ColdShareAnswer *>(body()) : nullptr;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint8_t>(verifier, VT_BODY_TYPE, 1) &&
@@ -6653,6 +6861,14 @@
   return body_as_UpstreamNotice();
 }
 
+template<> inline const Mangofall::Wire::ColdShareCall *PeerMessage::body_as<Mangofall::Wire::ColdShareCall>() const {
+  return body_as_ColdShareCall();
+}
+
+template<> inline const Mangofall::Wire::ColdShareAnswer *PeerMessage::body_as<Mangofall::Wire::ColdShareAnswer>() const {
+  return body_as_ColdShareAnswer();
+}
+
 struct PeerMessageBuilder {
   typedef PeerMessage Table;
   flatbuffers::FlatBufferBuilder &fbb_;
@@ -8587,6 +8803,64 @@
       _suspects);
 }
 
+inline ColdShareCallT *ColdShareCall::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::unique_ptr<ColdShareCallT>(new ColdShareCallT());
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void ColdShareCall::UnPackTo(ColdShareCallT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = sent_us(); _o->sent_us = _e; }
+  { auto _e = services(); if (_e) { _o->services.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->services[_i] = _e->Get(_i)->str(); } } }
+}
+
+inline flatbuffers::Offset<ColdShareCall> ColdShareCall::Pack(flatbuffers::FlatBufferBuilder &_fbb, const ColdShareCallT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateColdShareCall(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<ColdShareCall> CreateColdShareCall(flatbuffers::FlatBufferBuilder &_fbb, const ColdShareCallT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const ColdShareCallT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _sent_us = _o->sent_us;
+  auto _services = _o->services.size() ? _fbb.CreateVectorOfStrings(_o->services) : 0;
+  return Mangofall::Wire::CreateColdShareCall(
+      _fbb,
+      _sent_us,
+      _services);
+}
+
+inline ColdShareAnswerT *ColdShareAnswer::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::unique_ptr<ColdShareAnswerT>(new ColdShareAnswerT());
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void ColdShareAnswer::UnPackTo(ColdShareAnswerT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = sent_us(); _o->sent_us = _e; }
+  { auto _e = services(); if (_e) { _o->services.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->services[_i] = _e->Get(_i)->str(); } } }
+}
+
+inline flatbuffers::Offset<ColdShareAnswer> ColdShareAnswer::Pack(flatbuffers::FlatBufferBuilder &_fbb, const ColdShareAnswerT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateColdShareAnswer(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<ColdShareAnswer> CreateColdShareAnswer(flatbuffers::FlatBufferBuilder &_fbb, const ColdShareAnswerT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const ColdShareAnswerT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _sent_us = _o->sent_us;
+  auto _services = _o->services.size() ? _fbb.CreateVectorOfStrings(_o->services) : 0;
+  return Mangofall::Wire::CreateColdShareAnswer(
+      _fbb,
+      _sent_us,
+      _services);
+}
+
 inline FeedCallT *FeedCall::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
   auto _o = std::unique_ptr<FeedCallT>(new FeedCallT());
   UnPackTo(_o.get(), _resolver);
@@ -8910,6 +9184,14 @@
       auto ptr = reinterpret_cast<const Mangofall::Wire::UpstreamNotice *>(obj);
       return verifier.VerifyTable(ptr);
     }
+    case Body::ColdShareCall: {
+      auto ptr = reinterpret_cast<const Mangofall::Wire::ColdShareCall *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
+    case Body::ColdShareAnswer: {
+      auto ptr = reinterpret_cast<const Mangofall::Wire::ColdShareAnswer *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
     default: return true;
   }
 }
@@ -9061,6 +9343,14 @@
       auto ptr = reinterpret_cast<const Mangofall::Wire::UpstreamNotice *>(obj);
       return ptr->UnPack(resolver);
     }
+    case Body::ColdShareCall: {
+      auto ptr = reinterpret_cast<const Mangofall::Wire::ColdShareCall *>(obj);
+      return ptr->UnPack(resolver);
+    }
+    case Body::ColdShareAnswer: {
+      auto ptr = reinterpret_cast<const Mangofall::Wire::ColdShareAnswer *>(obj);
+      return ptr->UnPack(resolver);
+    }
     default: return nullptr;
   }
 }
@@ -9200,6 +9490,14 @@
       auto ptr = reinterpret_cast<const Mangofall::Wire::UpstreamNoticeT *>(value);
       return CreateUpstreamNotice(_fbb, ptr, _rehasher).Union();
     }
+    case Body::ColdShareCall: {
+      auto ptr = reinterpret_cast<const Mangofall::Wire::ColdShareCallT *>(value);
+      return CreateColdShareCall(_fbb, ptr, _rehasher).Union();
+    }
+    case Body::ColdShareAnswer: {
+      auto ptr = reinterpret_cast<const Mangofall::Wire::ColdShareAnswerT *>(value);
+      return CreateColdShareAnswer(_fbb, ptr, _rehasher).Union();
+    }
     default: return 0;
   }
 }
@@ -9338,6 +9636,14 @@
       value = new Mangofall::Wire::UpstreamNoticeT(*reinterpret_cast<Mangofall::Wire::UpstreamNoticeT *>(u.value));
       break;
     }
+    case Body::ColdShareCall: {
+      value = new Mangofall::Wire::ColdShareCallT(*reinterpret_cast<Mangofall::Wire::ColdShareCallT *>(u.value));
+      break;
+    }
+    case Body::ColdShareAnswer: {
+      value = new Mangofall::Wire::ColdShareAnswerT(*reinterpret_cast<Mangofall::Wire::ColdShareAnswerT *>(u.value));
+      break;
+    }
     default:
       break;
   }
@@ -9510,6 +9816,16 @@
       delete ptr;
       break;
     }
+    case Body::ColdShareCall: {
+      auto ptr = reinterpret_cast<Mangofall::Wire::ColdShareCallT *>(value);
+      delete ptr;
+      break;
+    }
+    case Body::ColdShareAnswer: {
+      auto ptr = reinterpret_cast<Mangofall::Wire::ColdShareAnswerT *>(value);
+      delete ptr;
+      break;
+    }
     default: break;
   }
   value = nullptr;
--- a/Source/Placement/PlacementTable.cpp
+++ b/Source/Placement/PlacementTable.cpp
@@ -76,7 +76,7 @@
         if (known != m_upstreams.end()) {
             m_upstreams.erase(known);
         }
-        UpstreamLoad &added = m_upstreams.emplace(entry.id, UpstreamLoad(entry, coldRateOf(entry.service))).first->second;
+        UpstreamLoad &added = m_upstreams.emplace(entry.id, UpstreamLoad(entry, coldRateOf(entry.service), coldShareOf(entry.service))).first->second;
         if (m_allColdRatesUsedAt) {
             added.assumeColdRateUsed(*m_allColdRatesUsedAt);
         }
@@ -228,29 +228,6 @@
     }
 }
 
-double PlacementTable::coldRateOf(const ServiceId &service) const
-{
-    const auto known = m_services.find(service);
-    return known == m_services.end() ? 0 : known->second.spec.coldRequestsPerSecond;
-}
-
-void PlacementTable::assumeColdRatesUsed(const ServiceId &service, TimePoint now)
-{
-    for (auto &[id, load] : m_upstreams) {
-        if (load.entry().service == service) {
-            load.assumeColdRateUsed(now);
-        }
-    }
-}
-
-void PlacementTable::assumeAllColdRatesUsed(TimePoint now)
-{
-    m_allColdRatesUsedAt = std::max(m_allColdRatesUsedAt.value_or(now), now);
-    for (auto &[id, load] : m_upstreams) {
-        load.assumeColdRateUsed(now);
-    }
-}
-
 void PlacementTable::adopt(const ReportedGrant &grant, TimePoint now)
 {
     const PlacementRequestId &id = grant.placementRequest.id;
@@ -325,11 +302,6 @@
     return grant == m_grants.end() ? std::nullopt : std::optional(grant->second.grantedAt);
 }
 
-TimePoint PlacementTable::coldUntil() const
-{
-    return m_coldUntil;
-}
-
 std::size_t PlacementTable::granted() const
 {
     return m_grants.size();
--- a/Source/Placement/PlacementTable.h
+++ b/Source/Placement/PlacementTable.h
@@ -18,6 +18,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <vector>
 
 namespace Mangofall::Placement {
@@ -82,6 +83,9 @@
     void assumeColdRatesUsed(const ServiceId &service, TimePoint now);
     /// The same for all services, also for upstreams that this table does not know yet.
     void assumeAllColdRatesUsed(TimePoint now);
+    /// Sets the parts of the rates of cold upstreams that this host may use. Before the first call it may use all of them; from then on nothing of those that
+    /// are not named.
+    void setColdShares(const std::map<ServiceId, ColdShare> &shares);
     /// Adds a grant in use that this table did not give or no longer has.
     void adopt(const ReportedGrant &grant, TimePoint now);
     /// Removes the waiting requests of a lost host and ends its grants soon unless the host reports them again.
@@ -98,6 +102,8 @@
     std::optional<TimePoint> grantedAt(const PlacementRequestId &id) const;
     /// The time until which some upstream is cold.
     TimePoint coldUntil() const;
+    /// The services with cold upstreams, and whether the share of the rate that this host may use is used up at one of them, although the whole rate is not.
+    std::map<ServiceId, bool> coldServices(TimePoint now) const;
     /// The load of one upstream; null if the upstream is not known.
     const UpstreamLoad *load(const UpstreamId &id) const;
     LoadFindings findings(TimePoint now) const;
@@ -171,6 +177,7 @@
     PlacementActions serveWaiting(TimePoint now);
     /// The limit for cold upstreams of \p service; 0 if it has none or is not configured yet.
     double coldRateOf(const ServiceId &service) const;
+    std::shared_ptr<const ColdShare> coldShareOf(const ServiceId &service);
     /// Updates what the requests of the last time show about the upstreams of each service.
     void updateFindings(TimePoint now);
     void indexUpstreams();
@@ -184,6 +191,8 @@
     std::map<PlacementRequestId, GrantRecord> m_grants;
     std::vector<Waiting> m_waiting;
     TimePoint m_coldUntil; ///< The latest time until which an upstream is cold.
+    std::map<ServiceId, std::shared_ptr<ColdShare>> m_coldShares; ///< Shared with the loads of the upstreams.
+    ColdShare m_otherColdShare; ///< Of services without an entry.
     std::optional<TimePoint> m_allColdRatesUsedAt; ///< The last time of assumeAllColdRatesUsed(); empty before its first call.
     TimePoint m_servedAt; ///< When the waiting requests were last served.
     TimePoint m_overdueCheckedAt;
--- a/Source/Placement/RateWindow.cpp
+++ b/Source/Placement/RateWindow.cpp
@@ -28,7 +28,7 @@
     m_events.push_back(now);
 }
 
-bool RateWindow::hasRoom(TimePoint now) const
+bool RateWindow::hasRoom(TimePoint now, double share) const
 {
     if (m_perSecond <= 0) {
         return true;
@@ -39,7 +39,7 @@
     const auto inWindow = std::count_if(m_events.begin(), m_events.end(), [&](TimePoint event) {
         return event + m_length > now;
     });
-    return static_cast<double>(inWindow) + 1 <= m_perSecond * Seconds(m_length).count();
+    return static_cast<double>(inWindow) + 1 <= m_perSecond * share * Seconds(m_length).count();
 }
 
 }
--- a/Source/Placement/RateWindow.h
+++ b/Source/Placement/RateWindow.h
@@ -21,7 +21,8 @@
     void add(TimePoint now);
     /// Assumes that the maximum was reached just before \p now, which may be in the future, by events that were not counted here.
     void assumeFull(TimePoint now);
-    bool hasRoom(TimePoint now) const;
+    /// \p share is the part of the maximum that may be used here.
+    bool hasRoom(TimePoint now, double share = 1) const;
 
 private:
     Duration m_length;
--- a/Source/Placement/UpstreamLoad.cpp
+++ b/Source/Placement/UpstreamLoad.cpp
@@ -10,9 +10,10 @@
 
 }
 
-UpstreamLoad::UpstreamLoad(UpstreamEntry entry, double coldRequestsPerSecond)
+UpstreamLoad::UpstreamLoad(UpstreamEntry entry, double coldRequestsPerSecond, std::shared_ptr<const ColdShare> coldShare)
     : m_entry(std::move(entry))
     , m_coldWindow(coldWindowLength, coldRequestsPerSecond)
+    , m_coldShare(std::move(coldShare))
 {
 }
 
@@ -141,7 +142,12 @@
 
 bool UpstreamLoad::keepsColdLimit(TimePoint now) const
 {
-    return now >= m_entry.coldUntil || m_coldWindow.hasRoom(now);
+    return now >= m_entry.coldUntil || m_coldWindow.hasRoom(now, m_coldShare ? m_coldShare->at(now) : 1);
+}
+
+bool UpstreamLoad::usedUpColdShare(TimePoint now) const
+{
+    return !keepsColdLimit(now) && m_coldWindow.hasRoom(now);
 }
 
 void UpstreamLoad::recordNotice(const HostId &host, const UpstreamNotice &notice, TimePoint now)
--- a/Source/Placement/UpstreamLoad.h
+++ b/Source/Placement/UpstreamLoad.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "Placement/ColdShare.h"
 #include "Placement/EngineHold.h"
 #include "Placement/EngineSpec.h"
 #include "Placement/FailureRecord.h"
@@ -12,6 +13,7 @@
 
 #include <cstdint>
 #include <map>
+#include <memory>
 #include <optional>
 #include <vector>
 
@@ -39,7 +41,8 @@
 class UpstreamLoad
 {
 public:
-    UpstreamLoad(UpstreamEntry entry, double coldRequestsPerSecond);
+    /// This host may use \p coldShare of the rate while the upstream is cold; all of it if that is null.
+    UpstreamLoad(UpstreamEntry entry, double coldRequestsPerSecond, std::shared_ptr<const ColdShare> coldShare = nullptr);
 
     const UpstreamEntry &entry() const;
     void setEntry(UpstreamEntry entry);
@@ -71,8 +74,10 @@
     /// The shortest pause limit of the requests that are answered here; Duration::max() if none has one.
     Duration shortestPauseLimit() const;
 
-    /// Returns whether one more request would keep the rate limit of a cold upstream; always true once the upstream is warm.
+    /// Returns whether one more request would keep this host's share of the rate limit of a cold upstream; always true once the upstream is warm.
     bool keepsColdLimit(TimePoint now) const;
+    /// Whether this host has used up its share of the rate limit of the cold upstream, although the limit would allow one more request.
+    bool usedUpColdShare(TimePoint now) const;
     /// Changes the rate limit that applies while the upstream is cold.
     void setColdRate(double requestsPerSecond);
     /// Assumes that another host has used up the rate limit until \p now.
@@ -118,6 +123,7 @@
     std::map<PlacementRequestId, GrantLoad> m_grants;
     Totals m_totals;
     RateWindow m_coldWindow;
+    std::shared_ptr<const ColdShare> m_coldShare;
     FailureRecord m_failures;
     UnknownLoad m_unknownLoad;
     Lateness m_lateness;
--- a/Tests/Placement/PlacementTableTest.cpp
+++ b/Tests/Placement/PlacementTableTest.cpp
@@ -204,6 +204,35 @@
     LONGS_EQUAL(2, granted);
 }
 
+// Guards against the whole rate for an upstream that is listed after the share was set, and after the loans that make the share have ended.
+TEST(PlacementTableTest, AColdUpstreamGetsTheShareOfItsRateWhileItLasts)
+{
+    Table fixture;
+    fixture.table.setUpstreams({}, fixture.now);
+    fixture.table.setServices({{orders, 4, std::nullopt}});
+    fixture.table.setColdShares({{orders, {0.5, fixture.now + milliseconds(600)}}});
+    UpstreamEntry cold = upstream("o1", orders, 100);
+    cold.coldUntil = fixture.now + milliseconds(5000);
+    fixture.table.setUpstreams({cold}, fixture.now);
+    std::uint64_t number = 0;
+    const auto grantsAt = [&](TimePoint now) {
+        int granted = 0;
+        for (int request = 0; request < 10; ++request) {
+            ++number;
+            granted += grantOf(fixture.table.submit(orderRequest(number, now), now), number) != nullptr ? 1 : 0;
+        }
+        return granted;
+    };
+    LONGS_EQUAL(2, grantsAt(fixture.now));
+    CHECK(fixture.table.coldServices(fixture.now).at(orders));
+    LONGS_EQUAL(0, grantsAt(fixture.now + milliseconds(2000)));
+    fixture.table.setColdShares({});
+    LONGS_EQUAL(0, grantsAt(fixture.now + milliseconds(3000)));
+    fixture.table.setColdShares({{orders, {}}});
+    LONGS_EQUAL(4, grantsAt(fixture.now + milliseconds(3000)));
+    CHECK_FALSE(fixture.table.coldServices(fixture.now + milliseconds(3000)).at(orders));
+}
+
 // Guards against an owner that grants a cold upstream its whole rate a second time, because the record of the previous owner ended with it.
 TEST(PlacementTableTest, ANewOwnerAssumesThatColdRatesAreUsed)
 {
--- a/Tests/Soak/SoakFleet.cpp
+++ b/Tests/Soak/SoakFleet.cpp
@@ -255,8 +255,10 @@
     json engines = json::object();
     engines["name"] = Names::engineService;
     engines["engine"] = engineParameters();
+    engines["cold_per_s"] = coldRequestsPerSecond;
     json plain = json::object();
     plain["name"] = Names::plainService;
+    plain["cold_per_s"] = coldRequestsPerSecond;
     document["services"] = json::array();
     document["services"].push_back(engines);
     document["services"].push_back(plain);
--- a/Tests/Soak/SoakNames.h
+++ b/Tests/Soak/SoakNames.h
@@ -23,5 +23,8 @@
 /// The time after a fault from which all guarantees must hold again. Hosts get it in their settings as the time within which they must detect a silent
 /// connection to the store.
 inline constexpr std::chrono::milliseconds stabilisationTime{3000};
+/// An upstream is cold for this time after it came back, and tolerates this number of requests per second until then.
+inline constexpr std::chrono::milliseconds coldTime{2500};
+inline constexpr unsigned coldRequestsPerSecond = 8;
 
 }
--- a/Tests/Soak/SoakUpstream.cpp
+++ b/Tests/Soak/SoakUpstream.cpp
@@ -16,6 +16,7 @@
 #include <boost/beast/http/read.hpp>
 #include <nlohmann/json.hpp>
 
+#include <algorithm>
 #include <array>
 #include <cstdio>
 #include <utility>
@@ -51,6 +52,8 @@
 // No event of a stream.
 constexpr const char *spoiledBytes = "\x01spoiled\n\n";
 constexpr unsigned slots = 16;
+// The rate may be exceeded by half and five requests, because requests arrive at other intervals than they are sent in.
+constexpr unsigned mostColdArrivals = coldRequestsPerSecond * 3 / 2 + 5;
 
 std::string field(const SoakUpstream::Request &request, std::string_view name)
 {
@@ -227,6 +230,7 @@
         co_return keepOpen;
     }
     checkRequest(request);
+    checkColdRate();
     m_ledger.recordRun(attempt);
     ++*m_running;
     // The coroutine may be destroyed after this object.
@@ -316,6 +320,22 @@
     }
 }
 
+void SoakUpstream::checkColdRate()
+{
+    const TimePoint now = Clock::now();
+    if (now >= m_coldUntil) {
+        return;
+    }
+    m_coldArrivals.push_back(now);
+    while (m_coldArrivals.front() + std::chrono::seconds(1) <= now) {
+        m_coldArrivals.pop_front();
+    }
+    if (m_coldArrivals.size() > mostColdArrivals) {
+        m_ledger.reportViolation(m_id + " got " + std::to_string(m_coldArrivals.size()) + " requests in a second while it was cold");
+        m_coldArrivals.clear();
+    }
+}
+
 void SoakUpstream::publish(bool leaving)
 {
     nlohmann::json entry = nlohmann::json::object();
@@ -325,7 +345,8 @@
     entry["version"] = "v1";
     entry["slots"] = slots;
     entry["state"] = leaving ? "draining" : "ready";
-    entry["cold_remaining_ms"] = 0;
+    const auto cold = std::chrono::duration_cast<std::chrono::milliseconds>(m_coldUntil - Clock::now());
+    entry["cold_remaining_ms"] = std::max<std::int64_t>(cold.count(), 0);
     entry["sequence"] = ++m_sequence;
     entry["born"] = m_restarts + 1;
     m_store.put("servers/" + m_id, entry.dump());
@@ -341,6 +362,8 @@
         m_leaving = false;
         m_announces = true;
         m_leavingSince.reset();
+        m_coldUntil = Clock::now() + coldTime;
+        m_coldArrivals.clear();
         m_server.setRefusing(false);
         publish(false);
     });
--- a/Tests/Soak/SoakUpstream.h
+++ b/Tests/Soak/SoakUpstream.h
@@ -7,6 +7,7 @@
 #include <boost/beast/http/string_body.hpp>
 
 #include <cstdint>
+#include <deque>
 #include <functional>
 #include <memory>
 #include <optional>
@@ -63,6 +64,8 @@
     boost::asio::awaitable<bool> sendStream(std::shared_ptr<Socket> socket, const Request &request);
     boost::asio::awaitable<bool> respond(std::shared_ptr<Socket> socket, const Request &request, unsigned status, bool executed);
     void checkRequest(const Request &request);
+    /// Checks that all hosts together keep the rate while this upstream is cold.
+    void checkColdRate();
     void publish(bool leaving);
     void leave();
     void scheduleRestart(std::chrono::milliseconds time);
@@ -78,6 +81,8 @@
     std::uint32_t m_restarts = 0;
     std::uint64_t m_sequence = 0; ///< Of the entries that were published.
     std::shared_ptr<unsigned> m_running = std::make_shared<unsigned>(0); ///< Requests in progress.
+    TimePoint m_coldUntil;
+    std::deque<TimePoint> m_coldArrivals; ///< Of the last second.
     bool m_alive = true;
     bool m_leaving = false;
     bool m_announces = true; ///< Whether it says that it leaves, if it does.
