Probes without an answer go over a new connection

Cause: an owner that is passed over is probed over one link. Once this passes nothing any more no probe is answered, and that had no consequence.

Change: after three probes without any answer the link is closed, so that the next probe makes a new one.

Before the change the new test of CutOffHostTest failed: 2.5 s after all hosts were in touch again the owner was still passed over.

--- a/Source/Forwarding/FleetPeers.cpp
+++ b/Source/Forwarding/FleetPeers.cpp
@@ -8,6 +8,9 @@
 
 namespace {
 
+// Fewer would let a host that goes on after a pause find many connections of each peer.
+constexpr unsigned maxUnansweredProbes = 3;
+
 void logChanges(EventLog &log, const FleetMembership::Changes &changes)
 {
     for (const MembershipChange &change : changes) {
@@ -55,9 +58,8 @@
 {
     m_log.write("owner_silent", {{"peer", host.value()}});
     m_owners.markUnresponsive(host, now);
-    if (const std::shared_ptr<PeerLink> link = m_connections.removeLink(host)) {
-        link->closeSilently();
-    }
+    m_unansweredProbes.erase(host);
+    closeLink(host);
     const FleetMembership::Changes changes = m_membership.unanswered(host);
     return changes.empty() ? std::vector<HostId>() : apply(changes);
 }
@@ -70,6 +72,7 @@
 
 void FleetPeers::probeAnswered(const HostId &host, TimePoint now)
 {
+    m_unansweredProbes.erase(host);
     m_owners.probeAnswered(host, now);
     if (!m_owners.isSkipped(host)) {
         m_membership.answered(host);
@@ -108,9 +111,22 @@
     }
 }
 
+void FleetPeers::closeLink(const HostId &host)
+{
+    if (const std::shared_ptr<PeerLink> link = m_connections.removeLink(host)) {
+        link->closeSilently();
+    }
+}
+
 void FleetPeers::sendProbes(TimePoint now)
 {
     for (const HostId &host : m_owners.takeDueProbes(now)) {
+        unsigned &unanswered = m_unansweredProbes[host];
+        if (unanswered >= maxUnansweredProbes) {
+            closeLink(host);
+            unanswered = 0;
+        }
+        ++unanswered;
         sendToMember(host, toPeerMessage(Wire::MembershipProbeT()));
     }
 }
@@ -180,9 +196,8 @@
     m_owners.setHosts(members);
     for (const HostId &host : lost) {
         // A link that is still connecting would greet the new process, which would then answer on a connection that no longer belongs to a link.
-        if (const std::shared_ptr<PeerLink> link = m_connections.removeLink(host)) {
-            link->closeSilently();
-        }
+        closeLink(host);
+        m_unansweredProbes.erase(host);
     }
     return lost;
 }
--- a/Source/Forwarding/FleetPeers.h
+++ b/Source/Forwarding/FleetPeers.h
@@ -48,7 +48,8 @@
     PeerLink &link(const HostId &host);
     /// Sends the message to \p host if it is a member.
     void sendToMember(const HostId &host, Wire::PeerMessageT &&message);
-    /// Probes the hosts that are passed over because they did not answer.
+    /// Probes the hosts that are passed over because they did not answer. After some without any answer the next goes over a new connection, because the old
+    /// one may pass nothing any more.
     void sendProbes(TimePoint now);
     /// Makes links to the hosts that pass on what all hosts must learn.
     void connectRelays();
@@ -65,6 +66,8 @@
     bool declining() const;
 
 private:
+    /// Closes the link to the host, if there is one; the next message makes another.
+    void closeLink(const HostId &host);
     /// Logs the changes and applies them. Returns the hosts whose former process is not a member any more.
     std::vector<HostId> apply(const FleetMembership::Changes &changes);
 
@@ -75,6 +78,7 @@
     FleetMembership m_membership;
     OwnerSelector m_owners;
     std::map<HostId, FleetHost> m_members;
+    std::map<HostId, unsigned> m_unansweredProbes; ///< How many probes each host has not answered, not even late, since the link was made.
 };
 
 }
--- a/Tests/Forwarding/CutOffHostTest.cpp
+++ b/Tests/Forwarding/CutOffHostTest.cpp
@@ -108,6 +108,7 @@
         }
         for (int viewer = 0; viewer < hostCount; ++viewer) {
             std::vector<FleetHost> seen;
+            seen.reserve(hostCount);
             for (int target = 0; target < hostCount; ++target) {
                 seen.push_back({hostId(target), {target == viewer ? hostAddress(target) : relay(viewer, target), port}, {}, 1});
             }
@@ -122,7 +123,7 @@
 
     std::string relay(int viewer, int target)
     {
-        const std::string address = Testing::loopbackNetwork() + std::to_string(100 + viewer * hostCount + target);
+        std::string address = Testing::loopbackNetwork() + std::to_string(100 + viewer * hostCount + target);
         relays[{viewer, target}] = std::make_unique<Testing::CuttableRelay>(io, address, port, hostAddress(target));
         return address;
     }
@@ -227,3 +228,21 @@
     Fleet fleet;
     fleet.checkCut({Fleet::owner(), (Fleet::owner() + 1) % hostCount});
 }
+
+// Guards against two owners for good: the probes of an owner that was passed over go over a connection that passes nothing any more, and show for ever that it
+// is silent.
+TEST(CutOffHostTest, AnOwnerIsAskedAgainAfterTheConnectionOfTheProbesWentSilent)
+{
+    Fleet fleet;
+    fleet.run(milliseconds(1000));
+    fleet.cutOff({Fleet::owner()});
+    fleet.run(milliseconds(1500));
+    for (const auto &[ends, relay] : fleet.relays) {
+        relay->silenceOpenConnections();
+    }
+    fleet.cutOff({});
+    fleet.run(milliseconds(2500));
+    for (const auto &host : fleet.hosts) {
+        CHECK(host->placement.peers().owners().owner(service) == hostId(Fleet::owner()));
+    }
+}
--- a/Tests/Forwarding/CuttableRelay.h
+++ b/Tests/Forwarding/CuttableRelay.h
@@ -7,6 +7,7 @@
 #include <array>
 #include <memory>
 #include <string>
+#include <vector>
 
 namespace Mangofall::Testing {
 
@@ -29,10 +30,22 @@
         m_cut = cut;
     }
 
+    /// Lets the open connections pass nothing any more, without closing them. New ones work.
+    void silenceOpenConnections()
+    {
+        for (const std::weak_ptr<Ends> &known : m_open) {
+            if (const std::shared_ptr<Ends> ends = known.lock()) {
+                ends->silent = true;
+            }
+        }
+        m_open.clear();
+    }
+
 private:
     struct Ends {
         Tcp::socket caller;
         Tcp::socket target;
+        bool silent = false;
     };
     struct Direction {
         std::shared_ptr<Ends> ends;
@@ -45,6 +58,7 @@
     void accept()
     {
         auto ends = std::make_shared<Ends>(Ends{Tcp::socket(m_io), Tcp::socket(m_io)});
+        m_open.push_back(ends);
         m_acceptor.async_accept(ends->caller, [this, ends](const boost::system::error_code &error) {
             if (error) {
                 return;
@@ -74,7 +88,7 @@
 
     void passOn(const std::shared_ptr<Direction> &direction, std::size_t size)
     {
-        if (m_cut) {
+        if (m_cut || direction->ends->silent) {
             direction->timer.expires_after(std::chrono::milliseconds(5));
             direction->timer.async_wait([this, direction, size](const boost::system::error_code &) {
                 passOn(direction, size);
@@ -102,6 +116,7 @@
     Tcp::endpoint m_target;
     Tcp::acceptor m_acceptor;
     bool m_cut = false;
+    std::vector<std::weak_ptr<Ends>> m_open;
 };
 
 }
