Tests of cut off hosts use the proxy of the soak

Change: both are shared; what is sent during a cut is lost now, and with it the connection, as FaultProxy has it, and each test of a cut also checks that the hosts agree on the owner afterwards. The rate that is allowed and the other checks are the same.

--- a/Tests/Forwarding/CutOffHostTest.cpp
+++ b/Tests/Forwarding/CutOffHostTest.cpp
@@ -1,147 +1,90 @@
-#include "Forwarding/FleetPlacement.h"
-
 #include "Base/Hash.h"
-#include "Telemetry/EventLog.h"
-#include "Telemetry/LineSink.h"
-
-#include <boost/asio/post.hpp>
 
-#include "CuttableRelay.h"
+#include "ColdUpstreamHost.h"
 #include "LoopbackNetwork.h"
-#include "Property.h"
+#include "Soak/FaultProxy.h"
 
 #include <algorithm>
 #include <map>
 #include <memory>
 #include <string>
-#include <vector>
+#include <thread>
 
 using namespace Mangofall;
-using namespace Mangofall::Forwarding;
-using std::chrono::milliseconds;
-using std::chrono::seconds;
+using namespace Mangofall::Testing;
+using Soak::FaultProxy;
+using Soak::LinkFault;
 
 namespace {
 
-using Clock = std::chrono::steady_clock;
-
 constexpr int hostCount = 4;
 constexpr int requestsOfHost = 40;
 constexpr std::uint16_t port = 18795;
-constexpr double coldRate = 24;
 // Of the second that the rate is for, less the time that a grant may take to its host.
 constexpr milliseconds window{900};
-const ServiceId service("s");
-
-class DiscardingSink final : public LineSink
-{
-public:
-    bool write(std::string_view) override
-    {
-        return true;
-    }
-};
 
 HostId hostId(int index)
 {
     return HostId("h" + std::to_string(index));
 }
 
-std::string hostAddress(int index)
+NetworkAddress hostAddress(int index)
 {
-    return Testing::loopbackNetwork() + std::to_string(index + 1);
+    return {loopbackNetwork() + std::to_string(index + 1), port};
 }
 
-// A host that always keeps several requests waiting for a cold upstream.
-struct Host {
-    boost::asio::io_context &io;
-    DiscardingSink sink;
-    EventLog log{"h", 0, sink};
-    FleetPlacement placement;
-    std::vector<TimePoint> grants;
-
-    Host(boost::asio::io_context &context, int index)
-        : io(context)
-        , placement(context, hostId(index), DataCentreId("dc"), log, MembershipOptions())
-    {
-        CHECK_FALSE(placement.listen({hostAddress(index), port}));
-        placement.setServices({{service, coldRate, std::nullopt}});
-        Placement::UpstreamEntry cold;
-        cold.id = UpstreamId("u");
-        cold.service = service;
-        cold.address = {"127.0.0.1", 1};
-        cold.slots = 1000;
-        cold.coldUntil = Clock::now() + std::chrono::hours(1);
-        placement.setUpstreams({cold});
-    }
-
-    void submit()
-    {
-        Placement::PlacementRequest request;
-        request.id = placement.nextId();
-        request.service = service;
-        request.target = milliseconds(300);
-        request.arrivedAt = Clock::now();
-        request.deadline = request.arrivedAt + milliseconds(4000);
-        placement.submit(request, [this, id = request.id](const PlacementGateway::Answer &answer) {
-            if (std::holds_alternative<Placement::Assignment>(answer)) {
-                grants.push_back(Clock::now());
-            }
-            boost::asio::post(io, [this, id]() {
-                placement.ended(id, Placement::GrantOutcome::Completed, std::nullopt);
-                submit();
-            });
-        });
-    }
-};
-
-// Hosts that reach each other through relays.
+// Hosts that reach each other through proxies. What is sent during a cut is lost, and with it the connection.
 struct Fleet {
     boost::asio::io_context io{1};
-    std::map<std::pair<int, int>, std::unique_ptr<Testing::CuttableRelay>> relays;
+    std::map<std::pair<int, int>, std::unique_ptr<FaultProxy>> proxies;
+    std::vector<std::vector<TimePoint>> grants{hostCount};
     std::vector<std::unique_ptr<Host>> hosts;
 
     Fleet()
     {
         for (int index = 0; index < hostCount; ++index) {
-            hosts.push_back(std::make_unique<Host>(io, index));
+            hosts.push_back(std::make_unique<Host>(FleetHost{hostId(index), hostAddress(index), {}, 1}, grants[static_cast<std::size_t>(index)]));
+            hosts.back()->placement.setUpstreams({coldUpstream()});
         }
         for (int viewer = 0; viewer < hostCount; ++viewer) {
             std::vector<FleetHost> seen;
             seen.reserve(hostCount);
             for (int target = 0; target < hostCount; ++target) {
-                seen.push_back({hostId(target), {target == viewer ? hostAddress(target) : relay(viewer, target), port}, {}, 1});
+                seen.push_back({hostId(target), target == viewer ? hostAddress(target) : way(viewer, target), {}, 1});
             }
             hosts[static_cast<std::size_t>(viewer)]->placement.setHosts(seen);
         }
-        for (const auto &host : hosts) {
-            for (int request = 0; request < requestsOfHost; ++request) {
-                host->submit();
-            }
+        for (int request = 0; request < requestsOfHost * hostCount; ++request) {
+            hosts[static_cast<std::size_t>(request % hostCount)]->submit();
         }
     }
 
-    std::string relay(int viewer, int target)
+    NetworkAddress way(int viewer, int target)
     {
-        std::string address = Testing::loopbackNetwork() + std::to_string(100 + viewer * hostCount + target);
-        relays[{viewer, target}] = std::make_unique<Testing::CuttableRelay>(io, address, port, hostAddress(target));
-        return address;
+        std::unique_ptr<FaultProxy> &proxy = proxies[{viewer, target}];
+        proxy = std::make_unique<FaultProxy>(io, [target]() {
+            return hostAddress(target);
+        });
+        return {"127.0.0.1", proxy->port()};
     }
 
     // Cuts all ways between these hosts and the others.
     void cutOff(const std::vector<int> &cut)
     {
-        const auto isCut = [&](int host) {
-            return std::find(cut.begin(), cut.end(), host) != cut.end();
-        };
-        for (const auto &[ends, relay] : relays) {
-            relay->setCut(isCut(ends.first) != isCut(ends.second));
+        for (const auto &[ends, proxy] : proxies) {
+            const bool isCut = std::count(cut.begin(), cut.end(), ends.first) != std::count(cut.begin(), cut.end(), ends.second);
+            proxy->setFault(isCut ? LinkFault::Silent : LinkFault::None);
         }
     }
 
     void run(milliseconds time)
     {
-        io.run_for(time);
+        for (const TimePoint end = Clock::now() + time; Clock::now() < end; std::this_thread::sleep_for(milliseconds(1))) {
+            io.poll();
+            for (const auto &host : hosts) {
+                host->io.poll();
+            }
+        }
     }
 
     // The owner in the eyes of hosts that are in touch.
@@ -149,35 +92,29 @@
     {
         int best = 0;
         for (int index = 1; index < hostCount; ++index) {
-            if (rendezvousScore(service.value(), hostId(index).value()) > rendezvousScore(service.value(), hostId(best).value())) {
-                best = index;
-            }
+            const bool isHigher = rendezvousScore(service.value(), hostId(index).value()) > rendezvousScore(service.value(), hostId(best).value());
+            best = isHigher ? index : best;
         }
         return best;
     }
 
-    std::size_t grantsSince(const std::vector<int> &some, TimePoint begin) const
+    // The grants of these hosts since \p begin, in their order.
+    std::vector<TimePoint> grantsOf(const std::vector<int> &some, TimePoint begin = TimePoint()) const
     {
-        std::size_t count = 0;
+        std::vector<TimePoint> all;
         for (const int host : some) {
-            const std::vector<TimePoint> &grants = hosts[static_cast<std::size_t>(host)]->grants;
-            count += static_cast<std::size_t>(grants.end() - std::lower_bound(grants.begin(), grants.end(), begin));
+            std::copy_if(
+                grants[static_cast<std::size_t>(host)].begin(), grants[static_cast<std::size_t>(host)].end(), std::back_inserter(all), [&](TimePoint grant) {
+                    return grant >= begin;
+                });
         }
-        return count;
-    }
-
-    std::size_t grantsSince(TimePoint begin) const
-    {
-        return grantsSince({0, 1, 2, 3}, begin);
+        std::sort(all.begin(), all.end());
+        return all;
     }
 
     std::size_t mostGrantsInWindow() const
     {
-        std::vector<TimePoint> all;
-        for (const auto &host : hosts) {
-            all.insert(all.end(), host->grants.begin(), host->grants.end());
-        }
-        std::sort(all.begin(), all.end());
+        const std::vector<TimePoint> all = grantsOf({0, 1, 2, 3});
         std::size_t most = 0;
         for (auto first = all.begin(); first != all.end(); ++first) {
             most = std::max(most, static_cast<std::size_t>(std::lower_bound(first, all.end(), *first + window) - first));
@@ -185,7 +122,7 @@
         return most;
     }
 
-    // Runs through a cut of these hosts, and checks the rate.
+    // Runs through a cut of these hosts, and checks the rate and who owns the service afterwards.
     void checkCut(const std::vector<int> &cut)
     {
         run(milliseconds(2500));
@@ -193,14 +130,17 @@
         run(milliseconds(2500));
         const TimePoint later = Clock::now();
         run(milliseconds(2000));
-        CHECK_TEXT(grantsSince(cut, later) > 0, "the hosts that are cut off use their part");
-        CHECK_TEXT(grantsSince(cut, later) < grantsSince(later), "the others use theirs");
+        CHECK_TEXT(!grantsOf(cut, later).empty(), "the hosts that are cut off use their part");
+        CHECK_TEXT(grantsOf(cut, later).size() < grantsOf({0, 1, 2, 3}, later).size(), "the others use theirs");
         cutOff({});
-        run(milliseconds(4000));
+        run(milliseconds(6000));
         const TimePoint healed = Clock::now();
         run(milliseconds(2000));
-        CHECK_TEXT(static_cast<double>(grantsSince(healed)) >= coldRate, "the rate is used again");
+        CHECK_TEXT(static_cast<double>(grantsOf({0, 1, 2, 3}, healed).size()) >= coldRate, "the rate is used again");
         CHECK(static_cast<double>(mostGrantsInWindow()) <= coldRate);
+        for (const auto &host : hosts) {
+            CHECK(host->placement.peers().owners().owner(service) == hostId(owner()));
+        }
     }
 };
 
@@ -237,9 +177,6 @@
     fleet.run(milliseconds(1000));
     fleet.cutOff({Fleet::owner()});
     fleet.run(milliseconds(1500));
-    for (const auto &[ends, relay] : fleet.relays) {
-        relay->silenceOpenConnections();
-    }
     fleet.cutOff({});
     fleet.run(milliseconds(2500));
     for (const auto &host : fleet.hosts) {
--- a/Tests/Forwarding/WokenOwnerTest.cpp
+++ b/Tests/Forwarding/WokenOwnerTest.cpp
@@ -1,12 +1,6 @@
-#include "Forwarding/FleetPlacement.h"
-
 #include "Base/Hash.h"
-#include "Telemetry/EventLog.h"
-#include "Telemetry/LineSink.h"
-
-#include <boost/asio/io_context.hpp>
-#include <boost/asio/post.hpp>
 
+#include "ColdUpstreamHost.h"
 #include "LoopbackNetwork.h"
 #include "Property.h"
 
@@ -18,6 +12,7 @@
 
 using namespace Mangofall;
 using namespace Mangofall::Forwarding;
+using namespace Mangofall::Testing;
 using std::chrono::milliseconds;
 
 namespace {
@@ -27,20 +22,9 @@
 constexpr int hostCount = 3;
 constexpr int requestsOfHost = 40;
 constexpr std::uint16_t port = 18790;
-constexpr double coldRate = 20;
 // One and a half times the rate; two holders of it would reach twice the rate.
 constexpr std::size_t mostInSecond = 30;
 constexpr milliseconds freezeTime{800};
-const ServiceId service("s");
-
-class DiscardingSink final : public LineSink
-{
-public:
-    bool write(std::string_view) override
-    {
-        return true;
-    }
-};
 
 std::vector<FleetHost> fleetHosts()
 {
@@ -52,63 +36,15 @@
     return hosts;
 }
 
-Placement::PlacementRequest makeRequest(FleetPlacement &placement)
-{
-    Placement::PlacementRequest request;
-    request.id = placement.nextId();
-    request.service = service;
-    request.target = milliseconds(300);
-    request.arrivedAt = Clock::now();
-    request.deadline = request.arrivedAt + milliseconds(4000);
-    return request;
-}
-
-// A host that keeps several requests waiting; it stands still while its io_context is not polled.
-struct Host {
-    boost::asio::io_context io{1};
-    DiscardingSink sink;
-    EventLog log{"h", 0, sink};
-    FleetPlacement placement;
-    std::vector<TimePoint> &grants;
-
-    Host(const FleetHost &host, std::vector<TimePoint> &allGrants)
-        : placement(io, host.id, DataCentreId("dc"), log, MembershipOptions())
-        , grants(allGrants)
-    {
-        CHECK_FALSE(placement.listen(host.address));
-        placement.setServices({{service, coldRate, std::nullopt}});
-    }
-
-    void submit()
-    {
-        const Placement::PlacementRequest request = makeRequest(placement);
-        placement.submit(request, [this, id = request.id](const PlacementGateway::Answer &answer) {
-            if (std::holds_alternative<Placement::Assignment>(answer)) {
-                grants.push_back(Clock::now());
-            }
-            boost::asio::post(io, [this, id]() {
-                placement.ended(id, Placement::GrantOutcome::Completed, std::nullopt);
-                submit();
-            });
-        });
-    }
-};
-
 struct Fleet {
     std::vector<TimePoint> grants;
     std::vector<std::unique_ptr<Host>> hosts;
 
     Fleet()
     {
-        Placement::UpstreamEntry cold;
-        cold.id = UpstreamId("u");
-        cold.service = service;
-        cold.address = {"127.0.0.1", 1};
-        cold.slots = 1000;
-        cold.coldUntil = Clock::now() + std::chrono::hours(1);
         for (const FleetHost &host : fleetHosts()) {
             hosts.push_back(std::make_unique<Host>(host, grants));
-            hosts.back()->placement.setUpstreams({cold});
+            hosts.back()->placement.setUpstreams({coldUpstream()});
         }
         for (const auto &host : hosts) {
             host->placement.setHosts(fleetHosts());
