Grants that are read late keep the rates of cold upstreams

Cause: the owner counts a request in the second of its grant, an upstream in the second of its arrival. A host that stands still reads its grants late and uses them beside the next ones. Traced in WokenOwnerTest: 12 grants to a host that stands still, used 0.12 s later, 0.89 s before the next 13. Not a regression of the loans: has 40 requests in a second in 3 of 12 plays with other moments of the stops.

Change: a host knows the age of a grant at most, from the time of its call that the owner returns, and hands a grant of a cold upstream back that is older than 0.3 s. It tells the owner when it has the grant, which counts as used then, and until that at the end of the 0.3 s.

--- a/Source/Forwarding/ColdRateShares.cpp
+++ b/Source/Forwarding/ColdRateShares.cpp
@@ -36,7 +36,7 @@
     if (given != m_given.end() && given->second.host != host && now < given->second.until) {
         return false;
     }
-    m_given[service] = {host, now + loanTime + rateWindow};
+    m_given[service] = {host, now + loanTime + Placement::grantUseTime + rateWindow};
     return true;
 }
 
--- a/Source/Forwarding/ColdRateShares.h
+++ b/Source/Forwarding/ColdRateShares.h
@@ -16,8 +16,8 @@
  *
  * Each member of the fleet has an equal share of the rate of each cold upstream, and lends it to the host that it takes for the owner of the service, or uses
  * it itself. A placing host asks the members for their shares again and again while a service has cold upstreams, and uses a loan for a short time after it has
- * asked. The member lends or uses its share otherwise only once the last request under the loan has left the rate's window of one second. So all
- * placing hosts together keep the rate, whatever each believes about the others, without a common clock and without another service.
+ * asked. The member lends or uses its share otherwise only once the last request under the loan, whose grant may be read late, has left the rate's window of
+ * one second. So all placing hosts together keep the rate, whatever each believes about the others, without a common clock and without another service.
  *
  * The class keeps the loans; it knows no network and no clock.
  */
--- a/Source/Forwarding/FleetPlacement.cpp
+++ b/Source/Forwarding/FleetPlacement.cpp
@@ -9,6 +9,7 @@
 #include "Telemetry/EventLog.h"
 
 #include <random>
+#include <set>
 #include <utility>
 
 namespace Mangofall::Forwarding {
@@ -88,8 +89,8 @@
 {
     m_table.hostLost(host, now);
     m_owned.hostLost(host);
-    std::erase_if(m_waitingPeerRequests, [&](const Placement::PlacementRequestId &id) {
-        return id.host == host;
+    std::erase_if(m_waitingPeerRequests, [&](const auto &request) {
+        return request.first.host == host;
     });
 }
 
@@ -347,6 +348,7 @@
     if (placement.owner != m_self) {
         Wire::PlacementCallT call = toWire(placement.placementRequest, now);
         m_owned.describeView(call);
+        setSendTime(call, bootTime());
         m_peers.link(placement.owner).send(toPeerMessage(std::move(call)));
         return;
     }
@@ -431,12 +433,13 @@
             deliver(id.number, grant != nullptr ? Answer(grant->assignment) : Answer(std::get<Placement::Refusal>(action)));
             continue;
         }
-        m_waitingPeerRequests.erase(id);
+        const auto waiting = m_waitingPeerRequests.extract(id);
         if (grant == nullptr) {
             writeRefusal(m_log, std::get<Placement::Refusal>(action));
         }
         if (const std::shared_ptr<PeerConnection> answerConnection = m_connections.answerConnection(id.host)) {
-            answerConnection->send(toPeerMessage(grant != nullptr ? toWire(*grant) : toWire(std::get<Placement::Refusal>(action))));
+            answerConnection->send(toPeerMessage(grant != nullptr ? grantAnswer(*grant, waiting ? waiting.mapped() : CallRecord())
+                                                                  : toWire(std::get<Placement::Refusal>(action))));
         } else if (grant != nullptr) {
             applyActions(m_table.ended(id, Placement::GrantOutcome::Cancelled, std::nullopt, Clock::now()));
         }
@@ -503,7 +506,8 @@
 void FleetPlacement::onCall(const std::shared_ptr<PeerConnection> &connection, const HostId &from, const Wire::PlacementCallT &call)
 {
     const TimePoint now = Clock::now();
-    const Placement::PlacementRequest placementRequest = fromWire(call, from, now);
+    Placement::PlacementRequest placementRequest = fromWire(call, from, now);
+    placementRequest.useDelay = call.sent_us != 0 ? Placement::grantUseTime : Duration::zero();
     if (crossedGrant(connection, placementRequest.id)) {
         return;
     }
@@ -516,7 +520,7 @@
     if (decision == OwnershipDecision::Place) {
         recordOwnership(placementRequest.service, now);
     }
-    if (m_waitingPeerRequests.insert(placementRequest.id).second && decision == OwnershipDecision::Place) {
+    if (m_waitingPeerRequests.insert_or_assign(placementRequest.id, CallRecord{call.sent_us, bootTime()}).second && decision == OwnershipDecision::Place) {
         place(placementRequest, now);
     }
     if (m_waitingPeerRequests.contains(placementRequest.id)) {
@@ -552,6 +556,12 @@
         return;
     }
     if (answer.result == Wire::PlacementResult::Granted) {
+        if (handBackOldGrant(placement->second, from, answer)) {
+            return;
+        }
+        if (answer.cold) {
+            m_peers.sendToMember(from, toPeerMessage(receivedReport({m_self, answer.number})));
+        }
         deliver(answer.number, assignmentFromWire(answer));
     } else {
         deliver(answer.number, refusalFromWire(answer, placement->second.placementRequest.id));
@@ -562,6 +572,10 @@
 {
     const TimePoint now = Clock::now();
     const Placement::PlacementRequestId id{from, report.number};
+    if (report.received) {
+        m_table.useBegan(id, now);
+        return;
+    }
     passLoad(report, m_table, id, now);
     if (!report.ended) {
         m_table.firstEventReceived(id, now);
--- a/Source/Forwarding/FleetPlacement.h
+++ b/Source/Forwarding/FleetPlacement.h
@@ -5,6 +5,7 @@
 #include "Forwarding/CrashReplica.h"
 #include "Forwarding/FleetHost.h"
 #include "Forwarding/FleetPeers.h"
+#include "Forwarding/GrantAge.h"
 #include "Forwarding/LeavingLog.h"
 #include "Forwarding/LoadFindingsLog.h"
 #include "Forwarding/OwnedServices.h"
@@ -20,7 +21,6 @@
 #include <map>
 #include <memory>
 #include <optional>
-#include <set>
 #include <vector>
 
 namespace Mangofall {
@@ -161,6 +161,10 @@
     void onColdShareAnswer(const HostId &from, const Wire::ColdShareAnswerT &answer);
     /// Treats members that do not answer calls for their shares as those that do not answer placement requests.
     void passOverSilentMembers(TimePoint now);
+    /// The answer that brings a grant to the host that sent \p call.
+    Wire::PlacementAnswerT grantAnswer(const Placement::Grant &grant, const CallRecord &call) const;
+    /// Hands a grant of \p from back, and asks again, if it is too old to be used at a cold upstream. Returns whether it did.
+    bool handBackOldGrant(LocalPlacement &placement, const HostId &from, const Wire::PlacementAnswerT &answer);
     /// Moves a request of this host that waits in its own table to the present owner.
     void handOver(LocalPlacement &placement, TimePoint now);
     void scheduleTick();
@@ -181,7 +185,7 @@
     ColdRateShares m_shares;
     ColdShareLog m_coldShareLog;
     std::map<std::uint64_t, LocalPlacement> m_localPlacements;
-    std::set<Placement::PlacementRequestId> m_waitingPeerRequests; ///< Placement requests of other hosts that wait in the table.
+    std::map<Placement::PlacementRequestId, CallRecord> m_waitingPeerRequests; ///< Placement requests of other hosts that wait in the table.
     PeerConnections m_connections;
     FleetPeers m_peers;
     std::uint64_t m_nextNumber;
--- a/Source/Forwarding/FleetPlacementShares.cpp
+++ b/Source/Forwarding/FleetPlacementShares.cpp
@@ -1,5 +1,6 @@
-// The part of FleetPlacement that concerns the shares of hosts in the rates of cold upstreams.
+// The part of FleetPlacement that concerns the rates of cold upstreams: the shares of hosts in them, and grants that are read late.
 #include "Forwarding/FleetPlacement.h"
+#include "Forwarding/WirePlacement.h"
 #include "Peer/PeerConnection.h"
 #include "Peer/PeerLink.h"
 #include "Telemetry/EventLog.h"
@@ -7,6 +8,7 @@
 #include <algorithm>
 #include <chrono>
 #include <iterator>
+#include <string>
 
 namespace Mangofall::Forwarding {
 
@@ -81,6 +83,31 @@
     }
 }
 
+Wire::PlacementAnswerT FleetPlacement::grantAnswer(const Placement::Grant &grant, const CallRecord &call) const
+{
+    Wire::PlacementAnswerT answer = toWire(grant);
+    setCall(answer, call, m_table.isCold(grant.assignment.upstream, std::chrono::steady_clock::now()), bootTime());
+    return answer;
+}
+
+// The upstream may have turned cold after the grant.
+bool FleetPlacement::handBackOldGrant(LocalPlacement &placement, const HostId &from, const Wire::PlacementAnswerT &answer)
+{
+    const TimePoint now = std::chrono::steady_clock::now();
+    const std::optional<Duration> age = grantAge(answer, bootTime());
+    if (!age || *age <= Placement::grantUseTime || (!answer.cold && !m_table.isCold(UpstreamId(answer.upstream), now))) {
+        return false;
+    }
+    m_log.write("cold_grant_handed_back",
+                {{"peer", from.value()},
+                 {"demand", std::to_string(answer.number)},
+                 {"age_ms", std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(*age).count())}});
+    m_peers.sendToMember(from, toPeerMessage(endReport(placement.placementRequest.id, Placement::GrantOutcome::Cancelled, std::nullopt)));
+    placement.queued = false;
+    requestAssignment(placement, now);
+    return true;
+}
+
 void FleetPlacement::passOverSilentMembers(TimePoint now)
 {
     for (const HostId &host : m_shares.takeSilent(now)) {
--- a/Source/Forwarding/WirePlacement.cpp
+++ b/Source/Forwarding/WirePlacement.cpp
@@ -141,6 +141,14 @@
     return report;
 }
 
+Wire::PlacementReportT receivedReport(const Placement::PlacementRequestId &id)
+{
+    Wire::PlacementReportT report;
+    report.number = id.number;
+    report.received = true;
+    return report;
+}
+
 Wire::PlacementReportT endReport(const Placement::PlacementRequestId &id, Placement::GrantOutcome outcome, const std::optional<UpstreamId> &faulty)
 {
     Wire::PlacementReportT report;
--- a/Source/Forwarding/WirePlacement.h
+++ b/Source/Forwarding/WirePlacement.h
@@ -30,6 +30,8 @@
 
 /// The report that the first event of an answer arrived.
 Wire::PlacementReportT beginReport(const Placement::PlacementRequestId &id);
+/// The report that the host has the grant.
+Wire::PlacementReportT receivedReport(const Placement::PlacementRequestId &id);
 /// The report that the use of a grant ended; \p faulty is the helper that caused the failure, unset if it was the upstream itself.
 Wire::PlacementReportT endReport(const Placement::PlacementRequestId &id, Placement::GrantOutcome outcome, const std::optional<UpstreamId> &faulty);
 
--- a/Source/Peer/PeerMessages_generated.h
+++ b/Source/Peer/PeerMessages_generated.h
@@ -4889,6 +4889,7 @@
   uint32_t view_age_ms = 0;
   uint64_t request_bytes = 0;
   uint64_t answer_bytes = 0;
+  uint64_t sent_us = 0;
 };
 
 /// A placement request, from the entry host of a caller's request to the owner of its service.
@@ -4915,7 +4916,8 @@
     VT_VIEW_REVISION = 36,
     VT_VIEW_AGE_MS = 38,
     VT_REQUEST_BYTES = 40,
-    VT_ANSWER_BYTES = 42
+    VT_ANSWER_BYTES = 42,
+    VT_SENT_US = 44
   };
   uint64_t number() const {
     return GetField<uint64_t>(VT_NUMBER, 0);
@@ -4983,6 +4985,10 @@
   uint64_t answer_bytes() const {
     return GetField<uint64_t>(VT_ANSWER_BYTES, 0);
   }
+  /// When the message was sent, by a clock that only the sender reads; 0 if it does not judge the age of a grant.
+  uint64_t sent_us() const {
+    return GetField<uint64_t>(VT_SENT_US, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_NUMBER, 8) &&
@@ -5010,6 +5016,7 @@
            VerifyField<uint32_t>(verifier, VT_VIEW_AGE_MS, 4) &&
            VerifyField<uint64_t>(verifier, VT_REQUEST_BYTES, 8) &&
            VerifyField<uint64_t>(verifier, VT_ANSWER_BYTES, 8) &&
+           VerifyField<uint64_t>(verifier, VT_SENT_US, 8) &&
            verifier.EndTable();
   }
   PlacementCallT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -5081,6 +5088,9 @@
   void add_answer_bytes(uint64_t answer_bytes) {
     fbb_.AddElement<uint64_t>(PlacementCall::VT_ANSWER_BYTES, answer_bytes, 0);
   }
+  void add_sent_us(uint64_t sent_us) {
+    fbb_.AddElement<uint64_t>(PlacementCall::VT_SENT_US, sent_us, 0);
+  }
   explicit PlacementCallBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -5113,8 +5123,10 @@
     uint64_t view_revision = 0,
     uint32_t view_age_ms = 0,
     uint64_t request_bytes = 0,
-    uint64_t answer_bytes = 0) {
+    uint64_t answer_bytes = 0,
+    uint64_t sent_us = 0) {
   PlacementCallBuilder builder_(_fbb);
+  builder_.add_sent_us(sent_us);
   builder_.add_answer_bytes(answer_bytes);
   builder_.add_request_bytes(request_bytes);
   builder_.add_view_revision(view_revision);
@@ -5159,7 +5171,8 @@
     uint64_t view_revision = 0,
     uint32_t view_age_ms = 0,
     uint64_t request_bytes = 0,
-    uint64_t answer_bytes = 0) {
+    uint64_t answer_bytes = 0,
+    uint64_t sent_us = 0) {
   auto service__ = service ? _fbb.CreateString(service) : 0;
   auto data_centre__ = data_centre ? _fbb.CreateString(data_centre) : 0;
   auto excluded__ = excluded ? _fbb.CreateVector<flatbuffers::Offset<flatbuffers::String>>(*excluded) : 0;
@@ -5185,7 +5198,8 @@
       view_revision,
       view_age_ms,
       request_bytes,
-      answer_bytes);
+      answer_bytes,
+      sent_us);
 }
 
 flatbuffers::Offset<PlacementCall> CreatePlacementCall(flatbuffers::FlatBufferBuilder &_fbb, const PlacementCallT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -5206,6 +5220,9 @@
   uint32_t retry_after_ms = 0;
   uint64_t upstream_start = 0;
   bool crash_trial = false;
+  uint64_t call_sent_us = 0;
+  uint64_t call_age_us = 0;
+  bool cold = false;
 };
 
 struct PlacementAnswer FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -5225,7 +5242,10 @@
     VT_ERROR = 24,
     VT_RETRY_AFTER_MS = 26,
     VT_UPSTREAM_START = 28,
-    VT_CRASH_TRIAL = 30
+    VT_CRASH_TRIAL = 30,
+    VT_CALL_SENT_US = 32,
+    VT_CALL_AGE_US = 34,
+    VT_COLD = 36
   };
   uint64_t number() const {
     return GetField<uint64_t>(VT_NUMBER, 0);
@@ -5274,6 +5294,17 @@
   bool crash_trial() const {
     return GetField<uint8_t>(VT_CRASH_TRIAL, 0) != 0;
   }
+  /// The last call that was read for the request, and the time from then to the grant; 0 if the call did not say when it was sent.
+  uint64_t call_sent_us() const {
+    return GetField<uint64_t>(VT_CALL_SENT_US, 0);
+  }
+  uint64_t call_age_us() const {
+    return GetField<uint64_t>(VT_CALL_AGE_US, 0);
+  }
+  /// Whether the upstream is cold, so that the host says when it has the grant.
+  bool cold() const {
+    return GetField<uint8_t>(VT_COLD, 0) != 0;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_NUMBER, 8) &&
@@ -5298,6 +5329,9 @@
            VerifyField<uint32_t>(verifier, VT_RETRY_AFTER_MS, 4) &&
            VerifyField<uint64_t>(verifier, VT_UPSTREAM_START, 8) &&
            VerifyField<uint8_t>(verifier, VT_CRASH_TRIAL, 1) &&
+           VerifyField<uint64_t>(verifier, VT_CALL_SENT_US, 8) &&
+           VerifyField<uint64_t>(verifier, VT_CALL_AGE_US, 8) &&
+           VerifyField<uint8_t>(verifier, VT_COLD, 1) &&
            verifier.EndTable();
   }
   PlacementAnswerT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -5351,6 +5385,15 @@
   void add_crash_trial(bool crash_trial) {
     fbb_.AddElement<uint8_t>(PlacementAnswer::VT_CRASH_TRIAL, static_cast<uint8_t>(crash_trial), 0);
   }
+  void add_call_sent_us(uint64_t call_sent_us) {
+    fbb_.AddElement<uint64_t>(PlacementAnswer::VT_CALL_SENT_US, call_sent_us, 0);
+  }
+  void add_call_age_us(uint64_t call_age_us) {
+    fbb_.AddElement<uint64_t>(PlacementAnswer::VT_CALL_AGE_US, call_age_us, 0);
+  }
+  void add_cold(bool cold) {
+    fbb_.AddElement<uint8_t>(PlacementAnswer::VT_COLD, static_cast<uint8_t>(cold), 0);
+  }
   explicit PlacementAnswerBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -5377,8 +5420,13 @@
     uint16_t error = 0,
     uint32_t retry_after_ms = 0,
     uint64_t upstream_start = 0,
-    bool crash_trial = false) {
+    bool crash_trial = false,
+    uint64_t call_sent_us = 0,
+    uint64_t call_age_us = 0,
+    bool cold = false) {
   PlacementAnswerBuilder builder_(_fbb);
+  builder_.add_call_age_us(call_age_us);
+  builder_.add_call_sent_us(call_sent_us);
   builder_.add_upstream_start(upstream_start);
   builder_.add_first_piece_us(first_piece_us);
   builder_.add_number(number);
@@ -5391,6 +5439,7 @@
   builder_.add_upstream(upstream);
   builder_.add_error(error);
   builder_.add_port(port);
+  builder_.add_cold(cold);
   builder_.add_crash_trial(crash_trial);
   builder_.add_result(result);
   return builder_.Finish();
@@ -5411,7 +5460,10 @@
     uint16_t error = 0,
     uint32_t retry_after_ms = 0,
     uint64_t upstream_start = 0,
-    bool crash_trial = false) {
+    bool crash_trial = false,
+    uint64_t call_sent_us = 0,
+    uint64_t call_age_us = 0,
+    bool cold = false) {
   auto upstream__ = upstream ? _fbb.CreateString(upstream) : 0;
   auto address__ = address ? _fbb.CreateString(address) : 0;
   auto helpers__ = helpers ? _fbb.CreateVector<flatbuffers::Offset<flatbuffers::String>>(*helpers) : 0;
@@ -5433,7 +5485,10 @@
       error,
       retry_after_ms,
       upstream_start,
-      crash_trial);
+      crash_trial,
+      call_sent_us,
+      call_age_us,
+      cold);
 }
 
 flatbuffers::Offset<PlacementAnswer> CreatePlacementAnswer(flatbuffers::FlatBufferBuilder &_fbb, const PlacementAnswerT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -5448,9 +5503,11 @@
   uint32_t waiting = 0;
   uint32_t slots = 0;
   uint32_t load_age_ms = 0;
+  bool received = false;
 };
 
-/// Reports that the first event of an answer arrived or, if \c ended is set, that the use of a grant ended or its placement request was withdrawn.
+/// Reports that the first event of an answer arrived; if \c ended is set, that the use of a grant ended or its placement request was withdrawn; if \c received
+/// is set, that the host has the grant.
 struct PlacementReport FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
   typedef PlacementReportT NativeTableType;
   typedef PlacementReportBuilder Builder;
@@ -5462,7 +5519,8 @@
     VT_RUNNING = 12,
     VT_WAITING = 14,
     VT_SLOTS = 16,
-    VT_LOAD_AGE_MS = 18
+    VT_LOAD_AGE_MS = 18,
+    VT_RECEIVED = 20
   };
   uint64_t number() const {
     return GetField<uint64_t>(VT_NUMBER, 0);
@@ -5492,6 +5550,10 @@
   uint32_t load_age_ms() const {
     return GetField<uint32_t>(VT_LOAD_AGE_MS, 0);
   }
+  /// Only the number has a meaning then.
+  bool received() const {
+    return GetField<uint8_t>(VT_RECEIVED, 0) != 0;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_NUMBER, 8) &&
@@ -5503,6 +5565,7 @@
            VerifyField<uint32_t>(verifier, VT_WAITING, 4) &&
            VerifyField<uint32_t>(verifier, VT_SLOTS, 4) &&
            VerifyField<uint32_t>(verifier, VT_LOAD_AGE_MS, 4) &&
+           VerifyField<uint8_t>(verifier, VT_RECEIVED, 1) &&
            verifier.EndTable();
   }
   PlacementReportT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -5538,6 +5601,9 @@
   void add_load_age_ms(uint32_t load_age_ms) {
     fbb_.AddElement<uint32_t>(PlacementReport::VT_LOAD_AGE_MS, load_age_ms, 0);
   }
+  void add_received(bool received) {
+    fbb_.AddElement<uint8_t>(PlacementReport::VT_RECEIVED, static_cast<uint8_t>(received), 0);
+  }
   explicit PlacementReportBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -5558,7 +5624,8 @@
     uint32_t running = 0,
     uint32_t waiting = 0,
     uint32_t slots = 0,
-    uint32_t load_age_ms = 0) {
+    uint32_t load_age_ms = 0,
+    bool received = false) {
   PlacementReportBuilder builder_(_fbb);
   builder_.add_number(number);
   builder_.add_load_age_ms(load_age_ms);
@@ -5566,6 +5633,7 @@
   builder_.add_waiting(waiting);
   builder_.add_running(running);
   builder_.add_faulty(faulty);
+  builder_.add_received(received);
   builder_.add_outcome(outcome);
   builder_.add_ended(ended);
   return builder_.Finish();
@@ -5580,7 +5648,8 @@
     uint32_t running = 0,
     uint32_t waiting = 0,
     uint32_t slots = 0,
-    uint32_t load_age_ms = 0) {
+    uint32_t load_age_ms = 0,
+    bool received = false) {
   auto faulty__ = faulty ? _fbb.CreateString(faulty) : 0;
   return Mangofall::Wire::CreatePlacementReport(
       _fbb,
@@ -5591,7 +5660,8 @@
       running,
       waiting,
       slots,
-      load_age_ms);
+      load_age_ms,
+      received);
 }
 
 flatbuffers::Offset<PlacementReport> CreatePlacementReport(flatbuffers::FlatBufferBuilder &_fbb, const PlacementReportT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -8475,6 +8545,7 @@
   { auto _e = view_age_ms(); _o->view_age_ms = _e; }
   { auto _e = request_bytes(); _o->request_bytes = _e; }
   { auto _e = answer_bytes(); _o->answer_bytes = _e; }
+  { auto _e = sent_us(); _o->sent_us = _e; }
 }
 
 inline flatbuffers::Offset<PlacementCall> PlacementCall::Pack(flatbuffers::FlatBufferBuilder &_fbb, const PlacementCallT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -8505,6 +8576,7 @@
   auto _view_age_ms = _o->view_age_ms;
   auto _request_bytes = _o->request_bytes;
   auto _answer_bytes = _o->answer_bytes;
+  auto _sent_us = _o->sent_us;
   return Mangofall::Wire::CreatePlacementCall(
       _fbb,
       _number,
@@ -8526,7 +8598,8 @@
       _view_revision,
       _view_age_ms,
       _request_bytes,
-      _answer_bytes);
+      _answer_bytes,
+      _sent_us);
 }
 
 inline PlacementAnswerT *PlacementAnswer::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
@@ -8552,6 +8625,9 @@
   { auto _e = retry_after_ms(); _o->retry_after_ms = _e; }
   { auto _e = upstream_start(); _o->upstream_start = _e; }
   { auto _e = crash_trial(); _o->crash_trial = _e; }
+  { auto _e = call_sent_us(); _o->call_sent_us = _e; }
+  { auto _e = call_age_us(); _o->call_age_us = _e; }
+  { auto _e = cold(); _o->cold = _e; }
 }
 
 inline flatbuffers::Offset<PlacementAnswer> PlacementAnswer::Pack(flatbuffers::FlatBufferBuilder &_fbb, const PlacementAnswerT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -8576,6 +8652,9 @@
   auto _retry_after_ms = _o->retry_after_ms;
   auto _upstream_start = _o->upstream_start;
   auto _crash_trial = _o->crash_trial;
+  auto _call_sent_us = _o->call_sent_us;
+  auto _call_age_us = _o->call_age_us;
+  auto _cold = _o->cold;
   return Mangofall::Wire::CreatePlacementAnswer(
       _fbb,
       _number,
@@ -8591,7 +8670,10 @@
       _error,
       _retry_after_ms,
       _upstream_start,
-      _crash_trial);
+      _crash_trial,
+      _call_sent_us,
+      _call_age_us,
+      _cold);
 }
 
 inline PlacementReportT *PlacementReport::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
@@ -8611,6 +8693,7 @@
   { auto _e = waiting(); _o->waiting = _e; }
   { auto _e = slots(); _o->slots = _e; }
   { auto _e = load_age_ms(); _o->load_age_ms = _e; }
+  { auto _e = received(); _o->received = _e; }
 }
 
 inline flatbuffers::Offset<PlacementReport> PlacementReport::Pack(flatbuffers::FlatBufferBuilder &_fbb, const PlacementReportT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -8629,6 +8712,7 @@
   auto _waiting = _o->waiting;
   auto _slots = _o->slots;
   auto _load_age_ms = _o->load_age_ms;
+  auto _received = _o->received;
   return Mangofall::Wire::CreatePlacementReport(
       _fbb,
       _number,
@@ -8638,7 +8722,8 @@
       _running,
       _waiting,
       _slots,
-      _load_age_ms);
+      _load_age_ms,
+      _received);
 }
 
 inline UpstreamNoticeT *UpstreamNotice::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
--- a/Source/Placement/PlacementRequest.h
+++ b/Source/Placement/PlacementRequest.h
@@ -49,6 +49,7 @@
     std::uint64_t fingerprint = 0; ///< Equal for repetitions of the same request; 0 if unknown.
     std::vector<SuspectId> sharedParts; ///< Parts of the prompt that other requests may share.
     std::unordered_set<UpstreamId> excluded; ///< Upstreams that earlier attempts of the request used.
+    Duration useDelay{}; ///< A grant is used within this time, and the host says when it has it; zero if it is used at once.
     bool firstAttempt = false; ///< Whether this is the first placement request of a caller's request.
     bool borrowsRetry = false; ///< Whether the entry host has no retry left and asks the owner for one.
 };
--- a/Source/Placement/PlacementTable.cpp
+++ b/Source/Placement/PlacementTable.cpp
@@ -416,7 +416,8 @@
                         request.pauseLimit,
                         selection->partPrefillTime,
                         {},
-                        request.outputTokens};
+                        request.outputTokens,
+                        request.useDelay};
     selection->primary->add(request.id, grantLoad, now);
     selection->primary->failures().granted(now);
     selection->primary->unknownLoad().granted(request.id, now);
--- a/Source/Placement/PlacementTable.h
+++ b/Source/Placement/PlacementTable.h
@@ -65,6 +65,8 @@
 
     /// Grants or refuses the placement request at once, or lets it wait. A grant of the same request, which then has not reached its host, ends.
     PlacementActions submit(const PlacementRequest &request, TimePoint now);
+    /// The entry host has the grant and has sent the request by \p now.
+    void useBegan(const PlacementRequestId &id, TimePoint now);
     /// The entry host got the first event of the answer, so the prefill is complete.
     void firstEventReceived(const PlacementRequestId &id, TimePoint now);
     /// The assigned upstream has reported its load, at \p takenAt, in its answer. Without effect unless the option is set, or if the report
@@ -104,6 +106,8 @@
     TimePoint coldUntil() const;
     /// The services with cold upstreams, and whether the share of the rate that this host may use is used up at one of them, although the whole rate is not.
     std::map<ServiceId, bool> coldServices(TimePoint now) const;
+    /// Whether the upstream is known as cold.
+    bool isCold(const UpstreamId &upstream, TimePoint now) const;
     /// The load of one upstream; null if the upstream is not known.
     const UpstreamLoad *load(const UpstreamId &id) const;
     LoadFindings findings(TimePoint now) const;
--- a/Source/Placement/PlacementTableCold.cpp
+++ b/Source/Placement/PlacementTableCold.cpp
@@ -25,6 +25,23 @@
     return services;
 }
 
+bool PlacementTable::isCold(const UpstreamId &upstream, TimePoint now) const
+{
+    const UpstreamLoad *known = load(upstream);
+    return known != nullptr && now < known->entry().coldUntil;
+}
+
+void PlacementTable::useBegan(const PlacementRequestId &id, TimePoint now)
+{
+    const auto grant = m_grants.find(id);
+    if (grant == m_grants.end()) {
+        return;
+    }
+    if (UpstreamLoad *load = find(grant->second.upstream)) {
+        load->useBegan(id, now);
+    }
+}
+
 void PlacementTable::setColdShares(const std::map<ServiceId, ColdShare> &shares)
 {
     m_otherColdShare = {0, TimePoint::max()};
--- a/Source/Placement/RateWindow.cpp
+++ b/Source/Placement/RateWindow.cpp
@@ -20,12 +20,25 @@
     m_fullUntil = std::max(m_fullUntil, now + m_length);
 }
 
-void RateWindow::add(TimePoint now)
+void RateWindow::add(TimePoint time)
+{
+    m_events.insert(std::upper_bound(m_events.begin(), m_events.end(), time), time);
+}
+
+void RateWindow::move(TimePoint from, TimePoint to)
+{
+    const auto event = std::lower_bound(m_events.begin(), m_events.end(), from);
+    if (event != m_events.end() && *event == from) {
+        m_events.erase(event);
+        add(to);
+    }
+}
+
+void RateWindow::expire(TimePoint now)
 {
     while (!m_events.empty() && m_events.front() + m_length <= now) {
         m_events.pop_front();
     }
-    m_events.push_back(now);
 }
 
 bool RateWindow::hasRoom(TimePoint now, double share) const
--- a/Source/Placement/RateWindow.h
+++ b/Source/Placement/RateWindow.h
@@ -18,7 +18,12 @@
 
     /// Changes the maximum rate; events before the change count as well.
     void setRate(double perSecond);
-    void add(TimePoint now);
+    /// \p time may be in the future, for an event that happens by then.
+    void add(TimePoint time);
+    /// The event that was added with \p from happened at \p to.
+    void move(TimePoint from, TimePoint to);
+    /// Forgets the events that have left the window by \p now.
+    void expire(TimePoint now);
     /// Assumes that the maximum was reached just before \p now, which may be in the future, by events that were not counted here.
     void assumeFull(TimePoint now);
     /// \p share is the part of the maximum that may be used here.
@@ -27,7 +32,7 @@
 private:
     Duration m_length;
     double m_perSecond;
-    std::deque<TimePoint> m_events;
+    std::deque<TimePoint> m_events; ///< In ascending order.
     TimePoint m_fullUntil;
 };
 
--- a/Source/Placement/UpstreamLoad.cpp
+++ b/Source/Placement/UpstreamLoad.cpp
@@ -1,6 +1,7 @@
 #include "Placement/UpstreamLoad.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace Mangofall::Placement {
 
@@ -30,15 +31,25 @@
 void UpstreamLoad::add(const PlacementRequestId &id, const GrantLoad &grant, TimePoint now)
 {
     if (!grant.helper) {
-        m_coldWindow.add(now);
+        m_coldWindow.expire(now);
+        m_coldWindow.add(now + grant.useDelay);
     }
     const TimePoint prefillEnd = now + prefillBacklog(now, Duration::zero()) + grant.prefillTime;
     GrantLoad &added = m_grants[id];
     added = grant;
     added.prefillEnd = prefillEnd;
+    added.usedBy = now + grant.useDelay;
     updateTotals();
 }
 
+void UpstreamLoad::useBegan(const PlacementRequestId &id, TimePoint now)
+{
+    const auto position = m_grants.find(id);
+    if (position != m_grants.end() && now < position->second.usedBy) {
+        m_coldWindow.move(std::exchange(position->second.usedBy, now), now);
+    }
+}
+
 void UpstreamLoad::prefillDone(const PlacementRequestId &id, TimePoint now)
 {
     const auto position = m_grants.find(id);
--- a/Source/Placement/UpstreamLoad.h
+++ b/Source/Placement/UpstreamLoad.h
@@ -32,6 +32,8 @@
     Duration prefillTime{}; ///< Prefill time of this upstream's part of the prompt.
     TimePoint prefillEnd; ///< End of the prefill, expected while it lasts; set by UpstreamLoad.
     std::uint64_t outputTokens = 0; ///< Longest answer, in tokens.
+    Duration useDelay{}; ///< The request is sent within this time after the grant.
+    TimePoint usedBy{}; ///< When the request is sent at the latest, as long as the host has not said that it has the grant; set by UpstreamLoad.
 };
 
 /**
@@ -48,6 +50,8 @@
     void setEntry(UpstreamEntry entry);
 
     void add(const PlacementRequestId &id, const GrantLoad &grant, TimePoint now);
+    /// The host has the grant for \p id and has sent the request by \p now.
+    void useBegan(const PlacementRequestId &id, TimePoint now);
     /// The first event of the answer came, so the prefill for \p id is complete since \p now.
     void prefillDone(const PlacementRequestId &id, TimePoint now);
     void remove(const PlacementRequestId &id);
--- a/Tests/Forwarding/WirePlacementTest.cpp
+++ b/Tests/Forwarding/WirePlacementTest.cpp
@@ -1,4 +1,5 @@
 #include "Forwarding/WirePlacement.h"
+#include "Forwarding/GrantAge.h"
 
 #include "Property.h"
 
@@ -55,6 +56,21 @@
     CHECK(received.sharedParts == placementRequest(sender).sharedParts);
 }
 
+// Guards against a grant that is taken for a recent one, or for an old one because the request waited at the owner. A host of an earlier version says nothing.
+TEST(WirePlacementTest, TheAgeOfAGrantIsKnownWithoutACommonClock)
+{
+    Wire::PlacementCallT call;
+    setSendTime(call, milliseconds(500'000));
+    Wire::PlacementAnswerT answer;
+    setCall(answer, {call.sent_us, milliseconds(9000)}, true, milliseconds(12'000));
+    CHECK(grantAge(answer, milliseconds(503'250)) == milliseconds(250));
+    CHECK(answer.cold);
+    Wire::PlacementAnswerT ofEarlierVersion;
+    setCall(ofEarlierVersion, {}, true, milliseconds(12'000));
+    CHECK_FALSE(grantAge(ofEarlierVersion, milliseconds(503'250)).has_value());
+    CHECK_FALSE(ofEarlierVersion.cold);
+}
+
 // Guards against helpers that are paired with each other's addresses.
 TEST(WirePlacementTest, AGrantKeepsItsHelpersInOrder)
 {
--- a/Tests/Forwarding/WokenOwnerTest.cpp
+++ b/Tests/Forwarding/WokenOwnerTest.cpp
@@ -40,7 +40,8 @@
     std::vector<TimePoint> grants;
     std::vector<std::unique_ptr<Host>> hosts;
 
-    Fleet()
+    /// The hosts at \p requesters keep requests waiting.
+    explicit Fleet(const std::vector<std::size_t> &requesters = {0, 1, 2})
     {
         for (const FleetHost &host : fleetHosts()) {
             hosts.push_back(std::make_unique<Host>(host, grants));
@@ -48,12 +49,26 @@
         }
         for (const auto &host : hosts) {
             host->placement.setHosts(fleetHosts());
+        }
+        for (const std::size_t requester : requesters) {
             for (int request = 0; request < requestsOfHost; ++request) {
-                host->submit();
+                hosts[requester]->submit();
             }
         }
     }
 
+    static int ownerIndex()
+    {
+        const auto score = [](int index) {
+            return rendezvousScore(service.value(), "h" + std::to_string(index));
+        };
+        int owner = 0;
+        for (int index = 1; index < hostCount; ++index) {
+            owner = score(index) > score(owner) ? index : owner;
+        }
+        return owner;
+    }
+
     // Runs all hosts but \p frozen.
     void run(milliseconds time, int frozen = -1)
     {
@@ -90,21 +105,27 @@
     {
         std::vector<FleetHost> members = fleetHosts();
         members.resize(2);
-        std::vector<Placement::UpstreamEntry> upstreams(2);
-        for (std::size_t index = 0; index < upstreams.size(); ++index) {
-            upstreams[index].id = UpstreamId("u" + std::to_string(index));
-            upstreams[index].service = service;
-            upstreams[index].address = {"127.0.0.1", 1};
-        }
         for (const FleetHost &member : members) {
             hosts.push_back(std::make_unique<Host>(member, unused));
-            hosts.back()->placement.setUpstreams(upstreams);
+            hosts.back()->placement.setUpstreams(upstreams(TimePoint()));
         }
         for (const auto &host : hosts) {
             host->placement.setHosts(members);
         }
     }
 
+    static std::vector<Placement::UpstreamEntry> upstreams(TimePoint coldUntil)
+    {
+        std::vector<Placement::UpstreamEntry> entries(2);
+        for (std::size_t index = 0; index < entries.size(); ++index) {
+            entries[index].id = UpstreamId("u" + std::to_string(index));
+            entries[index].service = service;
+            entries[index].address = {"127.0.0.1", 1};
+            entries[index].coldUntil = coldUntil;
+        }
+        return entries;
+    }
+
     Host &owner()
     {
         return *hosts[ownerIndex()];
@@ -139,10 +160,10 @@
         }
     }
 
-    void runOther(milliseconds time)
+    static void runOne(Host &host, milliseconds time)
     {
         for (const TimePoint end = Clock::now() + time; Clock::now() < end; std::this_thread::sleep_for(milliseconds(1))) {
-            other().io.poll();
+            host.io.poll();
         }
     }
 };
@@ -169,6 +190,41 @@
     CHECK_TEXT(fleet.grants.size() > 100, "the upstream is used");
 }
 
+// Guards against a cold upstream that gets the requests of two seconds in one: a host that was stopped read its grants late and used them all the same, beside
+// those that the owner gave for the next second. The time between the stops varies, so that some fall between a grant and its delivery.
+TEST(WokenOwnerTest, GrantsThatAreReadLateKeepTheRate)
+{
+    const int requester = (Fleet::ownerIndex() + 1) % hostCount;
+    Fleet fleet({static_cast<std::size_t>(requester)});
+    fleet.run(milliseconds(1500));
+    for (int round = 0; round < 4; ++round) {
+        fleet.run(freezeTime, requester);
+        fleet.run(milliseconds(1600 + 150 * round));
+    }
+    const std::size_t most = fleet.mostGrantsInSecond();
+    CHECK_TEXT(most <= static_cast<std::size_t>(coldRate), std::to_string(most).c_str());
+    CHECK_TEXT(fleet.grants.size() > 100, "the upstream is used");
+}
+
+// Guards against an upstream that has turned cold and gets the requests that a stopped host was granted before that.
+TEST(WokenOwnerTest, AGrantThatIsReadLateIsHandedBackIfTheUpstreamHasTurnedCold)
+{
+    CrossingFleet fleet;
+    fleet.submit(fleet.other());
+    fleet.run(milliseconds(200));
+    LONGS_EQUAL_TEXT(1, fleet.granted.size(), "the hosts are connected");
+    fleet.submit(fleet.other());
+    fleet.runOne(fleet.other(), milliseconds(20));
+    fleet.runOne(fleet.owner(), Placement::grantUseTime + milliseconds(50));
+    for (Host *host : {&fleet.owner(), &fleet.other()}) {
+        host->placement.setUpstreams(fleet.upstreams(Clock::now() + std::chrono::hours(1)));
+    }
+    fleet.run(milliseconds(30));
+    LONGS_EQUAL_TEXT(1, fleet.granted.size(), "the old grant is not used");
+    fleet.run(milliseconds(2500));
+    LONGS_EQUAL_TEXT(2, fleet.granted.size(), "the request gets another one");
+}
+
 // Guards against slots that are lost for good: a host sends a queued request again every 0.4 s, and if that crosses the grant, the owner granted the request a
 // second time, at another upstream, and never took the first grant back.
 TEST(WokenOwnerTest, ARequestThatIsSentAgainBesideItsGrantHoldsOneSlot)
@@ -180,7 +236,7 @@
     const Placement::PlacementRequestId waiting = fleet.submit(fleet.other());
     fleet.run(milliseconds(100));
     // The request is sent again after 0.4 s. The owner does not read that before it has granted the first one, but before it counts as silent.
-    fleet.runOther(milliseconds(350));
+    fleet.runOne(fleet.other(), milliseconds(350));
     for (const Placement::PlacementRequestId &id : held) {
         fleet.owner().placement.ended(id, Placement::GrantOutcome::Completed, std::nullopt);
     }
--- a/Tests/Placement/RateWindowTest.cpp
+++ b/Tests/Placement/RateWindowTest.cpp
@@ -32,6 +32,19 @@
     });
 }
 
+// Guards against a place in the window that is lost, or free too early, when an event comes before its latest time.
+TEST(RateWindowTest, AnEventCountsFromWhenItHappened)
+{
+    RateWindow window(std::chrono::seconds(1), 1);
+    const TimePoint start = TimePoint() + std::chrono::seconds(1);
+    window.add(start + milliseconds(300));
+    CHECK_FALSE(window.hasRoom(start + milliseconds(1299)));
+    CHECK(window.hasRoom(start + milliseconds(1300)));
+    window.move(start + milliseconds(300), start + milliseconds(40));
+    CHECK_FALSE(window.hasRoom(start + milliseconds(1039)));
+    CHECK(window.hasRoom(start + milliseconds(1040)));
+}
+
 // Guards against limiting the requests of a service that has no limit.
 TEST(RateWindowTest, ZeroMeansNoLimit)
 {
